--- /dev/null
+++ b/src/celerystack/backend/__init__.py
@@ -0,0 +1,3 @@
+"""HTTP client to backend servers and the orders adapter."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/celerystack/commands/__init__.py
@@ -0,0 +1,3 @@
+"""Subcommands that change state."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/celerystack/config/__init__.py
@@ -0,0 +1,3 @@
+"""Configuration folder: load, merge, validate, derive."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/celerystack/control/__init__.py
@@ -0,0 +1,3 @@
+"""Twisted tasks that drive the lease and placement decisions."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/celerystack/model.py
@@ -0,0 +1,175 @@
+"""Data classes shared by the packages: declarations, rows and routes."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from celerystack import ids
+
+HASH_BITS = 64
+BASE_SHARDS_MAX = 1 << 20
+HOT_SHARD_BASE = 1 << 32
+"""Shard ids from here on are hot shards; below it they are base shards."""
+
+
+class ZoneLossPolicy(enum.Enum):
+    """What counts as evidence of loss when no entry VM of a zone answers."""
+
+    WAIT = "wait"
+    TAKE = "take"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Service:
+    """A declared service.
+
+    Attributes
+    ----------
+    prefixes : tuple of str
+        URL path prefixes that the service owns, each starting and ending with ``/``.
+    key_header : str
+        Header that carries the key; empty if the key is the path segment after the prefix.
+    shards : int
+        Number of base shards; 1 for a service that is not divided by key.
+    slots, connections : int
+        Concurrent executions and connections that each server allows.
+    deadline_ms : int
+        Default request deadline in milliseconds.
+    churn_per_minute : float
+        Largest share of shards that balancing may move per minute, 0 to 1.
+    """
+
+    name: ids.ServiceName
+    prefixes: tuple[str, ...]
+    divided: bool = True
+    key_header: str = ""
+    shards: int = 64
+    slots: int = 2
+    connections: int = 110
+    deadline_ms: int = 2000
+    idempotent_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
+    checks_token: bool = False
+    zone_loss: ZoneLossPolicy = ZoneLossPolicy.WAIT
+    churn_per_minute: float = 0.1
+    hot_keys: bool = True
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BackendServer:
+    """A declared backend server.
+
+    Attributes
+    ----------
+    address : str
+        ``IP:port`` of the server's HTTP listener.
+    weight : float
+        Relative capacity, greater than 0.
+    checks_token : bool or None
+        Whether the server checks tokens and epochs; None takes the service's value.
+    """
+
+    server: ids.ServerId
+    service: ids.ServiceName
+    zone: ids.ZoneName
+    address: str
+    weight: float = 1.0
+    checks_token: bool | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Configuration:
+    """The merged, valid configuration of one version."""
+
+    version: ids.ConfigVersion = ids.ConfigVersion(0)
+    services_by_name: dict[ids.ServiceName, Service] = dataclasses.field(default_factory=dict)
+    servers_by_id: dict[ids.ServerId, BackendServer] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True)
+class LessorRef:
+    """An entry VM process that may renew a server's lease."""
+
+    vm: ids.EntryVmId
+    incarnation: ids.Incarnation
+
+
+class ServerState(enum.Enum):
+    """State of a server's row."""
+
+    ACTIVE = "active"
+    DRAINING = "draining"
+    LOST = "lost"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ServerRow:
+    """Row ``server/<id>``.
+
+    Attributes
+    ----------
+    incarnation : Incarnation
+        Last known incarnation of the server's process; empty if none was seen.
+    previous_lessors : tuple of LessorRef
+        Lessors that may still act, until the server has acknowledged ``token``.
+    """
+
+    server: ids.ServerId
+    state: ServerState
+    token: ids.Token
+    incarnation: ids.Incarnation = ids.Incarnation("")
+    lessors: tuple[LessorRef, ...] = ()
+    previous_lessors: tuple[LessorRef, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class ShardGrant:
+    """One shard in a grant, with the epoch that requests must carry."""
+
+    service: ids.ServiceName
+    shard: ids.ShardId
+    epoch: ids.Epoch
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EntryVm:
+    """An entry VM as its peers see it."""
+
+    vm: ids.EntryVmId
+    incarnation: ids.Incarnation
+    zone: ids.ZoneName
+    peer_address: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """Owner of a key at one moment."""
+
+    server: ids.ServerId
+    shard: ids.ShardId
+    epoch: ids.Epoch
+
+
+@dataclasses.dataclass(frozen=True)
+class Moving:
+    """The key's shard is being moved; requests are held."""
+
+    shard: ids.ShardId
+
+
+@dataclasses.dataclass(frozen=True)
+class NoOwner:
+    """The key has no owner that can serve."""
+
+    shard: ids.ShardId
+
+
+RouteResult = Route | Moving | NoOwner
+
+
+class Outcome(enum.Enum):
+    """What a caller is told about its request."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
--- /dev/null
+++ b/src/celerystack/observe/__init__.py
@@ -0,0 +1,3 @@
+"""Logs, metrics, admin endpoints and audit records."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/celerystack/peers/__init__.py
@@ -0,0 +1,3 @@
+"""Streams between entry VMs: frames, authentication and mesh."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/celerystack/peers/messages.py
@@ -0,0 +1,144 @@
+"""Messages between entry VMs."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from celerystack import ids, model
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Hello:
+    """First message on a stream."""
+
+    vm: ids.EntryVmId
+    incarnation: ids.Incarnation
+    zone: ids.ZoneName
+    address: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Heartbeat:
+    """Sent every heartbeat interval; ``digest`` covers the sender's row cache."""
+
+    digest: int
+    config_version: ids.ConfigVersion
+    draining: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class RowVersions:
+    """The sender's row versions, sent when digests differ."""
+
+    versions_by_key: dict[ids.RowKey, ids.RowVersion]
+
+
+@dataclasses.dataclass(frozen=True)
+class RowsWanted:
+    """Asks for rows by key."""
+
+    keys: tuple[ids.RowKey, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Rows:
+    """Rows as ``(key, version, value)``."""
+
+    rows: tuple[tuple[ids.RowKey, ids.RowVersion, bytes | None], ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class PromiseRequest:
+    """Asks a lessor not to grant or renew ``server`` under tokens up to ``token``."""
+
+    server: ids.ServerId
+    token: ids.Token
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PromiseReply:
+    """Answer to `PromiseRequest`.
+
+    Attributes
+    ----------
+    lessor : LessorRef
+        The process that answers.
+    remaining_s : float
+        Seconds from sending until every lease that this lessor can have caused has lapsed.
+    deputies : tuple of LessorRef
+        Entry VMs that this lessor made deputies; they must be asked too.
+    """
+
+    server: ids.ServerId
+    token: ids.Token
+    lessor: model.LessorRef
+    promised: bool
+    remaining_s: float = 0.0
+    deputies: tuple[model.LessorRef, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Deputize:
+    """Allows the receiver to renew and grant ``server`` under ``token``."""
+
+    server: ids.ServerId
+    token: ids.Token
+
+
+class ClaimState(enum.Enum):
+    """State of a request id at a holder."""
+
+    ACCEPTED = "accepted"
+    RUNNING = "running"
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Claim:
+    """Claims a request id for one run; ``remaining_ms`` is the time left to its deadline."""
+
+    request: ids.RequestId
+    claimant: ids.EntryVmId
+    remaining_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class ClaimReply:
+    """Answer to `Claim`: ACCEPTED, or the state of the earlier claim."""
+
+    request: ids.RequestId
+    state: ClaimState
+
+
+@dataclasses.dataclass(frozen=True)
+class ClaimResult:
+    """Final state of a claimed request; NOT_RUN releases the claim."""
+
+    request: ids.RequestId
+    state: ClaimState
+
+
+@dataclasses.dataclass(frozen=True)
+class Suspects:
+    """Fingerprints that were in flight on a lost server, with their weights."""
+
+    weights_by_fingerprint: dict[ids.Fingerprint, int]
+
+
+Message = (
+    Hello
+    | Heartbeat
+    | RowVersions
+    | RowsWanted
+    | Rows
+    | PromiseRequest
+    | PromiseReply
+    | Deputize
+    | Claim
+    | ClaimReply
+    | ClaimResult
+    | Suspects
+)
--- /dev/null
+++ b/src/celerystack/queries/__init__.py
@@ -0,0 +1,3 @@
+"""Subcommands that only read state."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/celerystack/state/codec.py
@@ -0,0 +1,107 @@
+"""Encoding of table rows as msgpack; a row that does not decode raises `errors.CorruptRowError`."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any, TypeVar
+
+import msgpack
+
+from celerystack import errors, ids, model
+
+T = TypeVar("T")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ConfigHead:
+    """Row ``config/head``: the accepted version and the SHA-256 (hex) of each file."""
+
+    version: ids.ConfigVersion
+    sha256_by_file: dict[str, str]
+    snapshot: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OperatorRow:
+    """Rows ``drain/<id>`` and ``release/<id>``: who asked, when and why."""
+
+    operator: str
+    time_ms: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AuditRow:
+    """Row ``audit/...``: one change; ``before`` and ``after`` are short texts."""
+
+    transaction: ids.TransactionId
+    operator: str
+    time_ms: int
+    action: str
+    subject: str
+    reason: str
+    before: str
+    after: str
+
+
+def _pack(value: object) -> bytes:
+    return msgpack.packb(value)
+
+
+def unpack(data: bytes | None, *, key: str) -> Any:
+    """Decode msgpack; raises `errors.CorruptRowError` naming the row."""
+    try:
+        return msgpack.unpackb(data or b"", strict_map_key=False)
+    except Exception as error:
+        raise errors.CorruptRowError(
+            f"row {key} is not valid msgpack: {error}", step="codec.unpack", peer="table"
+        ) from error
+
+
+def encode_flat(row: ConfigHead | OperatorRow | AuditRow) -> bytes:
+    """Encode a row whose fields are plain values."""
+    return _pack(dataclasses.asdict(row))
+
+
+def decode_flat(row_type: type[T], data: bytes | None, *, key: str) -> T:
+    """Decode a row written by `encode_flat`."""
+    fields = unpack(data, key=key)
+    try:
+        return row_type(**fields)
+    except TypeError as error:
+        raise errors.CorruptRowError(
+            f"row {key} has wrong fields: {error}", step="codec.decode", peer="table"
+        ) from error
+
+
+def encode_server(row: model.ServerRow) -> bytes:
+    """Encode a ``server/<id>`` row."""
+    return _pack(
+        [
+            row.server,
+            row.state.value,
+            row.token,
+            row.incarnation,
+            [[lessor.vm, lessor.incarnation] for lessor in row.lessors],
+            [[lessor.vm, lessor.incarnation] for lessor in row.previous_lessors],
+        ]
+    )
+
+
+def decode_server(data: bytes | None, *, key: str) -> model.ServerRow:
+    """Decode a ``server/<id>`` row."""
+    fields = unpack(data, key=key)
+    try:
+        server, state, token, incarnation, lessors, previous = fields
+        return model.ServerRow(
+            server=server,
+            state=model.ServerState(state),
+            token=ids.Token(int(token)),
+            incarnation=incarnation,
+            lessors=tuple(model.LessorRef(*pair) for pair in lessors),
+            previous_lessors=tuple(model.LessorRef(*pair) for pair in previous),
+        )
+    except (TypeError, ValueError) as error:
+        raise errors.CorruptRowError(
+            f"row {key} is malformed: {error}", step="codec.decode_server", peer="table"
+        ) from error
--- /dev/null
+++ b/src/celerystack/state/keys.py
@@ -0,0 +1,43 @@
+"""Names of table rows."""
+
+from __future__ import annotations
+
+from celerystack import ids
+
+CONFIG_HEAD = ids.RowKey("config/head")
+CONFIG_FILE_PREFIX = "config/file/"
+SERVER_PREFIX = "server/"
+MAP_PREFIX = "map/"
+DRAIN_PREFIX = "drain/"
+RELEASE_PREFIX = "release/"
+AUDIT_PREFIX = "audit/"
+
+
+def config_file(name: str) -> ids.RowKey:
+    """Row of one configuration file."""
+    return ids.RowKey(CONFIG_FILE_PREFIX + name)
+
+
+def server(server_id: ids.ServerId) -> ids.RowKey:
+    """Row of one backend server."""
+    return ids.RowKey(SERVER_PREFIX + server_id)
+
+
+def shard_map(service: ids.ServiceName, chunk: int) -> ids.RowKey:
+    """Row of one chunk of a service's shard map."""
+    return ids.RowKey(f"{MAP_PREFIX}{service}/{chunk:06d}")
+
+
+def drain(server_id: ids.ServerId) -> ids.RowKey:
+    """Row that asks a server to leave."""
+    return ids.RowKey(DRAIN_PREFIX + server_id)
+
+
+def release(server_id: ids.ServerId) -> ids.RowKey:
+    """Row with the operator's evidence that a server's process is gone."""
+    return ids.RowKey(RELEASE_PREFIX + server_id)
+
+
+def audit(time_ms: int, transaction: ids.TransactionId) -> ids.RowKey:
+    """Audit row of one transaction."""
+    return ids.RowKey(f"{AUDIT_PREFIX}{time_ms:015d}-{transaction}")
--- /dev/null
+++ b/src/celerystack/state/shardmap.py
@@ -0,0 +1,213 @@
+"""Compact shard map of one service: owner and epoch per shard in arrays.
+
+A map is cut into chunks of `CHUNK_SHARDS` base shards; each chunk is one table row. Hot shards and
+moves are kept in the chunk of the base shard that contains the key.
+"""
+
+from __future__ import annotations
+
+import array
+import copy
+import dataclasses
+import hashlib
+
+import msgpack
+
+from celerystack import errors, ids, model
+from celerystack.state import codec
+
+CHUNK_SHARDS = 4096
+NO_OWNER = 0xFFFF_FFFF
+_EPOCH_TYPE = "I"
+_OWNER_TYPE = "I"
+
+
+def key_hash(key: str) -> ids.KeyHash:
+    """Return the 64-bit hash of a key (BLAKE2b, 8 bytes, big endian)."""
+    digest = hashlib.blake2b(key.encode("utf-8", "surrogateescape"), digest_size=8).digest()
+    return ids.KeyHash(int.from_bytes(digest, "big"))
+
+
+def base_shard(hashed: ids.KeyHash, shards: int) -> ids.ShardId:
+    """Return the base shard of a key hash: equal ranges of the hash space."""
+    return ids.ShardId((hashed * shards) >> model.HASH_BITS)
+
+
+def chunk_of(shard: ids.ShardId) -> int:
+    """Return the chunk that holds a base shard."""
+    return shard // CHUNK_SHARDS
+
+
+@dataclasses.dataclass(frozen=True)
+class Move:
+    """A move in progress from one server to another; the shard has no owner meanwhile."""
+
+    source: ids.ServerId
+    target: ids.ServerId
+
+
+@dataclasses.dataclass
+class HotShard:
+    """A shard that holds one key only."""
+
+    key_hash: ids.KeyHash
+    owner: ids.ServerId | None
+    epoch: ids.Epoch
+
+
+class ShardMapChunk:
+    """Owners, epochs, moves and hot shards of one chunk.
+
+    Attributes
+    ----------
+    first_shard, shard_count : int
+        Base shards covered: ``first_shard`` up to ``first_shard + shard_count``, exclusive.
+    hot_by_shard : dict
+        Hot shards by id.
+    moves_by_shard : dict
+        Moves in progress by shard id.
+    """
+
+    def __init__(self, *, first_shard: int, shard_count: int) -> None:
+        self.first_shard = first_shard
+        self.shard_count = shard_count
+        self.hot_by_shard: dict[ids.ShardId, HotShard] = {}
+        self.moves_by_shard: dict[ids.ShardId, Move] = {}
+        self._servers: list[ids.ServerId] = []
+        self._index_by_server: dict[ids.ServerId, int] = {}
+        self._owners = array.array(_OWNER_TYPE, [NO_OWNER]) * shard_count
+        self._epochs = array.array(_EPOCH_TYPE, [0]) * shard_count
+        self._hot_by_hash: dict[ids.KeyHash, ids.ShardId] = {}
+        self._next_hot = model.HOT_SHARD_BASE + first_shard
+
+    def copy(self) -> ShardMapChunk:
+        """Return a deep copy to change for the next transaction."""
+        return copy.deepcopy(self)
+
+    def shards(self) -> list[ids.ShardId]:
+        """Return all shard ids, base shards first."""
+        base = range(self.first_shard, self.first_shard + self.shard_count)
+        return [*map(ids.ShardId, base), *self.hot_by_shard]
+
+    def shard_for(self, hashed: ids.KeyHash, base: ids.ShardId) -> ids.ShardId:
+        """Return the hot shard of a key, or else ``base``."""
+        return self._hot_by_hash.get(hashed, base)
+
+    def owner(self, shard: ids.ShardId) -> ids.ServerId | None:
+        """Return the owner; None if the shard has none."""
+        if shard >= model.HOT_SHARD_BASE:
+            return self.hot_by_shard[shard].owner
+        index = self._owners[shard - self.first_shard]
+        return None if index == NO_OWNER else self._servers[index]
+
+    def epoch(self, shard: ids.ShardId) -> ids.Epoch:
+        """Return the epoch that requests for the shard must carry."""
+        if shard >= model.HOT_SHARD_BASE:
+            return self.hot_by_shard[shard].epoch
+        return ids.Epoch(self._epochs[shard - self.first_shard])
+
+    def assign(self, shard: ids.ShardId, owner: ids.ServerId | None) -> None:
+        """Set the owner, raise the epoch by one and end any move of the shard."""
+        self.moves_by_shard.pop(shard, None)
+        if shard >= model.HOT_SHARD_BASE:
+            hot = self.hot_by_shard[shard]
+            hot.owner = owner
+            hot.epoch = ids.Epoch(hot.epoch + 1)
+            return
+        position = shard - self.first_shard
+        self._owners[position] = NO_OWNER if owner is None else self._server_index(owner)
+        self._epochs[position] += 1
+
+    def start_move(self, shard: ids.ShardId, target: ids.ServerId) -> None:
+        """Take the shard from its owner and record the move; raises the epoch by one."""
+        source = self.owner(shard)
+        if source is None:
+            raise errors.CelerystackError(
+                f"shard {shard} has no owner to move from", step="shardmap.start_move"
+            )
+        self.assign(shard, None)
+        self.moves_by_shard[shard] = Move(source, target)
+
+    def split_hot(self, hashed: ids.KeyHash, base: ids.ShardId) -> ids.ShardId:
+        """Give a key its own shard on the owner of its base shard.
+
+        Raises the epoch of the base shard, so that routers with the older map are refused.
+        """
+        owner = self.owner(base)
+        self.assign(base, owner)
+        shard = ids.ShardId(self._next_hot)
+        self._next_hot += model.BASE_SHARDS_MAX
+        self.hot_by_shard[shard] = HotShard(hashed, owner, ids.Epoch(1))
+        self._hot_by_hash[hashed] = shard
+        return shard
+
+    def merge_hot(self, shard: ids.ShardId, base: ids.ShardId) -> None:
+        """Fold a hot shard back into its base shard; both must have the same owner."""
+        if self.owner(shard) != self.owner(base) or shard in self.moves_by_shard:
+            raise errors.CelerystackError(
+                f"hot shard {shard} and base shard {base} have different owners",
+                step="shardmap.merge_hot",
+            )
+        self._hot_by_hash.pop(self.hot_by_shard.pop(shard).key_hash)
+        self.assign(base, self.owner(base))
+
+    def _server_index(self, server: ids.ServerId) -> int:
+        index = self._index_by_server.get(server)
+        if index is None:
+            index = len(self._servers)
+            self._servers.append(server)
+            self._index_by_server[server] = index
+        return index
+
+    def encode(self) -> bytes:
+        """Encode as the value of the chunk's row."""
+        hot = [[s, h.key_hash, h.owner, h.epoch] for s, h in self.hot_by_shard.items()]
+        moves = [[s, m.source, m.target] for s, m in self.moves_by_shard.items()]
+        return msgpack.packb(
+            [
+                self.first_shard,
+                self.shard_count,
+                self._servers,
+                self._owners.tobytes(),
+                self._epochs.tobytes(),
+                hot,
+                moves,
+                self._next_hot,
+            ]
+        )
+
+    @classmethod
+    def decode(cls, data: bytes | None, *, key: str) -> ShardMapChunk:
+        """Decode a row value; raises `errors.CorruptRowError`."""
+        fields = codec.unpack(data, key=key)
+        try:
+            return cls._from_fields(fields)
+        except (TypeError, ValueError, IndexError) as error:
+            raise errors.CorruptRowError(
+                f"row {key} is malformed: {error}", step="shardmap.decode", peer="table"
+            ) from error
+
+    @classmethod
+    def _from_fields(cls, fields: list) -> ShardMapChunk:
+        first, count, servers, owners, epochs, hot, moves, next_hot = fields
+        chunk = cls(first_shard=first, shard_count=count)
+        chunk._servers = list(servers)
+        chunk._index_by_server = {server: index for index, server in enumerate(servers)}
+        chunk._owners = array.array(_OWNER_TYPE, owners)
+        chunk._epochs = array.array(_EPOCH_TYPE, epochs)
+        if len(chunk._owners) != count or len(chunk._epochs) != count:
+            raise ValueError("array length differs from the shard count")
+        if any(index != NO_OWNER and index >= len(servers) for index in chunk._owners):
+            raise ValueError("owner index out of range")
+        for shard, hashed, owner, epoch in hot:
+            chunk.hot_by_shard[shard] = HotShard(hashed, owner, epoch)
+            chunk._hot_by_hash[hashed] = shard
+        chunk.moves_by_shard = {shard: Move(source, target) for shard, source, target in moves}
+        chunk._next_hot = next_hot
+        return chunk
+
+
+def new_chunks(shards: int) -> list[ShardMapChunk]:
+    """Return empty chunks for a service with ``shards`` base shards."""
+    starts = range(0, shards, CHUNK_SHARDS)
+    return [ShardMapChunk(first_shard=s, shard_count=min(CHUNK_SHARDS, shards - s)) for s in starts]
