Add peer streams, row synchronisation and control tasks

Cause: entry VMs need a common view of the rows and tasks that drive the pure decision logic. Ruled out: one bidirectional connection per pair of entry VMs, because two processes that dial each other at once then need a tie-break. Change: authenticated one-way msgpack streams, row cache synchronisation by push and version comparison, cluster view, transactions and routes. Result: not run end to end yet; no figures.

--- /dev/null
+++ b/src/celerystack/control/committer.py
@@ -0,0 +1,79 @@
+"""Commits changes and spreads the written rows."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+from twisted.internet import interfaces
+
+from celerystack import errors
+from celerystack.control import changes, table_sync
+from celerystack.peers import sync
+from celerystack.platform import transactor as transactors
+from celerystack.state import codec
+
+COMMIT_TIMEOUT_S = 3.0
+"""Longest time to find out whether a transaction took effect."""
+
+_log = logging.getLogger(__name__)
+
+
+class Committer:
+    """Commits on behalf of one entry VM."""
+
+    def __init__(
+        self,
+        clock: interfaces.IReactorTime,
+        *,
+        transactor: transactors.Transactor,
+        tables: table_sync.TableSync,
+        rows: sync.RowSync,
+        operator: str,
+    ) -> None:
+        self._clock = clock
+        self._transactor = transactor
+        self._tables = tables
+        self._rows = rows
+        self._operator = operator
+
+    async def commit(self, change: changes.Change) -> bool:
+        """Commit a change; returns whether it took effect.
+
+        After a conflict, and when the result is unknown, the affected rows are read again, so that
+        the caller can decide anew.
+        """
+        audit = codec.AuditRow(
+            transaction=transactors.new_transaction_id(),
+            operator=self._operator,
+            time_ms=int(time.time() * 1000),
+            action=change.action,
+            subject=change.subject,
+            reason=change.reason,
+            before=change.before,
+            after=change.after,
+        )
+        try:
+            rows = await self._transactor.transact(
+                expected_versions_by_key=change.expected_versions_by_key,
+                writes=change.writes,
+                audit=audit,
+                deadline=self._clock.seconds() + COMMIT_TIMEOUT_S,
+            )
+        except errors.TransactionConflictError:
+            await self._tables.refresh(list(change.expected_versions_by_key))
+            return False
+        except errors.PlatformError as error:
+            self._tables.note_failure(error)
+            return False
+        self._rows.push(rows)
+        _log.info(
+            "%s %s: %s -> %s (%s)",
+            change.action,
+            change.subject,
+            change.before,
+            change.after,
+            change.reason,
+            extra={"step": change.action},
+        )
+        return True
--- /dev/null
+++ b/src/celerystack/control/lessor_task.py
@@ -0,0 +1,117 @@
+"""Sends the lessor's orders to backend servers and answers promise requests of peers."""
+
+from __future__ import annotations
+
+import logging
+from typing import Protocol
+
+from twisted.internet import defer, interfaces, task
+from twisted.python import failure as failures
+
+from celerystack import errors, ids, model
+from celerystack.backend import messages as order_messages
+from celerystack.control import view as cluster_view
+from celerystack.lease import lessor as lessors
+from celerystack.peers import mesh as peer_mesh
+from celerystack.peers import messages
+
+TICK_S = 0.05
+_log = logging.getLogger(__name__)
+
+
+class OrderPort(Protocol):
+    """Sends orders to backend servers."""
+
+    def send(self, order: order_messages.Order) -> defer.Deferred[order_messages.OrderReply]:
+        """Send an order; fails with `errors.BackendError`."""
+
+
+class LessorTask:
+    """Drives `lease.lessor.Lessor` for this entry VM."""
+
+    def __init__(
+        self,
+        clock: interfaces.IReactorTime,
+        *,
+        lessor: lessors.Lessor,
+        orders: OrderPort,
+        view: cluster_view.ClusterView,
+        mesh: peer_mesh.Mesh,
+    ) -> None:
+        self._clock = clock
+        self._orders = orders
+        self._view = view
+        self._mesh = mesh
+        self._loop = task.LoopingCall(self._tick)
+        self._loop.clock = clock
+        self.lessor = lessor
+        self.store_reachable = True
+        view.add_listener(self._view_changed)
+        mesh.add_handler(self._handle)
+
+    def start(self) -> None:
+        """Start renewing."""
+        self._loop.start(TICK_S, now=True)
+
+    def stop(self) -> None:
+        """Stop renewing."""
+        if self._loop.running:
+            self._loop.stop()
+
+    def send(self, orders: list[order_messages.Order]) -> None:
+        """Send orders; the replies go to the lessor."""
+        for order in orders:
+            sent = self._orders.send(order)
+            sent.addCallbacks(self._replied, self._failed, errbackArgs=(order,))
+            sent.addErrback(self._unexpected)
+
+    def _replied(self, reply: order_messages.OrderReply) -> None:
+        self.send(self.lessor.on_reply(reply, self._clock.seconds()))
+
+    def _failed(self, failure: failures.Failure, order: order_messages.Order) -> None:
+        failure.trap(errors.BackendError)
+        _log.debug("order to %s failed: %s", order.server, failure.value)
+
+    def _unexpected(self, failure: failures.Failure) -> None:
+        _log.error("order failed: %s", failure.getTraceback())
+
+    def _tick(self) -> None:
+        now = self._clock.seconds()
+        self.send(self.lessor.tick(now))
+        if not self.store_reachable:
+            self._appoint_deputies()
+
+    def _view_changed(self, change: cluster_view.ViewChange) -> None:
+        now = self._clock.seconds()
+        servers = set(change.servers)
+        if change.configuration:
+            servers |= set(self._view.server_rows_by_id)
+        for server in sorted(servers):
+            row = self._view.server_rows_by_id.get(server)
+            if row is not None:
+                self.send(self.lessor.update(row, self._view.granted(server), now))
+
+    def _handle(self, sender: model.EntryVm, message: messages.Message) -> None:
+        now = self._clock.seconds()
+        match message:
+            case messages.PromiseRequest():
+                reply = self.lessor.on_promise_request(message, now)
+                self._mesh.send(sender.vm, reply)
+            case messages.Deputize():
+                self.send(self.lessor.on_deputize(message, now))
+
+    def _appoint_deputies(self) -> None:
+        zone_vms = [
+            entry_vm
+            for entry_vm in self._mesh.live_entry_vms()
+            if entry_vm.zone == self._mesh.me.zone and entry_vm.vm != self._mesh.me.vm
+        ]
+        for server in list(self._view.server_rows_by_id):
+            for entry_vm in zone_vms:
+                self._appoint(server, entry_vm)
+
+    def _appoint(self, server: ids.ServerId, entry_vm: model.EntryVm) -> None:
+        deputy = model.LessorRef(entry_vm.vm, entry_vm.incarnation)
+        message = self.lessor.deputize(server, deputy)
+        if message is not None:
+            self._mesh.send(entry_vm.vm, message)
--- /dev/null
+++ b/src/celerystack/control/membership_task.py
@@ -0,0 +1,70 @@
+"""Polls the platform's membership list: peer addresses, leaving servers and evidence of loss."""
+
+from __future__ import annotations
+
+import logging
+
+from twisted.internet import defer, interfaces, task
+
+from celerystack import errors, ids
+from celerystack.lease import evidence
+from celerystack.peers import mesh as peer_mesh
+from celerystack.platform import ports
+
+POLL_S = 1.0
+_log = logging.getLogger(__name__)
+
+
+class MembershipTask:
+    """Keeps the last successfully read membership list.
+
+    Attributes
+    ----------
+    history : ListingHistory
+        Backend servers that were listed and those that are listed now.
+    leaving_servers : frozenset of ServerId
+        Backend servers that the platform marks as leaving.
+    """
+
+    def __init__(
+        self,
+        clock: interfaces.IReactorTime,
+        *,
+        membership: ports.MembershipPort,
+        mesh: peer_mesh.Mesh,
+    ) -> None:
+        self._membership = membership
+        self._mesh = mesh
+        self._loop = task.LoopingCall(self._poll)
+        self._loop.clock = clock
+        self.history = evidence.ListingHistory()
+        self.leaving_servers: frozenset[ids.ServerId] = frozenset()
+        self.reachable = False
+
+    def start(self) -> None:
+        """Start polling."""
+        self._loop.start(POLL_S, now=True)
+
+    def stop(self) -> None:
+        """Stop polling."""
+        if self._loop.running:
+            self._loop.stop()
+
+    def _poll(self) -> defer.Deferred[None]:
+        return defer.ensureDeferred(self._poll_once())
+
+    async def _poll_once(self) -> None:
+        try:
+            members = await self._membership.members()
+        except errors.PlatformError as error:
+            if self.reachable:
+                _log.warning("membership list failed: %s", error, extra={"step": error.step})
+            self.reachable = False
+            return
+        self.reachable = True
+        servers = [member for member in members if member.role is ports.VmRole.BACKEND]
+        self.history.observe(ids.ServerId(member.vm) for member in servers)
+        self.leaving_servers = frozenset(
+            ids.ServerId(m.vm) for m in servers if m.state is ports.VmState.LEAVING
+        )
+        self._mesh.dial(member.address for member in members if member.role is ports.VmRole.ENTRY)
--- /dev/null
+++ b/src/celerystack/control/routes.py
@@ -0,0 +1,116 @@
+"""Routes of requests, derived from the cluster view; implements `requests.ports.RouteSource`."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from twisted.internet import defer
+
+from celerystack import ids, model
+from celerystack.control import view as cluster_view
+from celerystack.state import shardmap
+
+
+class Routes:
+    """Looks up services, keys and owners.
+
+    Parameters
+    ----------
+    may_send : callable
+        The check of section 4.6 for a server id.
+    usable : callable
+        Whether a server may get new requests of a service that is not divided by key.
+    """
+
+    def __init__(
+        self,
+        view: cluster_view.ClusterView,
+        *,
+        may_send: Callable[[ids.ServerId], bool],
+        usable: Callable[[ids.ServerId], bool],
+    ) -> None:
+        self._view = view
+        self._may_send = may_send
+        self._usable = usable
+        self._services_by_prefix: dict[str, model.Service] = {}
+        self._prefix_lengths: list[int] = []
+        self._chunks_by_service: dict[ids.ServiceName, list[shardmap.ShardMapChunk]] = {}
+        self._waiting_by_service: dict[ids.ServiceName, set[defer.Deferred[None]]] = {}
+        view.add_listener(self._view_changed)
+
+    def service_for(self, path: str) -> model.Service | None:
+        """Return the service that owns the longest matching path prefix."""
+        for length in self._prefix_lengths:
+            service = self._services_by_prefix.get(path[:length])
+            if service is not None:
+                return service
+        return None
+
+    def key_for(
+        self, service: model.Service, path: str, headers: tuple[tuple[bytes, bytes], ...]
+    ) -> str | None:
+        """Return the declared header's value, or the path segment after the prefix."""
+        if service.key_header:
+            wanted = service.key_header.lower().encode()
+            values = [value for name, value in headers if name.lower() == wanted]
+            return values[0].decode("latin-1") if len(values) == 1 and values[0] else None
+        prefix = max((p for p in service.prefixes if path.startswith(p)), key=len, default=None)
+        if prefix is None:
+            return None
+        return path[len(prefix) :].split("?", 1)[0].split("/", 1)[0] or None
+
+    def route(self, service: model.Service, key_hash: ids.KeyHash) -> model.RouteResult:
+        """Return the owner of a key hash."""
+        base = shardmap.base_shard(key_hash, service.shards)
+        chunks = self._chunks_by_service.get(service.name)
+        number = shardmap.chunk_of(base)
+        if not chunks or number >= len(chunks):
+            return model.NoOwner(base)
+        chunk = chunks[number]
+        shard = chunk.shard_for(key_hash, base)
+        if shard in chunk.moves_by_shard:
+            return model.Moving(shard)
+        owner = chunk.owner(shard)
+        if owner is None:
+            return model.NoOwner(shard)
+        return model.Route(owner, shard, chunk.epoch(shard))
+
+    def servers(self, service: model.Service) -> tuple[model.BackendServer, ...]:
+        """Return the servers of a service that may get new requests."""
+        servers = self._view.servers_of(service.name)
+        return tuple(server for server in servers if self._usable(server.server))
+
+    def server(self, server_id: ids.ServerId) -> model.BackendServer | None:
+        """Return a declared server."""
+        return self._view.declared(server_id)
+
+    def may_send(self, server: model.BackendServer) -> bool:
+        """Return whether a request may be written to a server in this reactor turn."""
+        return self._may_send(server.server)
+
+    def wait_for_change(self, service: model.Service) -> defer.Deferred[None]:
+        """Return a Deferred that fires at the next change of a service's routes."""
+        waiting = self._waiting_by_service.setdefault(service.name, set())
+        changed: defer.Deferred[None] = defer.Deferred(waiting.discard)
+        waiting.add(changed)
+        return changed
+
+    def wake(self, service: ids.ServiceName) -> None:
+        """Let waiting requests look again, for example when a server becomes usable."""
+        for changed in self._waiting_by_service.pop(service, set()):
+            changed.callback(None)
+
+    def _view_changed(self, change: cluster_view.ViewChange) -> None:
+        services_by_name = self._view.configuration.services_by_name
+        if change.configuration:
+            self._services_by_prefix = {
+                prefix: service
+                for service in services_by_name.values()
+                for prefix in service.prefixes
+            }
+            lengths = {len(prefix) for prefix in self._services_by_prefix}
+            self._prefix_lengths = sorted(lengths, reverse=True)
+        for name in change.services:
+            self._chunks_by_service[name] = [chunk for _, chunk in self._view.chunks(name)]
+        for name in services_by_name if change.configuration else change.services:
+            self.wake(name)
--- /dev/null
+++ b/src/celerystack/control/table_sync.py
@@ -0,0 +1,109 @@
+"""Reads changed rows from the table service and spreads them to the peers."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from twisted.internet import defer, interfaces, task
+
+from celerystack import errors, ids, timing
+from celerystack.lease import rendezvous
+from celerystack.peers import mesh as peer_mesh
+from celerystack.peers import sync
+from celerystack.platform import ports
+
+_POLLER_KEY = "table-poller"
+_BACKUP_POLL_S = 5.0
+"""Poll interval of the entry VMs that are not the poller of their zone."""
+
+_log = logging.getLogger(__name__)
+
+
+class TableSync:
+    """Polls the change feed; one entry VM per zone polls every `timing.CHANGE_POLL_S`.
+
+    Attributes
+    ----------
+    reachable : bool
+        The last call to the table succeeded.
+    has_state : bool
+        The table has been read once.
+    """
+
+    def __init__(
+        self,
+        clock: interfaces.IReactorTime,
+        *,
+        table: ports.TablePort,
+        rows: sync.RowSync,
+        mesh: peer_mesh.Mesh,
+        on_error: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._clock = clock
+        self._table = table
+        self._rows = rows
+        self._mesh = mesh
+        self._on_error = on_error
+        self._since = 0
+        self._polling = False
+        self._next_poll = 0.0
+        self._loop = task.LoopingCall(self._tick)
+        self._loop.clock = clock
+        self.reachable = False
+        self.has_state = False
+
+    def start(self) -> None:
+        """Start polling."""
+        self._loop.start(timing.CHANGE_POLL_S / 4, now=True)
+
+    def stop(self) -> None:
+        """Stop polling."""
+        if self._loop.running:
+            self._loop.stop()
+
+    def _is_poller(self) -> bool:
+        zone = [v for v in self._mesh.live_entry_vms() if v.zone == self._mesh.me.zone]
+        return rendezvous.ranked(_POLLER_KEY, [v.vm for v in zone])[0] == self._mesh.me.vm
+
+    def _tick(self) -> None:
+        now = self._clock.seconds()
+        if self._polling or now < self._next_poll:
+            return
+        fast = self._is_poller() or not self.has_state
+        self._next_poll = now + (timing.CHANGE_POLL_S if fast else _BACKUP_POLL_S)
+        self._polling = True
+        polled = defer.ensureDeferred(self._poll())
+        polled.addErrback(lambda failure: _log.error("poll failed: %s", failure))
+        polled.addBoth(self._poll_done)
+
+    def _poll_done(self, _result: object) -> None:
+        self._polling = False
+
+    async def _poll(self) -> None:
+        try:
+            newest, rows = await self._table.changes(self._since)
+        except errors.PlatformError as error:
+            self.note_failure(error)
+            return
+        self._since = newest
+        self.reachable = True
+        self.has_state = True
+        self._rows.push(rows)
+
+    def note_failure(self, error: errors.PlatformError) -> None:
+        """Record that a call to the table failed."""
+        if self.reachable:
+            _log.warning("table service failed: %s", error, extra={"step": error.step})
+        self.reachable = False
+        self._on_error()
+
+    async def refresh(self, keys: list[ids.RowKey]) -> None:
+        """Read rows again, for example after a conflict, and spread what is newer."""
+        try:
+            rows = await self._table.get(keys)
+        except errors.PlatformError as error:
+            self.note_failure(error)
+            return
+        self.reachable = True
+        self._rows.push([row for row in rows if row.version])
--- /dev/null
+++ b/src/celerystack/control/view.py
@@ -0,0 +1,170 @@
+"""State derived from the row cache: configuration, server rows, shard maps and grants."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+from collections.abc import Callable
+
+from celerystack import errors, ids, model
+from celerystack.config import derive
+from celerystack.platform import ports
+from celerystack.state import cache as row_cache
+from celerystack.state import codec, keys, shardmap
+
+UNDIVIDED_SHARD = ids.ShardId(0)
+UNDIVIDED_EPOCH = ids.Epoch(1)
+"""Every server of a service that is not divided by key is granted this shard and epoch."""
+
+_log = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True)
+class ViewChange:
+    """What a merge of rows changed; ``services`` have new maps, ``servers`` new rows or grants."""
+
+    servers: frozenset[ids.ServerId]
+    services: frozenset[ids.ServiceName]
+    configuration: bool
+
+
+class ClusterView:
+    """Read-only state for all tasks of one entry VM; changed only by the row cache."""
+
+    def __init__(self, cache: row_cache.RowCache) -> None:
+        self._cache = cache
+        self._listeners: list[Callable[[ViewChange], None]] = []
+        self._chunks_by_key: dict[ids.RowKey, shardmap.ShardMapChunk] = {}
+        self._grants_by_service: dict[
+            ids.ServiceName, dict[ids.ServerId, list[model.ShardGrant]]
+        ] = {}
+        self.configuration = model.Configuration()
+        self.server_rows_by_id: dict[ids.ServerId, model.ServerRow] = {}
+        cache.add_listener(self._rows_changed)
+
+    def add_listener(self, listener: Callable[[ViewChange], None]) -> None:
+        """Call ``listener`` after every change."""
+        self._listeners.append(listener)
+
+    def row_version(self, key: ids.RowKey) -> ids.RowVersion:
+        """Return the newest known version of a row."""
+        return self._cache.get(key).version
+
+    def declared(self, server: ids.ServerId) -> model.BackendServer | None:
+        """Return a declared server; None if it is not declared."""
+        return self.configuration.servers_by_id.get(server)
+
+    def service_of(self, server: ids.ServerId) -> model.Service | None:
+        """Return the service of a declared server."""
+        declared = self.declared(server)
+        return self.configuration.services_by_name.get(declared.service) if declared else None
+
+    def servers_of(self, service: ids.ServiceName) -> list[model.BackendServer]:
+        """Return the declared servers of a service, by id."""
+        servers = self.configuration.servers_by_id.values()
+        return sorted((s for s in servers if s.service == service), key=lambda s: s.server)
+
+    def checks_token(self, server: ids.ServerId) -> bool:
+        """Return whether a server checks tokens; False, the strict variant, if not declared."""
+        declared, service = self.declared(server), self.service_of(server)
+        if declared is not None and declared.checks_token is not None:
+            return declared.checks_token
+        return service is not None and service.checks_token
+
+    def is_draining(self, server: ids.ServerId) -> bool:
+        """Return whether an operator asked the server to leave."""
+        return self._cache.get(keys.drain(server)).value is not None
+
+    def release_row(self, server: ids.ServerId) -> ports.Row:
+        """Return the row with the operator's evidence that the server's process is gone."""
+        return self._cache.get(keys.release(server))
+
+    def chunk(
+        self, service: ids.ServiceName, number: int
+    ) -> tuple[ids.RowKey, shardmap.ShardMapChunk | None]:
+        """Return the row key and the decoded chunk of a service's shard map."""
+        key = keys.shard_map(service, number)
+        return key, self._chunks_by_key.get(key)
+
+    def chunks(self, service: ids.ServiceName) -> list[tuple[ids.RowKey, shardmap.ShardMapChunk]]:
+        """Return all known chunks of a service, in order."""
+        prefix = f"{keys.MAP_PREFIX}{service}/"
+        found = [(k, c) for k, c in self._chunks_by_key.items() if k.startswith(prefix)]
+        return sorted(found, key=lambda pair: pair[0])
+
+    def granted(self, server: ids.ServerId) -> tuple[model.ShardGrant, ...]:
+        """Return the shards that a server owns according to the newest known rows."""
+        grants = [g.get(server, []) for g in self._grants_by_service.values()]
+        shards = [grant for service_grants in grants for grant in service_grants]
+        service = self.service_of(server)
+        if service is not None and not service.divided:
+            shards.append(model.ShardGrant(service.name, UNDIVIDED_SHARD, UNDIVIDED_EPOCH))
+        return tuple(shards)
+
+    def _rows_changed(self, rows: list[ports.Row]) -> None:
+        servers: set[ids.ServerId] = set()
+        services: set[ids.ServiceName] = set()
+        configuration = False
+        for row in rows:
+            if row.key.startswith(keys.SERVER_PREFIX):
+                servers |= self._load_server(row)
+            elif row.key.startswith(keys.MAP_PREFIX):
+                services |= self._load_chunk(row)
+            elif row.key.startswith(keys.DRAIN_PREFIX):
+                servers.add(ids.ServerId(row.key.removeprefix(keys.DRAIN_PREFIX)))
+            elif row.key.startswith("config/"):
+                configuration = True
+        if configuration:
+            configuration = self._load_configuration()
+        for service in services:
+            servers |= self._regroup_grants(service)
+        change = ViewChange(frozenset(servers), frozenset(services), configuration)
+        for listener in self._listeners:
+            listener(change)
+
+    def _load_server(self, row: ports.Row) -> set[ids.ServerId]:
+        server = ids.ServerId(row.key.removeprefix(keys.SERVER_PREFIX))
+        if row.value is None:
+            self.server_rows_by_id.pop(server, None)
+            return {server}
+        try:
+            self.server_rows_by_id[server] = codec.decode_server(row.value, key=row.key)
+        except errors.CorruptRowError as error:
+            _log.error("ignoring corrupt row: %s", error, extra={"step": error.step})
+            return set()
+        return {server}
+
+    def _load_chunk(self, row: ports.Row) -> set[ids.ServiceName]:
+        service = ids.ServiceName(row.key.removeprefix(keys.MAP_PREFIX).rpartition("/")[0])
+        if row.value is None:
+            self._chunks_by_key.pop(row.key, None)
+            return {service}
+        try:
+            self._chunks_by_key[row.key] = shardmap.ShardMapChunk.decode(row.value, key=row.key)
+        except errors.CorruptRowError as error:
+            _log.error("ignoring corrupt row: %s", error, extra={"step": error.step})
+            return set()
+        return {service}
+
+    def _load_configuration(self) -> bool:
+        try:
+            configuration = derive.configuration_from_rows(self._cache)
+        except errors.CelerystackError as error:
+            _log.error("ignoring invalid configuration: %s", error, extra={"step": error.step})
+            return False
+        if configuration is None or configuration.version <= self.configuration.version:
+            return False
+        self.configuration = configuration
+        return True
+
+    def _regroup_grants(self, service: ids.ServiceName) -> set[ids.ServerId]:
+        before = self._grants_by_service.get(service, {})
+        grants: dict[ids.ServerId, list[model.ShardGrant]] = {}
+        for _, chunk in self.chunks(service):
+            for shard in chunk.shards():
+                owner = chunk.owner(shard)
+                if owner is not None:
+                    grant = model.ShardGrant(service, shard, chunk.epoch(shard))
+                    grants.setdefault(owner, []).append(grant)
+        self._grants_by_service[service] = grants
+        return {s for s in {*before, *grants} if before.get(s) != grants.get(s)}
--- /dev/null
+++ b/src/celerystack/peers/codec.py
@@ -0,0 +1,75 @@
+"""Encoding of peer messages as msgpack: a list of the type name and the fields in order."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from typing import Any
+
+import msgpack
+
+from celerystack import errors, ids, model
+from celerystack.peers import messages
+
+_TYPES_BY_NAME = {message_type.__name__: message_type for message_type in messages.Message.__args__}
+
+
+def encode(message: messages.Message) -> bytes:
+    """Encode a message."""
+    fields = [getattr(message, field.name) for field in dataclasses.fields(message)]
+    return msgpack.packb([type(message).__name__, *fields], default=_plain)
+
+
+def _plain(value: object) -> object:
+    match value:
+        case enum.Enum():
+            return value.value
+        case model.LessorRef(vm, incarnation):
+            return [vm, incarnation]
+    raise TypeError(f"cannot encode {type(value).__name__}")
+
+
+def decode(data: bytes, *, peer: str) -> messages.Message:
+    """Decode a message; raises `errors.BadFrameError` naming the peer."""
+    try:
+        name, *values = msgpack.unpackb(data, strict_map_key=False)
+        message_type = _TYPES_BY_NAME[name]
+        names = [field.name for field in dataclasses.fields(message_type)]
+        return _refine(message_type(**dict(zip(names, values, strict=True))))
+    except Exception as error:
+        raise errors.BadFrameError(
+            f"malformed message: {error!r}", step="peers.decode", peer=peer
+        ) from error
+
+
+def _refine(message: Any) -> messages.Message:
+    """Restore the nested types that msgpack flattens, checking their shapes."""
+    match message:
+        case messages.RowsWanted():
+            return messages.RowsWanted(tuple(ids.RowKey(str(key)) for key in message.keys))
+        case messages.Rows():
+            return messages.Rows(tuple(_row(row) for row in message.rows))
+        case messages.RowVersions():
+            versions = {ids.RowKey(str(k)): int(v) for k, v in message.versions_by_key.items()}
+            return messages.RowVersions(versions)
+        case messages.PromiseReply():
+            return dataclasses.replace(
+                message,
+                lessor=model.LessorRef(*message.lessor),
+                deputies=tuple(model.LessorRef(*pair) for pair in message.deputies),
+                remaining_s=float(message.remaining_s),
+            )
+        case messages.ClaimReply() | messages.ClaimResult():
+            return dataclasses.replace(message, state=messages.ClaimState(message.state))
+        case messages.Heartbeat():
+            return dataclasses.replace(
+                message, stamp=float(message.stamp), echo=float(message.echo)
+            )
+    return message
+
+
+def _row(row: list) -> tuple[ids.RowKey, ids.RowVersion, bytes | None]:
+    key, version, value = row
+    if value is not None and not isinstance(value, bytes):
+        raise TypeError("row value is not bytes")
+    return ids.RowKey(str(key)), ids.RowVersion(int(version)), value
--- /dev/null
+++ b/src/celerystack/peers/mesh.py
@@ -0,0 +1,249 @@
+"""Streams to all known entry VMs, and which of them are live."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+from collections.abc import Callable, Iterable
+
+from twisted.internet import interfaces, protocol, task
+
+from celerystack import ids, model, timing
+from celerystack.peers import messages, stream
+
+CONNECT_TIMEOUT_S = 1.0
+RECONNECT_MAX_S = 0.5
+_log = logging.getLogger(__name__)
+
+MessageHandler = Callable[[model.EntryVm, messages.Message], None]
+
+
+@dataclasses.dataclass
+class Peer:
+    """What is known of one entry VM; times are on the local monotonic clock."""
+
+    entry_vm: model.EntryVm
+    live_until: float
+    silent_since: float
+    heartbeat: messages.Heartbeat | None = None
+    stamp: float = 0.0
+    echo: float = 0.0
+
+
+class _SenderFactory(protocol.ReconnectingClientFactory):
+    initialDelay = 0.05
+    maxDelay = RECONNECT_MAX_S
+    noisy = False
+
+    def __init__(self, build: Callable[[], stream.PeerSender]) -> None:
+        self._build = build
+
+    def buildProtocol(self, addr: object) -> stream.PeerSender:  # noqa: N802
+        self.resetDelay()
+        return self._build()
+
+
+class _ReceiverFactory(protocol.Factory):
+    noisy = False
+
+    def __init__(self, build: Callable[[], stream.PeerReceiver]) -> None:
+        self._build = build
+
+    def buildProtocol(self, addr: object) -> stream.PeerReceiver:  # noqa: N802
+        return self._build()
+
+
+class Mesh:
+    """Owns all peer streams of this entry VM.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP and IReactorTime
+    me : EntryVm
+        This process; ``peer_address`` is the address that peers dial.
+    secrets : tuple of bytes
+        The first one signs; all of them verify.
+    heartbeat : callable
+        Returns the next heartbeat, without stamp and echo.
+    """
+
+    def __init__(
+        self,
+        reactor: interfaces.IReactorTCP,
+        *,
+        me: model.EntryVm,
+        secrets: tuple[bytes, ...],
+        heartbeat: Callable[[], messages.Heartbeat],
+    ) -> None:
+        self._reactor = reactor
+        self._secrets = secrets
+        self._heartbeat = heartbeat
+        self._senders_by_address: dict[str, stream.PeerSender | None] = {}
+        self._factories_by_address: dict[str, _SenderFactory] = {}
+        self._handlers: list[MessageHandler] = []
+        self._port: interfaces.IListeningPort | None = None
+        self._loop = task.LoopingCall(self._beat)
+        self._loop.clock = reactor
+        self.me = me
+        self.peers_by_vm: dict[ids.EntryVmId, Peer] = {}
+
+    def add_handler(self, handler: MessageHandler) -> None:
+        """Call ``handler`` with every message and its sender."""
+        self._handlers.append(handler)
+
+    def start(self, listen_address: str) -> None:
+        """Listen for peers and start the heartbeats."""
+        host, _, port = listen_address.rpartition(":")
+        factory = _ReceiverFactory(
+            lambda: stream.PeerReceiver(secrets=self._secrets, on_message=self._received)
+        )
+        self._port = self._reactor.listenTCP(int(port), factory, interface=host)
+        self._loop.start(timing.PEER_HEARTBEAT_S, now=True)
+
+    def stop(self) -> None:
+        """Close all streams."""
+        if self._loop.running:
+            self._loop.stop()
+        if self._port is not None:
+            self._port.stopListening()
+        for factory in self._factories_by_address.values():
+            factory.stopTrying()
+        for sender in self._senders_by_address.values():
+            if sender is not None and sender.transport is not None:
+                sender.transport.loseConnection()
+
+    def dial(self, addresses: Iterable[str]) -> None:
+        """Connect to peers by address, and stay connected; known addresses are ignored."""
+        for address in addresses:
+            if address and address != self.me.peer_address:
+                self._dial_one(address)
+
+    def _dial_one(self, address: str) -> None:
+        if address in self._factories_by_address:
+            return
+        host, _, port = address.rpartition(":")
+        factory = _SenderFactory(lambda: self._build_sender(address))
+        self._factories_by_address[address] = factory
+        self._senders_by_address[address] = None
+        self._reactor.connectTCP(host, int(port), factory, timeout=CONNECT_TIMEOUT_S)
+
+    def forget(self, address: str) -> None:
+        """Stop dialling an address, for example of a VM that left."""
+        factory = self._factories_by_address.pop(address, None)
+        if factory is not None:
+            factory.stopTrying()
+        sender = self._senders_by_address.pop(address, None)
+        if sender is not None and sender.transport is not None:
+            sender.transport.loseConnection()
+
+    def _build_sender(self, address: str) -> stream.PeerSender:
+        hello = messages.Hello(
+            vm=self.me.vm,
+            incarnation=self.me.incarnation,
+            zone=self.me.zone,
+            address=self.me.peer_address,
+        )
+        return stream.PeerSender(
+            secret=self._secrets[0],
+            hello=hello,
+            on_ready=lambda sender: self._sender_ready(address, sender),
+            on_lost=lambda sender: self._sender_lost(address, sender),
+        )
+
+    def _sender_ready(self, address: str, sender: stream.PeerSender) -> None:
+        self._senders_by_address[address] = sender
+        self._beat_one(address)
+
+    def _sender_lost(self, address: str, sender: stream.PeerSender) -> None:
+        if self._senders_by_address.get(address) is sender:
+            self._senders_by_address[address] = None
+
+    def send(self, vm: ids.EntryVmId, message: messages.Message) -> bool:
+        """Send to one entry VM; returns False if there is no stream to it.
+
+        A message to this VM itself is handled at once.
+        """
+        if vm == self.me.vm:
+            self._dispatch(self.me, message)
+            return True
+        peer = self.peers_by_vm.get(vm)
+        sender = self._senders_by_address.get(peer.entry_vm.peer_address) if peer else None
+        if sender is None:
+            return False
+        sender.send(message)
+        return True
+
+    def broadcast(self, message: messages.Message) -> None:
+        """Send to all connected entry VMs except this one."""
+        for sender in self._senders_by_address.values():
+            if sender is not None:
+                sender.send(message)
+
+    def live_peers(self) -> list[Peer]:
+        """Return the live peers, without this entry VM, by id."""
+        now = self._reactor.seconds()
+        peers = sorted(self.peers_by_vm.values(), key=lambda peer: peer.entry_vm.vm)
+        return [peer for peer in peers if peer.live_until > now]
+
+    def live_entry_vms(self) -> list[model.EntryVm]:
+        """Return this entry VM and the live ones that are not shutting down, by id."""
+        live = [
+            peer.entry_vm
+            for peer in self.live_peers()
+            if peer.heartbeat is None or not peer.heartbeat.draining
+        ]
+        return sorted([self.me, *live], key=lambda entry_vm: entry_vm.vm)
+
+    def _beat(self) -> None:
+        for address in list(self._senders_by_address):
+            self._beat_one(address)
+
+    def _beat_one(self, address: str) -> None:
+        sender = self._senders_by_address.get(address)
+        if sender is None:
+            return
+        echo = next(
+            (p.stamp for p in self.peers_by_vm.values() if p.entry_vm.peer_address == address), 0.0
+        )
+        beat = dataclasses.replace(self._heartbeat(), stamp=self._reactor.seconds(), echo=echo)
+        sender.send(beat)
+
+    def _received(self, receiver: stream.PeerReceiver, message: messages.Message) -> None:
+        hello = receiver.hello
+        if hello is None or hello.vm == self.me.vm:
+            return
+        peer = self._peer_of(hello)
+        if peer is None:
+            return
+        match message:
+            case messages.Hello():
+                self.dial([hello.address])
+            case messages.Heartbeat():
+                self._note_heartbeat(peer, message)
+        self._dispatch(peer.entry_vm, message)
+
+    def _peer_of(self, hello: messages.Hello) -> Peer | None:
+        entry_vm = model.EntryVm(
+            vm=hello.vm, incarnation=hello.incarnation, zone=hello.zone, peer_address=hello.address
+        )
+        known = self.peers_by_vm.get(hello.vm)
+        if known is not None and known.entry_vm == entry_vm:
+            return known
+        now = self._reactor.seconds()
+        if known is not None and known.live_until > now and known.heartbeat is not None:
+            _log.info("entry VM %s has a new incarnation", hello.vm, extra={"peer": hello.address})
+        peer = Peer(entry_vm, live_until=now + timing.PEER_DOWN_S, silent_since=now)
+        self.peers_by_vm[hello.vm] = peer
+        return peer
+
+    def _note_heartbeat(self, peer: Peer, beat: messages.Heartbeat) -> None:
+        now = self._reactor.seconds()
+        peer.live_until = now + timing.PEER_DOWN_S
+        peer.silent_since = now
+        peer.heartbeat = beat
+        peer.stamp = max(peer.stamp, beat.stamp)
+        peer.echo = max(peer.echo, beat.echo)
+
+    def _dispatch(self, sender: model.EntryVm, message: messages.Message) -> None:
+        for handler in self._handlers:
+            handler(sender, message)
--- a/src/celerystack/peers/messages.py
+++ b/src/celerystack/peers/messages.py
@@ -18,13 +18,34 @@
     address: str
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, kw_only=True)
 class Heartbeat:
-    """Sent every heartbeat interval; ``digest`` covers the sender's row cache."""
+    """Sent to each peer every heartbeat interval.
+
+    Attributes
+    ----------
+    digest : int
+        Digest of the sender's row cache.
+    stamp : float
+        The sender's monotonic clock in seconds.
+    echo : float
+        Newest stamp that the sender received from the addressed peer; 0 if none. Time limits run
+        from the echoed stamp, so that a delayed heartbeat cannot extend them.
+    draining : bool
+        The sender shuts down and takes no new work.
+    store_reachable : bool
+        The sender's last call to the table service succeeded.
+    unanswered_by_server : dict
+        Requests without an answer on open connections, for servers that do not check tokens.
+    """
 
     digest: int
     config_version: ids.ConfigVersion
+    stamp: float = 0.0
+    echo: float = 0.0
     draining: bool = False
+    store_reachable: bool = True
+    unanswered_by_server: dict[ids.ServerId, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/celerystack/platform/ports.py
+++ b/src/celerystack/platform/ports.py
@@ -13,7 +13,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Row:
-    """A versioned row; ``value`` is None if the row does not exist (version 0)."""
+    """A versioned row; ``value`` is None if the row does not exist.
+
+    The version of a row that never existed is 0. A deleted row keeps its version, and a later write
+    continues from it, so that an older copy can never look newer.
+    """
 
     key: ids.RowKey
     version: ids.RowVersion
@@ -53,7 +57,7 @@
     """
 
     def get(self, keys: list[ids.RowKey]) -> defer.Deferred[list[Row]]:
-        """Read rows; a missing row has version 0."""
+        """Read rows; a row that never existed has version 0."""
 
     def scan(self, prefix: str) -> defer.Deferred[list[Row]]:
         """Read all rows whose key starts with ``prefix``, in key order."""
