Add lease decisions: lessor, takeover and stewardship

Ruled out: granting the row's token to any incarnation that replies. A server process that started later does not know the newest token, so a lessor that was paused over a move or a replacement could give it an old list of shards. Leases go only to the incarnation recorded in the row; the steward records a new one under a new token (Revive). Previous lessors are cleared one lease time after the acknowledgement, because a server never shortens a lease.

--- /dev/null
+++ b/src/celerystack/lease/lessor.py
@@ -0,0 +1,206 @@
+"""Renewals, grants and promises of one entry VM, for all servers (sections 4.1 to 4.4).
+
+A lessor sends leases only to the server process that is recorded in the row. A server process that
+started later has not seen the newest token, so it could not reject a lessor with an old row; the
+steward records it under a new token first.
+"""
+
+from __future__ import annotations
+
+from celerystack import ids, model, timing
+from celerystack.backend import messages as orders
+from celerystack.lease import records
+from celerystack.peers import messages as peer_messages
+
+
+class Lessor:
+    """The lessor role of this process.
+
+    Parameters
+    ----------
+    me : LessorRef
+        This process, as it is named in server rows.
+    """
+
+    def __init__(self, *, me: model.LessorRef) -> None:
+        self.me = me
+        self._records_by_server: dict[ids.ServerId, records.ServerRecord] = {}
+
+    def update(
+        self, row: model.ServerRow, shards: tuple[model.ShardGrant, ...], now: float
+    ) -> list[orders.Order]:
+        """Take over a server's newest row and the full list of its shards.
+
+        ``row`` and ``shards`` must stem from the same state of the table: one token stands for
+        exactly one list. A row with an older token is ignored.
+        """
+        record = self._record(row.server)
+        if record.row is not None and row.token < record.row.token:
+            return []
+        changed = record.row is None or row.token != record.row.token or shards != record.shards
+        record.replace_row(row, shards)
+        if not changed:
+            return []
+        record.reset_grant()
+        if not self._acts(record):
+            return []
+        record.renew_at = now + timing.RENEW_S
+        return [self._order(record, now)]
+
+    def watch(self, servers: frozenset[ids.ServerId]) -> None:
+        """Probe these servers too, although this process may not be one of their lessors.
+
+        The steward of a server whose lessors are all gone learns in this way that it answers.
+        """
+        for server in servers:
+            self._record(server)
+        for server, record in self._records_by_server.items():
+            record.watched = server in servers
+
+    def forget(self, server: ids.ServerId) -> None:
+        """Stop acting for a server that is no longer declared; its promise is kept."""
+        self._record(server).forget()
+
+    def tick(self, now: float) -> list[orders.Order]:
+        """Return the orders that are due; to be called several times per `timing.RENEW_S`."""
+        due = []
+        for record in self._records_by_server.values():
+            acts = self._acts(record)
+            if now < record.renew_at or not (acts or record.watched or self._is_named(record)):
+                continue
+            record.renew_at = now + timing.RENEW_S
+            record.follow_ups = records.FOLLOW_UPS_MAX
+            due.append(self._order(record, now) if acts else orders.Probe(record.server))
+        return due
+
+    def on_reply(self, reply: orders.OrderReply, now: float) -> list[orders.Order]:
+        """Record a server's reply; returns the orders that follow from it at once."""
+        record = self._record(reply.server)
+        fresh_before = record.fresh_stamp(now) is not None
+        if not record.record_reply(reply, now) or not self._acts(record):
+            return []
+        if record.row is None or reply.incarnation != record.row.incarnation:
+            return []
+        if fresh_before and record.has_grant:
+            return []
+        # Without this limit, a faulty server that always replies "no_grant" gets grants in a loop.
+        if record.follow_ups <= 0:
+            return []
+        record.follow_ups -= 1
+        return [record.grant(now) or orders.Probe(record.server)]
+
+    def on_promise_request(
+        self, request: peer_messages.PromiseRequest, now: float
+    ) -> peer_messages.PromiseReply:
+        """Promise not to grant or renew under tokens up to the requested one, or refuse.
+
+        Refused if the server replied within `timing.REACHABLE_S`, or if the requested token is
+        no longer the newest. An earlier promise stays in force in either case.
+        """
+        record = self._record(request.server)
+        superseded = record.row is not None and record.row.token > request.token
+        promised = not superseded and not self.reachable(request.server, now)
+        if promised:
+            record.promised_token = max(record.promised_token, request.token)
+        return peer_messages.PromiseReply(
+            server=request.server,
+            token=request.token,
+            lessor=self.me,
+            promised=promised,
+            remaining_s=record.remaining_s(now) if promised else 0.0,
+            deputies=record.active_deputies(now),
+        )
+
+    def deputize(
+        self, server: ids.ServerId, deputy: model.LessorRef
+    ) -> peer_messages.Deputize | None:
+        """Appoint a deputy under the present token; None if this process does not act for it.
+
+        The deputy is named in every later promise, even if the message is lost.
+        """
+        record = self._record(server)
+        if record.row is None or not self._acts(record) or deputy in (self.me, *record.row.lessors):
+            return None
+        record.deputy_tokens_by_ref[deputy] = record.row.token
+        return peer_messages.Deputize(server, record.row.token)
+
+    def on_deputize(self, message: peer_messages.Deputize, now: float) -> list[orders.Order]:
+        """Accept the role of deputy, unless promised; effective once the token's row is known."""
+        record = self._record(message.server)
+        if message.token <= max(record.promised_token, record.deputy_token):
+            return []
+        record.deputy_token = message.token
+        if not self._acts(record):
+            return []
+        record.renew_at = now + timing.RENEW_S
+        return [self._order(record, now)]
+
+    def last_reply_at(self, server: ids.ServerId) -> float | None:
+        """Return when the newest reply of the server arrived; None if there was none."""
+        return self._record(server).last_reply_at
+
+    def reachable(self, server: ids.ServerId, now: float) -> bool:
+        """Return whether a reply arrived within `timing.REACHABLE_S`."""
+        last = self._record(server).last_reply_at
+        return last is not None and now - last < timing.REACHABLE_S
+
+    def seen_incarnation(self, server: ids.ServerId) -> ids.Incarnation | None:
+        """Return the incarnation in the newest reply; None if there was none."""
+        return self._record(server).seen_incarnation
+
+    def running_dropped(self, server: ids.ServerId) -> int | None:
+        """Return how many requests still run for shards that the present token took away.
+
+        None until the server has acknowledged the present token.
+        """
+        record = self._record(server)
+        return record.running_dropped if record.acknowledged_at is not None else None
+
+    def acknowledged_token(self, server: ids.ServerId) -> ids.Token | None:
+        """Return the row's token if the recorded server process has accepted a grant of it."""
+        record = self._record(server)
+        if record.row is None or record.acknowledged_at is None:
+            return None
+        return record.row.token
+
+    def acknowledged_at(self, server: ids.ServerId) -> float | None:
+        """Return when the acknowledgement of the row's token arrived."""
+        return self._record(server).acknowledged_at
+
+    def has_promised(self, server: ids.ServerId) -> bool:
+        """Return whether a promise keeps this process from acting under the row's token."""
+        record = self._record(server)
+        return record.row is not None and record.promised_token >= record.row.token
+
+    def is_acting(self, server: ids.ServerId) -> bool:
+        """Return whether this process renews the server's lease, as lessor or deputy."""
+        return self._acts(self._record(server))
+
+    def deputies(self, server: ids.ServerId, now: float) -> tuple[model.LessorRef, ...]:
+        """Return the deputies appointed by this process that may still cause a lease."""
+        return self._record(server).active_deputies(now)
+
+    def _record(self, server: ids.ServerId) -> records.ServerRecord:
+        record = self._records_by_server.get(server)
+        if record is None:
+            record = self._records_by_server[server] = records.ServerRecord(server)
+        return record
+
+    def _is_named(self, record: records.ServerRecord) -> bool:
+        row = record.row
+        return row is not None and (self.me in row.lessors or record.deputy_token == row.token)
+
+    def _acts(self, record: records.ServerRecord) -> bool:
+        """Return whether grants and renewals under the row's token are allowed."""
+        row = record.row
+        return (
+            row is not None
+            and row.state is not model.ServerState.LOST
+            and row.token > record.promised_token
+            and row.token >= record.newest_token_seen
+            and self._is_named(record)
+        )
+
+    def _order(self, record: records.ServerRecord, now: float) -> orders.Order:
+        order = record.renewal(now) if record.has_grant else record.grant(now)
+        return order or orders.Probe(record.server)
--- /dev/null
+++ b/src/celerystack/lease/records.py
@@ -0,0 +1,165 @@
+"""What a lessor knows about one server."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from celerystack import ids, model, timing
+from celerystack.backend import messages as orders
+
+FOLLOW_UPS_MAX = 3
+"""Grants that replies may cause between two renewals of the same server."""
+
+LEASE_BOUND_S = timing.LEASE_S * (1 + timing.CLOCK_DRIFT)
+"""Longest time, on any local clock, for which a lease of `timing.LEASE_S` can last."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Stamp:
+    """A server's timestamp and the local time of its arrival."""
+
+    value: float
+    arrived_at: float
+
+
+@dataclasses.dataclass
+class ServerRecord:
+    """Newest row, stamps, promise and role of a lessor for one server.
+
+    Attributes
+    ----------
+    promised_token : Token
+        No order is issued under this token or a lower one.
+    deputy_token : Token
+        Newest token under which this process is a deputy.
+    newest_token_seen : Token
+        Newest token in a reply; the row is outdated if its token is lower.
+    acknowledged_at : float or None
+        When the row's token was first acknowledged by the recorded server process.
+    has_grant : bool
+        Whether the server is believed to hold a grant of the row's token.
+    """
+
+    server: ids.ServerId
+    row: model.ServerRow | None = None
+    shards: tuple[model.ShardGrant, ...] = ()
+    promised_token: ids.Token = ids.Token(0)
+    deputy_token: ids.Token = ids.Token(0)
+    newest_token_seen: ids.Token = ids.Token(0)
+    deputy_tokens_by_ref: dict[model.LessorRef, ids.Token] = dataclasses.field(default_factory=dict)
+    stamps_by_incarnation: dict[ids.Incarnation, Stamp] = dataclasses.field(default_factory=dict)
+    seen_incarnation: ids.Incarnation | None = None
+    last_reply_at: float | None = None
+    acknowledged_at: float | None = None
+    has_grant: bool = False
+    running_dropped: int = 0
+    watched: bool = False
+    renew_at: float = float("-inf")
+    follow_ups: int = FOLLOW_UPS_MAX
+
+    def replace_row(self, row: model.ServerRow, shards: tuple[model.ShardGrant, ...]) -> None:
+        """Replace row and shards."""
+        self.row = row
+        self.shards = shards
+        self._prune_stamps()
+
+    def reset_grant(self) -> None:
+        """Forget that the server holds a grant, because token or shards changed."""
+        self.acknowledged_at = None
+        self.has_grant = False
+        self.running_dropped = 0
+        self.follow_ups = FOLLOW_UPS_MAX
+
+    def forget(self) -> None:
+        """Drop the row and the watch; promise and reply times stay."""
+        self.row = None
+        self.shards = ()
+        self.watched = False
+        self.reset_grant()
+
+    def record_reply(self, reply: orders.OrderReply, now: float) -> bool:
+        """Record a reply; returns False if an equally new one was known."""
+        self.newest_token_seen = max(self.newest_token_seen, reply.token)
+        known = self.stamps_by_incarnation.get(reply.incarnation)
+        if known is not None and reply.stamp <= known.value:
+            return False
+        self.stamps_by_incarnation[reply.incarnation] = Stamp(reply.stamp, now)
+        self.seen_incarnation = reply.incarnation
+        self.last_reply_at = now
+        self._prune_stamps()
+        if self.row is not None and reply.incarnation == self.row.incarnation:
+            self._record_grant_state(self.row.token, reply, now)
+        return True
+
+    def fresh_stamp(self, now: float) -> Stamp | None:
+        """Return the recorded process's newest stamp if it is still worth echoing."""
+        stamp = self.stamps_by_incarnation.get(self.row.incarnation) if self.row else None
+        if stamp is None or now - stamp.arrived_at >= timing.LEASE_S:
+            return None
+        return stamp
+
+    def remaining_s(self, now: float) -> float:
+        """Return the time until the last lease that this lessor can have caused has expired.
+
+        Every order, also one that is still on its way, echoes a stamp that the server took before
+        the last reply arrived.
+        """
+        if self.last_reply_at is None:
+            return 0.0
+        return max(0.0, self.last_reply_at + LEASE_BOUND_S - now)
+
+    def active_deputies(self, now: float) -> tuple[model.LessorRef, ...]:
+        """Return the appointed deputies that may still cause a lease.
+
+        Those of an older token can do so until the server process has acknowledged the newer one
+        and the leases from before have expired.
+        """
+        token = self.row.token if self.row else ids.Token(0)
+        acknowledged = self.acknowledged_at
+        if acknowledged is not None and now >= acknowledged + LEASE_BOUND_S:
+            return tuple(
+                deputy for deputy, held in self.deputy_tokens_by_ref.items() if held >= token
+            )
+        return tuple(self.deputy_tokens_by_ref)
+
+    def renewal(self, now: float) -> orders.Renew | None:
+        """Return a renewal of the row's token; None without a fresh stamp."""
+        stamp = self.fresh_stamp(now)
+        if self.row is None or stamp is None:
+            return None
+        return orders.Renew(
+            server=self.server,
+            incarnation=self.row.incarnation,
+            token=self.row.token,
+            echo_stamp=stamp.value,
+        )
+
+    def grant(self, now: float) -> orders.Grant | None:
+        """Return a grant of the row's token and shards; None without a fresh stamp."""
+        stamp = self.fresh_stamp(now)
+        if self.row is None or stamp is None:
+            return None
+        return orders.Grant(
+            server=self.server,
+            incarnation=self.row.incarnation,
+            token=self.row.token,
+            echo_stamp=stamp.value,
+            shards=self.shards,
+        )
+
+    def _record_grant_state(self, token: ids.Token, reply: orders.OrderReply, now: float) -> None:
+        if reply.token != token:
+            self.has_grant = False
+            return
+        if self.acknowledged_at is None:
+            self.acknowledged_at = now
+        self.running_dropped = reply.running_dropped
+        self.has_grant = reply.result is orders.OrderResult.OK
+
+    def _prune_stamps(self) -> None:
+        kept = {self.seen_incarnation, self.row.incarnation if self.row else None}
+        self.stamps_by_incarnation = {
+            incarnation: stamp
+            for incarnation, stamp in self.stamps_by_incarnation.items()
+            if incarnation in kept
+        }
--- /dev/null
+++ b/src/celerystack/lease/stewardship.py
@@ -0,0 +1,254 @@
+"""Decisions of a server's steward: who it is, who the lessors are, and what to commit next.
+
+Every decision is carried out by a transaction that is conditional on the row's version, so two
+stewards at the same time cannot harm each other.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable
+
+from celerystack import ids, model, timing
+from celerystack.lease import records, rendezvous
+
+LESSORS_WANTED = 3
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PeerView:
+    """An entry VM as the steward sees it.
+
+    Attributes
+    ----------
+    last_heard_at : float
+        Arrival of its last heartbeat on the local clock; ``now`` for the steward itself.
+    draining : bool
+        Whether it announced that it leaves; it is then no longer chosen as a lessor.
+    """
+
+    peer: model.EntryVm
+    last_heard_at: float
+    draining: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ServerView:
+    """What the steward knows about one server.
+
+    Attributes
+    ----------
+    row : ServerRow or None
+        Newest row; None if the server has none.
+    peers : tuple of PeerView
+        All known entry VMs, the steward included.
+    watched_since : float
+        When the steward began to probe the server and to listen to its peers. To be set to
+        ``now`` after a pause of the steward's own process, because messages that arrived
+        meanwhile may still be unread.
+    last_reply_at : float or None
+        Arrival of the server's newest reply at the steward.
+    seen_incarnation : Incarnation or None
+        Incarnation in that reply.
+    acknowledged_token : Token or None
+        Newest token that the recorded server process has acknowledged to the steward.
+    acknowledged_at : float or None
+        When that acknowledgement first arrived.
+    promised : frozenset of LessorRef
+        Lessors that are known to have promised under the row's token.
+    has_deputies : bool
+        Whether deputies are known that may still cause a lease.
+    """
+
+    server: ids.ServerId
+    zone: ids.ZoneName
+    row: model.ServerRow | None
+    peers: tuple[PeerView, ...]
+    watched_since: float
+    last_reply_at: float | None = None
+    seen_incarnation: ids.Incarnation | None = None
+    acknowledged_token: ids.Token | None = None
+    acknowledged_at: float | None = None
+    promised: frozenset[model.LessorRef] = frozenset()
+    has_deputies: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Nothing:
+    """No change is needed."""
+
+
+@dataclasses.dataclass(frozen=True)
+class CreateRow:
+    """Create the row with token 1; ``incarnation`` is empty if the server has not answered yet."""
+
+    lessors: tuple[model.LessorRef, ...]
+    incarnation: ids.Incarnation
+
+
+@dataclasses.dataclass(frozen=True)
+class ReplaceLessors:
+    """Commit token + 1 with these lessors; ``previous`` are the old ones that may still act."""
+
+    lessors: tuple[model.LessorRef, ...]
+    previous: tuple[model.LessorRef, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class ClearPrevious:
+    """Commit the row without previous lessors and with the same token."""
+
+
+@dataclasses.dataclass(frozen=True)
+class StartTakeover:
+    """Ask the lessors for promises."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Revive:
+    """Commit token + 1, the answering process and new lessors; LOST becomes ACTIVE.
+
+    The shards of the row stay; a server that was lost has none.
+    """
+
+    lessors: tuple[model.LessorRef, ...]
+    previous: tuple[model.LessorRef, ...]
+    incarnation: ids.Incarnation
+
+
+Decision = Nothing | CreateRow | ReplaceLessors | ClearPrevious | StartTakeover | Revive
+
+
+def steward_of(
+    row: model.ServerRow | None,
+    zone: ids.ZoneName,
+    live: list[model.EntryVm],
+    *,
+    server: ids.ServerId | None = None,
+) -> ids.EntryVmId | None:
+    """Return the entry VM that decides for a server; None if no entry VM is live.
+
+    Parameters
+    ----------
+    zone : ZoneName
+        Zone of the server.
+    live : list of EntryVm
+        Live entry VMs of all zones, the own one included.
+    server : ServerId, optional
+        Needed only if there is no row yet.
+    """
+    live_refs = {model.LessorRef(entry.vm, entry.incarnation) for entry in live}
+    for lessor in row.lessors if row is not None else ():
+        if lessor in live_refs:
+            return lessor.vm
+    key = row.server if row is not None else server or ""
+    in_zone = [entry.vm for entry in live if entry.zone == zone]
+    candidates = rendezvous.ranked(key, in_zone or [entry.vm for entry in live])
+    return ids.EntryVmId(candidates[0]) if candidates else None
+
+
+def choose_lessors(
+    server: ids.ServerId,
+    zone_vms: Iterable[model.EntryVm],
+    count: int = LESSORS_WANTED,
+    *,
+    keep: Iterable[model.LessorRef] = (),
+) -> tuple[model.LessorRef, ...]:
+    """Return up to ``count`` lessors: those in ``keep`` first, then by rendezvous hash."""
+    chosen_by_vm = {lessor.vm: lessor for lessor in keep}
+    refs_by_vm = {entry.vm: model.LessorRef(entry.vm, entry.incarnation) for entry in zone_vms}
+    for vm in rendezvous.ranked(server, refs_by_vm):
+        chosen_by_vm.setdefault(ids.EntryVmId(vm), refs_by_vm[ids.EntryVmId(vm)])
+    return tuple(chosen_by_vm.values())[:count]
+
+
+def decide(view: ServerView, now: float) -> Decision:
+    """Return what the steward should do next for one server."""
+    row = view.row
+    if row is None:
+        return _create(view, now)
+    if _is_reachable(view, now):
+        return _decide_reachable(view, row, now)
+    heard_at = view.watched_since if view.last_reply_at is None else view.last_reply_at
+    silent = now - max(heard_at, view.watched_since) >= timing.SUSPECT_S
+    if silent and row.state is not model.ServerState.LOST:
+        return StartTakeover()
+    return Nothing()
+
+
+def _create(view: ServerView, now: float) -> Decision:
+    lessors = choose_lessors(view.server, _candidates(view, now))
+    # A row that is written before all peers are connected would soon need other lessors.
+    if not lessors or (len(lessors) < LESSORS_WANTED and _is_starting(view, now)):
+        return Nothing()
+    return CreateRow(lessors, view.seen_incarnation or ids.Incarnation(""))
+
+
+def _decide_reachable(view: ServerView, row: model.ServerRow, now: float) -> Decision:
+    usable = _usable_lessors(view, row, now)
+    wanted = choose_lessors(view.server, _candidates(view, now), keep=usable)
+    if not wanted:
+        return Nothing()
+    previous = tuple(dict.fromkeys([*row.lessors, *row.previous_lessors]))
+    if (
+        row.state is model.ServerState.LOST
+        or not usable
+        or view.seen_incarnation != row.incarnation
+    ):
+        return Revive(wanted, previous, view.seen_incarnation or ids.Incarnation(""))
+    stopped = view.promised & frozenset(row.lessors)
+    if set(wanted) != set(row.lessors) or stopped or view.has_deputies:
+        return ReplaceLessors(wanted, previous)
+    if row.previous_lessors and _is_settled(view, row, now):
+        return ClearPrevious()
+    return Nothing()
+
+
+def _is_reachable(view: ServerView, now: float) -> bool:
+    return view.last_reply_at is not None and now - view.last_reply_at < timing.SUSPECT_S
+
+
+def _is_settled(view: ServerView, row: model.ServerRow, now: float) -> bool:
+    """Return whether leases from before the row's token have expired on the server.
+
+    The server extends a lease but never shortens it, so a lease that a previous lessor caused
+    just before the acknowledgement outlives it.
+    """
+    return (
+        view.acknowledged_token == row.token
+        and view.acknowledged_at is not None
+        and now >= view.acknowledged_at + records.LEASE_BOUND_S
+    )
+
+
+def _is_starting(view: ServerView, now: float) -> bool:
+    return now - view.watched_since < timing.PEER_DOWN_S
+
+
+def _is_silent(peer: PeerView, now: float) -> bool:
+    return now - peer.last_heard_at >= timing.PEER_DOWN_S
+
+
+def _candidates(view: ServerView, now: float) -> list[model.EntryVm]:
+    return [
+        peer.peer
+        for peer in view.peers
+        if peer.peer.zone == view.zone and not peer.draining and not _is_silent(peer, now)
+    ]
+
+
+def _usable_lessors(view: ServerView, row: model.ServerRow, now: float) -> list[model.LessorRef]:
+    """Return the recorded lessors that are live, or not yet known to be silent."""
+    peers_by_vm = {peer.peer.vm: peer for peer in view.peers}
+    usable = []
+    for lessor in row.lessors:
+        peer = peers_by_vm.get(lessor.vm)
+        if peer is None:
+            if _is_starting(view, now):
+                usable.append(lessor)
+            continue
+        same_process = peer.peer.incarnation == lessor.incarnation
+        heard = _is_starting(view, now) or not _is_silent(peer, now)
+        if same_process and not peer.draining and heard:
+            usable.append(lessor)
+    return usable
--- /dev/null
+++ b/tests/lease/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the lease package."""
