--- /dev/null
+++ b/src/celerystack/backend/client.py
@@ -0,0 +1,262 @@
+"""Bounded pool of HTTP/1.1 connections to one backend server."""
+
+from __future__ import annotations
+
+import collections
+import time
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import defer, protocol
+from twisted.python import failure
+
+from celerystack import errors
+from celerystack.backend import connection as connections
+from celerystack.backend import exchange as exchanges
+from celerystack.backend import http
+
+CONNECT_TIMEOUT_S = 0.5
+IDLE_MAX_S = 4.0
+"""Idle connections are closed after this time, before common server keep-alive limits of 5 s."""
+
+ANSWER_MAX = 4 * 1024 * 1024
+WHOLE_MAX = 64 * 1024
+
+
+class _ConnectFactory(protocol.ClientFactory):
+    noisy = False
+
+    def __init__(self, pool: ServerPool) -> None:
+        self._pool = pool
+
+    def buildProtocol(self, addr: Any) -> connections.ClientConnection:  # noqa: N802
+        return self._pool.connected()
+
+    def clientConnectionFailed(self, connector: Any, reason: failure.Failure) -> None:  # noqa: N802
+        self._pool.connect_failed(reason)
+
+
+class ServerPool:
+    """Connections to one server, each with at most one exchange in flight.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP and IReactorTime
+        Reactor that runs the connections.
+    address : str
+        ``IP:port`` of the server.
+    limit : int
+        Largest number of open connections; further exchanges wait in order of arrival.
+    now : callable
+        Monotonic clock in seconds, the one that deadlines refer to.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        *,
+        address: str,
+        limit: int,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        idle_max_s: float = IDLE_MAX_S,
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._reactor = reactor
+        self.address = address
+        host, _, port = address.rpartition(":")
+        self._host = host.strip("[]")
+        self._port = int(port)
+        self._limit = limit
+        self._connect_timeout_s = connect_timeout_s
+        self._idle_max_s = idle_max_s
+        self._now = now
+        self._factory = _ConnectFactory(self)
+        self._open: set[connections.ClientConnection] = set()
+        self._idle: list[connections.ClientConnection] = []
+        self._waiting: collections.deque[exchanges.Exchange] = collections.deque()
+        self._connecting = 0
+        self._sweep: Any = None
+        self._closed = False
+
+    @property
+    def open_count(self) -> int:
+        """Connections that are open or being opened."""
+        return len(self._open) + self._connecting
+
+    @property
+    def idle_count(self) -> int:
+        """Open connections without an exchange."""
+        return len(self._idle)
+
+    def set_limit(self, limit: int) -> None:
+        """Change the bound; surplus idle connections close now, busy ones when they finish."""
+        self._limit = limit
+        while self._idle and self.open_count > limit:
+            self._drop(self._idle.pop(0))
+        self._pump()
+
+    def exchange(
+        self,
+        request: http.HttpRequest,
+        *,
+        deadline: float,
+        watcher: exchanges.Watcher | None = None,
+        answer_max: int = ANSWER_MAX,
+    ) -> defer.Deferred[http.HttpResponse]:
+        """Send a request and return the whole answer.
+
+        Parameters
+        ----------
+        deadline : float
+            Monotonic time in seconds after which the exchange fails and its connection closes.
+        watcher : Watcher or None
+            Permits the write in its reactor turn and is told of the end.
+
+        Raises
+        ------
+        errors.NotRunError
+            No byte of the request reached the server.
+        errors.TruncatedAnswerError
+            The answer ended early.
+        errors.OutcomeUnknownError
+            Anything else, including an answer larger than ``answer_max`` bytes.
+        """
+        return self._submit(request, deadline, watcher=watcher, whole_max=answer_max, stream=False)
+
+    def exchange_streaming(
+        self,
+        request: http.HttpRequest,
+        *,
+        deadline: float,
+        watcher: exchanges.Watcher | None = None,
+        whole_max: int = WHOLE_MAX,
+    ) -> defer.Deferred[http.HttpResponse | exchanges.StreamedResponse]:
+        """Like `exchange`, but an answer above ``whole_max`` bytes becomes a stream."""
+        return self._submit(request, deadline, watcher=watcher, whole_max=whole_max, stream=True)
+
+    def _submit(
+        self,
+        request: http.HttpRequest,
+        deadline: float,
+        *,
+        watcher: exchanges.Watcher | None,
+        whole_max: int,
+        stream: bool,
+    ) -> defer.Deferred[Any]:
+        exchange = exchanges.Exchange(
+            request,
+            peer=self.address,
+            whole_max=whole_max,
+            stream=stream,
+            watcher=watcher,
+            on_cancel=self._cancelled,
+        )
+        remaining = deadline - self._now()
+        if self._closed or remaining <= 0:
+            reason = "the pool is closed" if self._closed else "the deadline passed"
+            exchange.fail(self._not_run(reason))
+            return exchange.deferred
+        exchange.timer = self._reactor.callLater(remaining, exchange.expire)
+        connection = self._take_idle()
+        if connection is not None and not self._waiting:
+            connection.start(exchange)
+        else:
+            self._waiting.append(exchange)
+            if connection is not None:
+                self._idle.append(connection)
+            self._pump()
+        return exchange.deferred
+
+    def _not_run(self, reason: str) -> errors.NotRunError:
+        return errors.NotRunError(reason, step="backend.exchange", peer=self.address)
+
+    def _take_idle(self) -> connections.ClientConnection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_quiet():
+                return connection
+            self._drop(connection)
+        return None
+
+    def _drop(self, connection: connections.ClientConnection) -> None:
+        connection.abort()
+
+    def _pump(self) -> None:
+        while self._waiting:
+            connection = self._take_idle()
+            if connection is None:
+                break
+            connection.start(self._waiting.popleft())
+        while len(self._waiting) > self._connecting and self.open_count < self._limit:
+            self._connecting += 1
+            self._reactor.connectTCP(
+                self._host, self._port, self._factory, timeout=self._connect_timeout_s
+            )
+
+    def connected(self) -> connections.ClientConnection:
+        """Return the protocol of a new connection."""
+        self._connecting -= 1
+        connection = connections.ClientConnection(
+            peer=self.address, on_idle=self._became_idle, on_closed=self._connection_closed
+        )
+        self._open.add(connection)
+        return connection
+
+    def connect_failed(self, reason: failure.Failure) -> None:
+        """Fail the exchange that has waited longest; the others open connections of their own."""
+        self._connecting -= 1
+        if self._waiting:
+            error = self._not_run(f"cannot connect: {reason.getErrorMessage()}")
+            self._waiting.popleft().fail(error)
+        self._pump()
+
+    def _became_idle(self, connection: connections.ClientConnection) -> None:
+        if self._closed or self.open_count > self._limit:
+            self._drop(connection)
+            return
+        connection.idle_since = self._now()
+        self._idle.append(connection)
+        if self._sweep is None:
+            self._sweep = self._reactor.callLater(self._idle_max_s, self._close_unused)
+        if self._waiting:
+            self._pump()
+
+    def _connection_closed(self, connection: connections.ClientConnection) -> None:
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+        self._pump()
+
+    def _cancelled(self, exchange: exchanges.Exchange) -> None:
+        if exchange.connection is not None:
+            exchange.connection.release(exchange)
+        elif exchange in self._waiting:
+            self._waiting.remove(exchange)
+
+    def _close_unused(self) -> None:
+        self._sweep = None
+        oldest = self._now() - self._idle_max_s
+        for connection in [c for c in self._idle if c.idle_since <= oldest]:
+            self._idle.remove(connection)
+            self._drop(connection)
+        if self._idle:
+            wait_s = max(0.1, self._idle[0].idle_since - oldest)
+            self._sweep = self._reactor.callLater(wait_s, self._close_unused)
+
+    def close_connections(self, reason: str) -> None:
+        """Close all connections at once; exchanges in flight fail with an unknown outcome."""
+        self._idle.clear()
+        for connection in list(self._open):
+            connection.lose(
+                errors.OutcomeUnknownError(reason, step="backend.exchange", peer=self.address)
+            )
+
+    def close(self, reason: str = "the pool is closed") -> None:
+        """Close all connections and refuse further exchanges."""
+        self._closed = True
+        while self._waiting:
+            self._waiting.popleft().fail(self._not_run(reason))
+        self.close_connections(reason)
+        if self._sweep is not None:
+            self._sweep.cancel()
+            self._sweep = None
--- /dev/null
+++ b/src/celerystack/backend/connection.py
@@ -0,0 +1,242 @@
+"""One HTTP/1.1 connection to a backend server."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+import h11
+from twisted.internet import interfaces, protocol
+from twisted.python import failure
+from zope.interface import implementer
+
+from celerystack import errors
+from celerystack.backend import exchange as exchanges
+from celerystack.backend import http
+
+WRITE_CHUNK = 65536
+HEADER_MAX = 64 * 1024
+_BODYLESS_STATUS = (204, 304)
+
+
+@implementer(interfaces.IPullProducer)
+class _Remainder:
+    """Writes the part of a request that the socket buffer did not take at once."""
+
+    def __init__(self, owner: ClientConnection, data: bytes) -> None:
+        self._owner = owner
+        self._data = memoryview(data)
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        if not self._data:
+            self._owner.remainder_written()
+            return
+        chunk, self._data = self._data[:WRITE_CHUNK], self._data[WRITE_CHUNK:]
+        self._owner.transport.write(bytes(chunk))
+
+    def stopProducing(self) -> None:  # noqa: N802
+        self._data = memoryview(b"")
+
+
+class ClientConnection(protocol.Protocol):
+    """A connection with at most one exchange in flight.
+
+    Parameters
+    ----------
+    on_idle, on_closed : callable
+        Called with the connection when it can take another exchange, and when it is gone.
+    """
+
+    def __init__(
+        self,
+        *,
+        peer: str,
+        on_idle: Callable[[ClientConnection], None],
+        on_closed: Callable[[ClientConnection], None],
+    ) -> None:
+        self._peer = peer
+        self._on_idle = on_idle
+        self._on_closed = on_closed
+        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEADER_MAX)
+        self._exchange: exchanges.Exchange | None = None
+        self._remainder = False
+        self._closing = False
+        self._paused = False
+        self.idle_since = 0.0
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Turn off Nagle's algorithm and offer the connection to the pool."""
+        self.transport.setTcpNoDelay(True)
+        self._on_idle(self)
+
+    def is_quiet(self) -> bool:
+        """Return whether the socket is open and has no unread bytes.
+
+        A kept connection that the server has closed, or on which it has sent bytes that nobody
+        asked for, shows here before a request is written.
+        """
+        if self._closing:
+            return False
+        try:
+            self.transport.getHandle().recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def start(self, exchange: exchanges.Exchange) -> None:
+        """Write the request of an exchange; the connection must be quiet."""
+        if exchange.watcher is not None and not exchange.watcher.may_write():
+            self._on_idle(self)
+            exchange.fail(self._not_run("the send was not permitted"))
+            return
+        try:
+            data = self._encode(exchange.request)
+        except h11.LocalProtocolError as error:
+            self.abort()
+            exchange.fail(self._not_run(f"the request cannot be encoded: {error}"))
+            return
+        # Writes directly: transport.write would delay the first byte to a later reactor turn, and
+        # an error of this first send proves that no byte has left.
+        try:
+            sent = self.transport.getHandle().send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError as error:
+            self.abort()
+            exchange.fail(self._not_run(f"the connection is closed: {error}"))
+            return
+        exchange.state = exchanges.ExchangeState.WRITTEN
+        exchange.connection = self
+        self._exchange = exchange
+        if sent < len(data):
+            self._remainder = True
+            self.transport.registerProducer(_Remainder(self, data[sent:]), False)
+
+    def _not_run(self, reason: str) -> errors.NotRunError:
+        return errors.NotRunError(reason, step="backend.exchange", peer=self._peer)
+
+    def _encode(self, request: http.HttpRequest) -> bytes:
+        headers = list(request.headers)
+        if request.body or request.method not in (b"GET", b"HEAD", b"OPTIONS"):
+            headers.append((b"Content-Length", b"%d" % len(request.body)))
+        state = self._h11
+        head = state.send(
+            h11.Request(method=request.method, target=request.target, headers=headers)
+        )
+        body = state.send(h11.Data(data=request.body)) if request.body else b""
+        state.send(h11.EndOfMessage())
+        return head + body
+
+    def remainder_written(self) -> None:
+        """Take the notice that the whole request is in the socket buffer."""
+        self._remainder = False
+        self.transport.unregisterProducer()
+
+    def pause_reading(self) -> None:
+        """Stop reading from the socket."""
+        if not self._closing and not self._paused:
+            self._paused = True
+            self.transport.pauseProducing()
+
+    def resume_reading(self) -> None:
+        """Continue reading from the socket."""
+        if not self._closing and self._paused:
+            self._paused = False
+            self.transport.resumeProducing()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Feed the parser; bytes outside an exchange close the connection."""
+        if self._closing:
+            return
+        if self._exchange is None:
+            self.abort()
+            return
+        try:
+            self._h11.receive_data(data)
+            self._read_events()
+        except h11.RemoteProtocolError as error:
+            self._fail_answer(f"malformed answer: {error}")
+
+    def _read_events(self) -> None:
+        while self._exchange is not None and not self._closing:
+            event = self._h11.next_event()
+            if event is h11.NEED_DATA:
+                return
+            if event is h11.PAUSED:
+                self._fail_answer("the server switched protocols or sent bytes after the answer")
+                return
+            if isinstance(event, h11.Data):
+                self._exchange.receive(bytes(event.data))
+            elif isinstance(event, h11.Response):
+                self._begin_answer(event)
+            elif isinstance(event, h11.EndOfMessage):
+                self._end_answer()
+
+    def _begin_answer(self, event: h11.Response) -> None:
+        exchange = self._exchange
+        headers = tuple((bytes(name), bytes(value)) for name, value in event.headers)
+        exchange.begin_answer(event.status_code, bytes(event.reason), headers)
+        if exchange.request.method == b"HEAD" or event.status_code in _BODYLESS_STATUS:
+            return
+        if not any(name in (b"content-length", b"transfer-encoding") for name, _ in headers):
+            # A killed process closes its connections like a finished answer, so an answer that
+            # only the close delimits can never be known to be complete.
+            self._fail_answer("the answer has no length; its end cannot be verified")
+
+    def _end_answer(self) -> None:
+        exchange, self._exchange = self._exchange, None
+        exchange.connection = None
+        reusable = (
+            self._h11.our_state is h11.DONE
+            and self._h11.their_state is h11.DONE
+            and not self._remainder
+            and not self._h11.trailing_data[0]
+        )
+        if reusable:
+            self._h11.start_next_cycle()
+            self.resume_reading()
+            self._on_idle(self)
+        else:
+            self.abort()
+        exchange.complete()
+
+    def _fail_answer(self, reason: str, *, broken: bool = False) -> None:
+        exchange, self._exchange = self._exchange, None
+        self.abort()
+        if exchange is None:
+            return
+        exchange.connection = None
+        kind = errors.TruncatedAnswerError if exchange.status else errors.OutcomeUnknownError
+        exchange.fail(
+            kind(reason, step="backend.exchange", peer=self._peer),
+            broken=broken,
+        )
+
+    def connectionLost(self, reason: failure.Failure = protocol.connectionDone) -> None:  # noqa: N802
+        """Fail the exchange in flight and leave the pool."""
+        self._closing = True
+        self._fail_answer(f"the connection was lost: {reason.getErrorMessage()}", broken=True)
+        self._on_closed(self)
+
+    def release(self, exchange: exchanges.Exchange) -> None:
+        """Close because an exchange ended without a complete answer."""
+        if self._exchange is exchange:
+            self._exchange = None
+            exchange.connection = None
+            self.abort()
+
+    def lose(self, error: errors.CelerystackError) -> None:
+        """Close at once and fail the exchange in flight with ``error``."""
+        exchange, self._exchange = self._exchange, None
+        self.abort()
+        if exchange is not None:
+            exchange.connection = None
+            exchange.fail(error)
+
+    def abort(self) -> None:
+        """Close the connection at once; safe to call again."""
+        if not self._closing:
+            self._closing = True
+            self.transport.abortConnection()
--- /dev/null
+++ b/src/celerystack/requests/encoding.py
@@ -0,0 +1,75 @@
+"""Headers between callers, entry VM and backend servers."""
+
+from __future__ import annotations
+
+from celerystack.backend import http
+from celerystack.requests import calls, targets
+
+OWN_PREFIX = b"x-celerystack-"
+_HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+_NOT_FORWARDED = _HOP_BY_HOP | {b"content-length", b"expect", b"x-deadline-ms"}
+
+
+def _named_by_connection(headers: http.HeaderList) -> set[bytes]:
+    names: set[bytes] = set()
+    for name, value in headers:
+        if name == b"connection":
+            names.update(part.strip().lower() for part in value.split(b","))
+    return names
+
+
+def request_headers(headers: http.HeaderList) -> http.HeaderList:
+    """Return the headers of a caller that are forwarded; names are in lower case."""
+    dropped = _NOT_FORWARDED | _named_by_connection(headers)
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name not in dropped and not name.startswith(OWN_PREFIX)
+    )
+
+
+def answer_headers(headers: http.HeaderList) -> http.HeaderList:
+    """Return the headers of a server's answer that are passed on; names are in lower case."""
+    dropped = _HOP_BY_HOP | _named_by_connection(headers)
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name not in dropped and not name.startswith(OWN_PREFIX)
+    )
+
+
+def encode(call: calls.Call, target: targets.Target, now: float) -> http.HttpRequest:
+    """Return the request for one attempt, with the remaining time in milliseconds."""
+    remaining_ms = max(1, int((call.deadline - now) * 1000))
+    own = [
+        (b"X-Celerystack-Service", call.service.name.encode()),
+        (b"X-Celerystack-Deadline-Ms", b"%d" % remaining_ms),
+    ]
+    if target.route is not None:
+        own += [
+            (b"X-Celerystack-Key", call.key.encode("utf-8", "surrogateescape")),
+            (b"X-Celerystack-Shard", b"%d" % target.route.shard),
+            (b"X-Celerystack-Epoch", b"%d" % target.route.epoch),
+        ]
+    if call.request_id:
+        own.append((b"X-Celerystack-Request-Id", call.request_id.encode("latin-1")))
+    if http.first_value(call.headers, b"host") is None:
+        own.append((b"Host", target.server.address.encode()))
+    return http.HttpRequest(
+        method=call.method.encode("ascii"),
+        target=call.target,
+        headers=(*call.headers, *own),
+        body=call.body,
+    )
--- /dev/null
+++ b/src/celerystack/requests/forwarder.py
@@ -0,0 +1,245 @@
+"""Forwards calls to backend servers and decides about retries."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import defer
+
+from celerystack import errors, ids, model
+from celerystack.peers import messages
+from celerystack.requests import calls, encoding, lanes, ports, replies, retries, targets
+
+CONNECTIONS_DEFAULT = 8
+"""Connections per server until the number of live entry VMs is known."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Ports:
+    """What the forwarder needs from the rest of the process."""
+
+    routes: ports.RouteSource
+    claims: ports.ClaimPort
+    losses: ports.LossPort
+    chooser: ports.Chooser
+    budget: ports.RetryBudget
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """What has happened to a call so far."""
+
+    may_have_run: bool = False
+    claimed: bool = False
+    home_zone: ids.ZoneName | None = None
+    attempts: int = 0
+    avoid: set[ids.ServerId] = dataclasses.field(default_factory=set)
+
+
+class Forwarder:
+    """Forwards calls; one lane per server.
+
+    Parameters
+    ----------
+    needs : Ports
+        Implementations of the protocols in `requests.ports`.
+    now : callable
+        Monotonic clock in seconds, the one that deadlines refer to.
+    """
+
+    def __init__(
+        self, reactor: Any, needs: Ports, *, now: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._reactor = reactor
+        self._ports = needs
+        self._now = now
+        self._finder = targets.TargetFinder(reactor, needs.routes, needs.chooser, now=now)
+        self._lanes_by_server: dict[ids.ServerId, lanes.Lane] = {}
+        self._limits_by_server: dict[ids.ServerId, int] = {}
+
+    def forward(self, call: calls.Call) -> defer.Deferred[replies.Reply]:
+        """Run a call to its end; cancelling the Deferred closes the backend connection."""
+        return defer.Deferred.fromCoroutine(self._forward(call))
+
+    def server_lost(self, server_id: ids.ServerId) -> None:
+        """Close all connections to a server that was taken over.
+
+        Every request in flight there has an unknown outcome.
+        """
+        lane = self._lanes_by_server.get(server_id)
+        if lane is not None:
+            lane.lose("the server was taken over")
+
+    def set_connection_limit(self, server_id: ids.ServerId, limit: int) -> None:
+        """Set this entry VM's share of a server's connections."""
+        self._limits_by_server[server_id] = limit
+        lane = self._lanes_by_server.get(server_id)
+        if lane is not None:
+            lane.pool.set_limit(limit)
+
+    def in_flight(self, server_id: ids.ServerId) -> tuple[lanes.Flight, ...]:
+        """Return the attempts that are unanswered on open connections to a server."""
+        lane = self._lanes_by_server.get(server_id)
+        return () if lane is None else tuple(lane.flights)
+
+    def close(self) -> None:
+        """Close all connections to servers."""
+        for lane in self._lanes_by_server.values():
+            lane.close()
+        self._lanes_by_server.clear()
+
+    async def _forward(self, call: calls.Call) -> replies.Reply:
+        self._ports.budget.on_request(self._now())
+        fingerprint = call.fingerprint()
+        if self._ports.losses.is_quarantined(fingerprint):
+            return replies.NotRun("the request is quarantined: servers were lost while it ran")
+        progress = _Progress()
+        state = messages.ClaimState.UNKNOWN
+        try:
+            reply = await self._run(call, fingerprint, progress)
+            state = _claim_state(reply)
+        except defer.CancelledError:
+            if not progress.may_have_run:
+                state = messages.ClaimState.NOT_RUN
+            raise
+        finally:
+            if progress.claimed:
+                self._ports.claims.finish(call.request_id, progress.home_zone, state)
+        return reply
+
+    async def _run(
+        self, call: calls.Call, fingerprint: ids.Fingerprint, progress: _Progress
+    ) -> replies.Reply:
+        while True:
+            try:
+                target = await self._finder.find(call, progress.avoid)
+                if call.needs_claim and not progress.claimed:
+                    earlier = await self._claim(call, target, progress)
+                    if earlier is not None:
+                        return replies.AlreadyClaimed(earlier)
+                    continue
+            except errors.NotRunError as error:
+                return self._give_up(progress, error.reason)
+            attempt = await self._attempt(call, fingerprint, target, progress)
+            if isinstance(attempt, replies.Answered):
+                return attempt
+            final = await self._prepare_retry(call, target, attempt, progress)
+            if final is not None:
+                return final
+
+    async def _claim(
+        self, call: calls.Call, target: targets.Target, progress: _Progress
+    ) -> messages.ClaimState | None:
+        zone = None if target.route is None else target.server.zone
+        try:
+            state = await self._ports.claims.claim(call.request_id, zone, call.deadline)
+        except errors.CelerystackError as error:
+            raise errors.NotRunError(
+                f"the request id could not be claimed: {error.reason}", step="requests.claim"
+            ) from error
+        if state is not messages.ClaimState.ACCEPTED:
+            return state
+        progress.claimed = True
+        progress.home_zone = zone
+        return None
+
+    async def _attempt(
+        self,
+        call: calls.Call,
+        fingerprint: ids.Fingerprint,
+        target: targets.Target,
+        progress: _Progress,
+    ) -> replies.Attempt:
+        lane = self._lane(target.server)
+        now = self._now()
+        request = encoding.encode(call, target, now)
+        shard = None if target.route is None else target.route.shard
+        flight = lanes.Flight(lane, shard, fingerprint, self._ports.routes.may_send)
+        progress.attempts += 1
+        self._ports.chooser.started(target.server, now)
+        outcome = model.Outcome.UNKNOWN
+        try:
+            answer = await lane.exchange(request, flight, deadline=call.deadline)
+            attempt = replies.read_answer(answer)
+            outcome = _attempt_outcome(attempt)
+        except errors.NotRunError as error:
+            outcome = model.Outcome.NOT_RUN
+            attempt = replies.NotSent(error.reason)
+        except errors.OutcomeUnknownError as error:
+            attempt = replies.Lost(error.reason)
+        except defer.CancelledError:
+            progress.may_have_run |= flight.sent
+            raise
+        finally:
+            ended = self._now()
+            self._ports.chooser.finished(target.server, ended - now, outcome, ended)
+        if isinstance(attempt, replies.Lost):
+            progress.may_have_run = True
+        return attempt
+
+    async def _prepare_retry(
+        self,
+        call: calls.Call,
+        target: targets.Target,
+        attempt: replies.Attempt,
+        progress: _Progress,
+    ) -> replies.Reply | None:
+        """Return the final reply, or None when the next attempt may start."""
+        rule = retries.rule_for(attempt, idempotent=call.idempotent, divided=call.service.divided)
+        reason = retries.reason_of(attempt)
+        now = self._now()
+        if not rule.retry or now >= call.deadline:
+            return self._give_up(progress, reason)
+        if rule.budget and not self._ports.budget.try_retry(now):
+            return self._give_up(progress, f"{reason}; the retry budget is exhausted")
+        if rule.avoid_server:
+            progress.avoid.add(target.server.server)
+        if rule.wait:
+            delay_s = min(retries.delay_s(progress.attempts), call.deadline - now)
+            await targets.change_or_delay(self._reactor, self._ports.routes, call.service, delay_s)
+        return None
+
+    def _give_up(self, progress: _Progress, reason: str) -> replies.Reply:
+        if progress.may_have_run:
+            return replies.Unknown(reason)
+        return replies.NotRun(reason)
+
+    def _lane(self, server: model.BackendServer) -> lanes.Lane:
+        lane = self._lanes_by_server.get(server.server)
+        if lane is not None and lane.server.address == server.address:
+            lane.server = server
+            return lane
+        if lane is not None:
+            lane.close()
+        lane = lanes.Lane(
+            self._reactor,
+            server,
+            connection_limit=self._limits_by_server.get(server.server, CONNECTIONS_DEFAULT),
+            on_loss=self._ports.losses.server_lost,
+            now=self._now,
+        )
+        self._lanes_by_server[server.server] = lane
+        return lane
+
+
+def _attempt_outcome(attempt: replies.Attempt) -> model.Outcome:
+    match attempt:
+        case replies.Answered():
+            return model.Outcome.ANSWERED
+        case replies.Refused() | replies.NotSent():
+            return model.Outcome.NOT_RUN
+        case _:
+            return model.Outcome.UNKNOWN
+
+
+def _claim_state(reply: replies.Reply) -> messages.ClaimState:
+    match reply:
+        case replies.Answered():
+            return messages.ClaimState.ANSWERED
+        case replies.NotRun():
+            return messages.ClaimState.NOT_RUN
+        case _:
+            return messages.ClaimState.UNKNOWN
--- /dev/null
+++ b/src/celerystack/requests/frontend.py
@@ -0,0 +1,211 @@
+"""HTTP listener for callers."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import defer
+from twisted.python import failure
+
+from celerystack import ids, model
+from celerystack.backend import exchange, http
+from celerystack.requests import callerhttp, calls, encoding, forwarder, ports, replies
+
+_log = logging.getLogger(__name__)
+
+DEADLINE_MAX_MS = 600_000
+REQUEST_ID_MAX = 200
+OUTCOME_HEADER = b"X-Celerystack-Outcome"
+CLAIM_HEADER = b"X-Celerystack-Claim"
+
+
+class RequestError(Exception):
+    """A caller's request cannot be forwarded; ``status`` is the answer's status."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+
+
+class FrontEnd:
+    """Accepts calls, passes them to the forwarder and writes the replies.
+
+    Parameters
+    ----------
+    now : callable
+        Monotonic clock in seconds.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        routes: ports.RouteSource,
+        forwarding: forwarder.Forwarder,
+        *,
+        limits: callerhttp.Limits | None = None,
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._reactor = reactor
+        self._routes = routes
+        self._forwarder = forwarding
+        self._now = now
+        self._port: Any = None
+        self._factory = callerhttp.CallerFactory(
+            reactor, self._received, limits=limits or callerhttp.Limits(), now=now
+        )
+
+    def listen(self, host: str, port: int, *, backlog: int = 1024) -> int:
+        """Start the listener and return its port number."""
+        self._port = self._reactor.listenTCP(port, self._factory, backlog, host)
+        return self._port.getHost().port
+
+    def announce_drain(self) -> None:
+        """Answer with ``Connection: close`` from now on."""
+        self._factory.draining = True
+
+    def stop_accepting(self) -> defer.Deferred[None]:
+        """Close the listener; open connections are closed after their next answer."""
+        self.announce_drain()
+        port, self._port = self._port, None
+        if port is None:
+            return defer.succeed(None)
+        return defer.maybeDeferred(port.stopListening)
+
+    def drained(self) -> defer.Deferred[None]:
+        """Return a Deferred that fires when no call is being received or answered."""
+        return self._factory.drained()
+
+    def _received(self, request: callerhttp.CallerRequest) -> None:
+        try:
+            call = self._read_call(request)
+        except RequestError as error:
+            self._answer(request, replies.NotRun(error.reason, error.status))
+            return
+        running = self._forwarder.forward(call)
+        request.on_disconnect(running.cancel)
+        running.addCallback(lambda reply: self._answer(request, reply))
+        running.addErrback(self._failed, request)
+
+    def _read_call(self, request: callerhttp.CallerRequest) -> calls.Call:
+        headers = request.header_list()
+        target = request.uri
+        if not target.startswith(b"/"):
+            raise RequestError(400, "the request target must be a path")
+        path = target.partition(b"?")[0].decode("utf-8", "surrogateescape")
+        service = self._routes.service_for(path)
+        if service is None:
+            raise RequestError(404, "no service owns this path")
+        if sum(name == b"host" for name, _ in headers) > 1:
+            raise RequestError(400, "repeated Host header")
+        key = ""
+        if service.divided:
+            key = self._routes.key_for(service, path, headers) or ""
+            if not key:
+                raise RequestError(400, "the request has no key")
+        return calls.Call(
+            service=service,
+            method=request.method.decode("ascii", "replace"),
+            target=target,
+            headers=encoding.request_headers(headers),
+            body=request.body(),
+            deadline=request.received_at + _deadline_ms(headers, service) / 1000,
+            key=key,
+            request_id=_request_id(headers),
+        )
+
+    def _failed(self, problem: failure.Failure, request: callerhttp.CallerRequest) -> None:
+        if problem.check(defer.CancelledError) and request.is_disconnected():
+            return
+        _log.error(
+            "forwarding failed unexpectedly: %s", problem.getTraceback(), extra={"step": "forward"}
+        )
+        if not request.is_disconnected() and not request.startedWriting:
+            self._answer(request, replies.Unknown("internal error", 502))
+
+    def _answer(self, request: callerhttp.CallerRequest, reply: replies.Reply) -> None:
+        if request.is_disconnected():
+            if isinstance(reply, replies.Answered) and isinstance(
+                reply.response, exchange.StreamedResponse
+            ):
+                reply.response.abandon()
+            return
+        match reply:
+            case replies.Answered(response=response):
+                self._write_answer(request, response)
+            case replies.NotRun(reason=reason, status=status):
+                _write_text(request, status, model.Outcome.NOT_RUN, reason)
+            case replies.Unknown(reason=reason, status=status):
+                _write_text(request, status, model.Outcome.UNKNOWN, reason)
+            case replies.AlreadyClaimed(state=state):
+                request.responseHeaders.setRawHeaders(CLAIM_HEADER, [state.value.encode()])
+                _write_text(
+                    request,
+                    409,
+                    model.Outcome.UNKNOWN,
+                    f"this request id was claimed before; state: {state.value}",
+                )
+
+    def _write_answer(
+        self,
+        request: callerhttp.CallerRequest,
+        response: http.HttpResponse | exchange.StreamedResponse,
+    ) -> None:
+        request.setResponseCode(response.status, response.reason or None)
+        for name, value in encoding.answer_headers(response.headers):
+            request.responseHeaders.addRawHeader(name, value)
+        request.responseHeaders.setRawHeaders(OUTCOME_HEADER, [b"answered"])
+        if isinstance(response, exchange.StreamedResponse):
+            done = response.deliver(request)
+            done.addCallbacks(lambda _: request.finish(), self._truncated, errbackArgs=(request,))
+            return
+        if request.method != b"HEAD" and response.status not in (204, 304):
+            length = b"%d" % len(response.body)
+            request.responseHeaders.setRawHeaders(b"Content-Length", [length])
+        if response.body:
+            request.write(response.body)
+        request.finish()
+
+    def _truncated(self, problem: failure.Failure, request: callerhttp.CallerRequest) -> None:
+        if request.is_disconnected():
+            return
+        _log.warning(
+            "aborting the caller's connection: %s",
+            problem.getErrorMessage(),
+            extra={"step": "stream"},
+        )
+        request.abort()
+
+
+def _write_text(
+    request: callerhttp.CallerRequest, status: int, outcome: model.Outcome, reason: str
+) -> None:
+    body = reason.encode("utf-8", "replace") + b"\n"
+    request.setResponseCode(status)
+    headers = request.responseHeaders
+    headers.setRawHeaders(OUTCOME_HEADER, [outcome.value.encode()])
+    headers.setRawHeaders(b"Content-Type", [b"text/plain; charset=utf-8"])
+    headers.setRawHeaders(b"Content-Length", [b"%d" % len(body)])
+    request.write(body)
+    request.finish()
+
+
+def _deadline_ms(headers: http.HeaderList, service: model.Service) -> int:
+    values = [value for name, value in headers if name == b"x-deadline-ms"]
+    if not values:
+        return service.deadline_ms
+    if len(values) > 1 or not values[0].isdigit() or len(values[0]) > 9 or int(values[0]) == 0:
+        raise RequestError(400, "X-Deadline-Ms must be one positive integer")
+    return min(int(values[0]), DEADLINE_MAX_MS)
+
+
+def _request_id(headers: http.HeaderList) -> ids.RequestId:
+    values = [value for name, value in headers if name == b"x-request-id"]
+    if not values:
+        return ids.RequestId("")
+    if len(values) > 1 or not 0 < len(values[0]) <= REQUEST_ID_MAX:
+        raise RequestError(400, f"X-Request-Id must be one value of 1 to {REQUEST_ID_MAX} bytes")
+    return ids.RequestId(values[0].decode("latin-1"))
--- /dev/null
+++ b/src/celerystack/requests/replies.py
@@ -0,0 +1,98 @@
+"""What the forwarder returns for a call."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from celerystack.backend import exchange, http
+from celerystack.peers import messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """The server's answer, whole or as a stream."""
+
+    response: http.HttpResponse | exchange.StreamedResponse
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """The request was surely not run."""
+
+    reason: str
+    status: int = 503
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unknown:
+    """The request may have run."""
+
+    reason: str
+    status: int = 502
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AlreadyClaimed:
+    """The request id was claimed before; ``state`` is what is known of the earlier run."""
+
+    state: messages.ClaimState
+
+
+Reply = Answered | NotRun | Unknown | AlreadyClaimed
+
+
+class RefusalKind(enum.Enum):
+    """Reason for which a server rejected a request before running it."""
+
+    STALE_EPOCH = "stale-epoch"
+    NO_LEASE = "no-lease"
+    DRAINING = "draining"
+    SHEDDING = "shedding"
+    DEADLINE = "deadline"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The server rejected the attempt explicitly; it was surely not run."""
+
+    kind: RefusalKind
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotSent:
+    """No byte of the attempt reached the server."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """The attempt may have run; no complete answer arrived."""
+
+    reason: str
+
+
+Attempt = Answered | Refused | NotSent | Lost
+
+REFUSAL_HEADER = b"x-celerystack-refusal"
+_REFUSAL_STATUS = (409, 503)
+
+
+def read_answer(response: http.HttpResponse | exchange.StreamedResponse) -> Attempt:
+    """Classify a server's answer.
+
+    A refusal with an unknown reason counts as `Lost`: it proves neither that the request ran nor
+    that it did not.
+    """
+    if response.status not in _REFUSAL_STATUS:
+        return Answered(response)
+    value = response.header(REFUSAL_HEADER)
+    if value is None:
+        return Answered(response)
+    if isinstance(response, exchange.StreamedResponse):
+        response.abandon()
+    try:
+        return Refused(RefusalKind(value.decode("ascii", "replace").strip().lower()))
+    except ValueError:
+        return Lost(f"the server refused the request for an unknown reason {value!r}")
--- /dev/null
+++ b/tests/backend/fakes.py
@@ -0,0 +1,154 @@
+"""In-process fake backend server with a scripted answer per request."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+
+from twisted.internet import defer, protocol, reactor
+
+
+@dataclasses.dataclass
+class Received:
+    """A request that the fake server has read, and the connection it arrived on."""
+
+    head: bytes
+    body: bytes
+    connection: FakeConnection
+
+    @property
+    def line(self) -> bytes:
+        return self.head.split(b"\r\n", 1)[0]
+
+    def header(self, name: bytes) -> bytes | None:
+        for line in self.head.split(b"\r\n")[1:]:
+            key, _, value = line.partition(b":")
+            if key.lower() == name.lower():
+                return value.strip()
+        return None
+
+
+def answer(body: bytes = b"ok", *, status: bytes = b"200 OK", headers: bytes = b"") -> bytes:
+    """Return the bytes of a complete answer."""
+    return b"HTTP/1.1 %s\r\nContent-Length: %d\r\n%s\r\n%s" % (status, len(body), headers, body)
+
+
+def refusal(kind: bytes) -> bytes:
+    return answer(b"", status=b"409 Conflict", headers=b"X-Celerystack-Refusal: %s\r\n" % kind)
+
+
+class FakeConnection(protocol.Protocol):
+    def connectionMade(self):
+        self.buffer = b""
+        self.lost = defer.Deferred()
+        self.factory.connections.append(self)
+        self.factory.accepted += 1
+        if self.factory.on_connect is not None:
+            self.factory.on_connect(self)
+
+    def dataReceived(self, data):
+        self.buffer += data
+        self.factory.bytes_received += len(data)
+        while b"\r\n\r\n" in self.buffer:
+            head, _, rest = self.buffer.partition(b"\r\n\r\n")
+            request = Received(head, b"", self)
+            length = int(request.header(b"Content-Length") or 0)
+            if len(rest) < length:
+                return
+            request.body, self.buffer = rest[:length], rest[length:]
+            self.factory.requests.append(request)
+            self.factory.handler(request)
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        self.factory.connections.remove(self)
+        self.lost.callback(None)
+
+    def send(self, data: bytes) -> None:
+        self.transport.write(data)
+
+    def close(self) -> None:
+        self.transport.loseConnection()
+
+    def abort(self) -> None:
+        self.transport.abortConnection()
+
+
+class FakeServer(protocol.ServerFactory):
+    """Listens on loopback; ``handler`` is called with each complete request."""
+
+    protocol = FakeConnection
+    noisy = False
+
+    def __init__(self, handler: Callable[[Received], None] | None = None) -> None:
+        self.handler = handler or (lambda request: request.connection.send(answer()))
+        self.on_connect: Callable[[FakeConnection], None] | None = None
+        self.connections: list[FakeConnection] = []
+        self.requests: list[Received] = []
+        self.accepted = 0
+        self.bytes_received = 0
+        self._port = reactor.listenTCP(0, self, interface="127.0.0.1")
+        self.port = self._port.getHost().port
+        self.address = f"127.0.0.1:{self.port}"
+
+    def answers(self, *scripts: bytes | Callable[[Received], None]) -> None:
+        """Answer successive requests by the scripts; the last one repeats."""
+        remaining = list(scripts)
+
+        def handle(request: Received) -> None:
+            script = remaining.pop(0) if len(remaining) > 1 else remaining[0]
+            if callable(script):
+                script(request)
+            else:
+                request.connection.send(script)
+
+        self.handler = handle
+
+    async def stop_listening(self) -> None:
+        await defer.maybeDeferred(self._port.stopListening)
+
+    async def stop(self) -> None:
+        await self.stop_listening()
+        for connection in list(self.connections):
+            connection.abort()
+        await settle(until=lambda: not self.connections)
+
+    def kill(self) -> None:
+        """Break all connections at once, as the loss of the process does."""
+        for connection in list(self.connections):
+            connection.abort()
+
+
+async def sleep(seconds: float) -> None:
+    done = defer.Deferred()
+    reactor.callLater(seconds, done.callback, None)
+    await done
+
+
+async def settle(*, until: Callable[[], bool], timeout: float = 5.0) -> None:
+    """Wait until a condition holds; fails after ``timeout`` seconds."""
+    end = reactor.seconds() + timeout
+    while not until():
+        if reactor.seconds() > end:
+            raise AssertionError("the condition did not hold in time")
+        await sleep(0.002)
+
+
+class RawCaller(protocol.Protocol):
+    """A caller that sends raw bytes and records what it receives."""
+
+    def __init__(self):
+        self.received = b""
+        self.closed = False
+        self.clean = None
+
+    def dataReceived(self, data):
+        self.received += data
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        self.closed = True
+        self.clean = reason.check(defer.CancelledError) is None and "cleanly" in str(reason.value)
+
+
+async def connect_raw(port: int) -> RawCaller:
+    creator = protocol.ClientCreator(reactor, RawCaller)
+    return await creator.connectTCP("127.0.0.1", port)
