Add settings, configuration, command line and transactor

Cause: the router needs its settings and its configuration before it can start. Ruled out: nothing yet. Change: settings declared once as fields; folder loader, schema, merge and derivation; subcommands with defopt; transactions that resolve lost answers by their audit row.

--- /dev/null
+++ b/src/celerystack/commands/job.py
@@ -0,0 +1,100 @@
+"""What a subcommand hands to the entry point, and what it gets to run with."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import pathlib
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from typing import TextIO
+
+from twisted.internet import interfaces
+
+from celerystack import settings
+from celerystack.platform import ports
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of the program."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    INVALID_CONFIGURATION = 3
+    CONFLICT = 4
+    PLATFORM = 5
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Local:
+    """Environment of a job that opens no socket."""
+
+    settings: settings.Settings
+    sources_by_name: Mapping[str, settings.Source]
+    out: TextIO
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Remote:
+    """Environment of a job that talks to the platform.
+
+    Attributes
+    ----------
+    clock : interfaces.IReactorTime
+        Time source of deadlines and back-off.
+    deadline : float
+        Clock time in seconds at which the command gives up.
+    now_ms : callable
+        Wall clock in milliseconds since 1970, for audit rows.
+    """
+
+    settings: settings.Settings
+    clock: interfaces.IReactorTime
+    table: ports.TablePort
+    objects: ports.ObjectPort
+    deadline: float
+    out: TextIO
+    now_ms: Callable[[], int] = lambda: int(time.time() * 1000)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LocalJob:
+    """A subcommand that opens no socket, or that runs the reactor itself."""
+
+    run: Callable[[Local], int]
+    required: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RemoteJob:
+    """A subcommand that runs in the reactor.
+
+    Attributes
+    ----------
+    required : tuple of str
+        Settings without which it cannot run.
+    """
+
+    run: Callable[[Remote], Awaitable[int]]
+    required: tuple[str, ...] = ("table_address",)
+
+
+Job = LocalJob | RemoteJob
+
+
+def default_operator(name: str) -> str:
+    """Return ``name``, or else the name of the account that runs the command."""
+    if name:
+        return name
+    import getpass
+
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unknown"
+
+
+def resolve_folder(folder: pathlib.Path) -> pathlib.Path:
+    """Return the absolute path, so that messages name it completely."""
+    return folder.absolute()
--- /dev/null
+++ b/src/celerystack/commands/operator_rows.py
@@ -0,0 +1,80 @@
+"""Conditional write of one operator row (``drain/<id>`` or ``release/<id>``)."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from twisted.internet import task
+
+from celerystack import errors, ids
+from celerystack.commands import job
+from celerystack.observe import audit
+from celerystack.platform import ports, transactor
+from celerystack.state import codec
+
+RETRY_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OperatorChange:
+    """Sets or deletes one operator row.
+
+    Attributes
+    ----------
+    present : bool
+        Whether the row is to exist afterwards.
+    """
+
+    action: audit.Action
+    key: ids.RowKey
+    subject: str
+    operator: str
+    reason: str
+    present: bool
+
+
+async def commit(remote: job.Remote, wanted: OperatorChange) -> bool:
+    """Commit the change; returns False if the row already is as wanted."""
+    while True:
+        (row,) = await remote.table.get([wanted.key])
+        if (row.value is not None) == wanted.present:
+            return False
+        try:
+            await _transact(remote, wanted, row)
+            return True
+        except errors.TransactionConflictError:
+            if remote.clock.seconds() >= remote.deadline:
+                raise
+            await task.deferLater(remote.clock, RETRY_S, lambda: None)
+
+
+async def _transact(remote: job.Remote, wanted: OperatorChange, row: ports.Row) -> None:
+    operator = job.default_operator(wanted.operator)
+    time_ms = remote.now_ms()
+    new = codec.OperatorRow(
+        operator=audit.one_line(operator), time_ms=time_ms, reason=audit.one_line(wanted.reason)
+    )
+    value = codec.encode_flat(new) if wanted.present else None
+    entry = audit.row(
+        transaction=transactor.new_transaction_id(),
+        operator=operator,
+        time_ms=time_ms,
+        action=wanted.action,
+        subject=wanted.subject,
+        reason=wanted.reason,
+        before=_text(row.value, key=row.key),
+        after=_text(value, key=row.key),
+    )
+    await transactor.Transactor(remote.clock, remote.table).transact(
+        expected_versions_by_key={row.key: row.version},
+        writes=(ports.Write(row.key, value),),
+        audit=entry,
+        deadline=remote.deadline,
+    )
+
+
+def _text(value: bytes | None, *, key: str) -> str:
+    if value is None:
+        return "absent"
+    row = codec.decode_flat(codec.OperatorRow, value, key=key)
+    return f"present operator={row.operator} time_ms={row.time_ms}"
--- /dev/null
+++ b/src/celerystack/commands/router.py
@@ -0,0 +1,18 @@
+"""``celerystack router``: runs an entry VM."""
+
+from __future__ import annotations
+
+from celerystack import settings
+from celerystack.commands import job
+
+
+def router() -> job.Job:
+    """Run an entry VM until SIGTERM."""
+    return job.LocalJob(run=_run, required=settings.ROUTER_REQUIRED)
+
+
+def _run(local: job.Local) -> int:
+    # Imported here, because the other subcommands do not need the router's modules.
+    from celerystack.control import service
+
+    return service.run(local.settings) or job.ExitCode.OK
--- /dev/null
+++ b/src/celerystack/config/loader.py
@@ -0,0 +1,111 @@
+"""Reads a configuration folder and merges its files in name order."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+import re
+import tomllib
+from collections.abc import Mapping
+from typing import Any
+
+from celerystack import errors, ids, model
+from celerystack.config import problems, schema, validation
+
+FILE_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}\.toml")
+NO_VERSION = ids.ConfigVersion(0)
+FILE_BYTES_MAX = 4 << 20
+"""A larger file is refused, because each file is one row of the table service."""
+
+
+def read_folder(folder: pathlib.Path) -> dict[str, str]:
+    """Read the ``*.toml`` files of a folder.
+
+    Raises
+    ------
+    errors.ConfigError
+        If the folder or a file cannot be read or decoded.
+    """
+    if not folder.is_dir():
+        raise errors.ConfigError("is not a folder", step="config.read", peer=str(folder))
+    found: list[problems.Problem] = []
+    text_by_file: dict[str, str] = {}
+    for path in sorted(folder.glob("*.toml")):
+        try:
+            # newline="" keeps line ends, so that the hash is the one of the stored bytes.
+            with path.open(encoding="utf-8", newline="") as stream:
+                text_by_file[path.name] = stream.read()
+        except (OSError, UnicodeDecodeError) as error:
+            found.append(problems.Problem(path.name, "", str(error)))
+    if found:
+        raise problems.config_error(found, step="config.read")
+    return text_by_file
+
+
+def merge_files(
+    text_by_file: Mapping[str, str], *, version: ids.ConfigVersion = NO_VERSION
+) -> model.Configuration:
+    """Merge and validate files.
+
+    Raises
+    ------
+    errors.ConfigError
+        Lists every problem.
+    """
+    configuration, found = examine(text_by_file)
+    if found:
+        raise problems.config_error(found, step="config.merge")
+    return dataclasses.replace(configuration, version=version)
+
+
+def examine(
+    text_by_file: Mapping[str, str],
+) -> tuple[model.Configuration, list[problems.Problem]]:
+    """Merge files; returns what is valid and all problems, in the order of files and fields."""
+    found: list[problems.Problem] = []
+    tables_by_kind: dict[str, dict[str, validation.MergedTable]] = {
+        kind: {} for kind in schema.SCHEMAS_BY_KIND
+    }
+    for file in sorted(text_by_file):
+        document = _parse(file, text_by_file[file], found)
+        _merge_document(file, document, tables_by_kind, found)
+    configuration = validation.configuration(tables_by_kind, found)
+    return configuration, sorted(set(found))
+
+
+def _parse(file: str, text: str, found: list[problems.Problem]) -> dict[str, Any]:
+    if not FILE_PATTERN.fullmatch(file):
+        reason = "file names are letters, digits, '.', '_' and '-', ending in .toml"
+        found.append(problems.Problem(file, "", reason))
+        return {}
+    if len(text.encode()) > FILE_BYTES_MAX:
+        found.append(problems.Problem(file, "", f"is larger than {FILE_BYTES_MAX} bytes"))
+        return {}
+    try:
+        return tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        found.append(problems.Problem(file, "", f"is not valid TOML: {error}"))
+        return {}
+
+
+def _merge_document(
+    file: str,
+    document: Mapping[str, Any],
+    tables_by_kind: dict[str, dict[str, validation.MergedTable]],
+    found: list[problems.Problem],
+) -> None:
+    for kind, tables in document.items():
+        if kind not in tables_by_kind:
+            reason = "unknown table" + problems.hint(kind, tables_by_kind)
+            found.append(problems.Problem(file, kind, reason))
+            continue
+        if not isinstance(tables, dict):
+            found.append(problems.Problem(file, kind, f"must be tables [{kind}.<name>]"))
+            continue
+        for name, table in tables.items():
+            if not isinstance(table, dict):
+                reason = f"must be a table [{kind}.<name>]"
+                found.append(problems.Problem(file, f"{kind}.{name}", reason))
+                continue
+            merged = tables_by_kind[kind].setdefault(name, validation.MergedTable(file))
+            merged.override(file, table)
--- /dev/null
+++ b/src/celerystack/queries/diff.py
@@ -0,0 +1,52 @@
+"""``celerystack diff``: shows what `apply` would change."""
+
+from __future__ import annotations
+
+import difflib
+import functools
+import pathlib
+
+from celerystack.commands import apply, job
+from celerystack.config import change, loader
+from celerystack.queries import reading
+
+
+def diff(folder: pathlib.Path, *, base: int | None = None) -> job.Job:
+    """Show what apply would change, without changing anything.
+
+    Parameters
+    ----------
+    folder
+        Folder of ``*.toml`` files.
+    base
+        Configuration version that the folder was started from; default: the one that the last
+        apply recorded in the folder.
+    """
+    run = functools.partial(_run, folder=folder, base=base)
+    return job.RemoteJob(run=run, required=("table_address", "object_address"))
+
+
+async def _run(remote: job.Remote, *, folder: pathlib.Path, base: int | None) -> int:
+    text_by_file = loader.read_folder(folder)
+    current = await reading.accepted(remote, files=text_by_file)
+    started_from = await apply.base_for(remote, folder, base, current)
+    planned = change.plan(base=started_from, accepted=current, folder=text_by_file)
+    if planned is None:
+        print(f"no change: version {current.version} is in force", file=remote.out)
+        return job.ExitCode.OK
+    for file in (*planned.written, *planned.deleted):
+        before = current.text_by_file.get(file, "")
+        after = text_by_file.get(file, "")
+        lines = difflib.unified_diff(
+            before.splitlines(),
+            after.splitlines(),
+            f"{file} (version {current.version})",
+            f"{file} (folder)",
+            lineterm="",
+        )
+        print("\n".join(lines), file=remote.out)
+    if planned.kept:
+        print(
+            f"changed by others, older in this folder: {', '.join(planned.kept)}", file=remote.out
+        )
+    return job.ExitCode.OK
--- /dev/null
+++ b/src/celerystack/queries/owner.py
@@ -0,0 +1,50 @@
+"""``celerystack owner``: shows the server that owns a key."""
+
+from __future__ import annotations
+
+import functools
+
+from celerystack import errors, ids
+from celerystack.commands import job
+from celerystack.queries import reading
+from celerystack.state import keys, shardmap
+
+
+def owner(service: str, key: str) -> job.Job:
+    """Show the shard, epoch and owner of a key, as recorded in the table.
+
+    Parameters
+    ----------
+    service
+        Name of a declared service.
+    key
+        The key, as it appears in the path after percent-decoding.
+    """
+    return job.RemoteJob(run=functools.partial(_run, service=service, key=key))
+
+
+async def _run(remote: job.Remote, *, service: str, key: str) -> int:
+    declared = reading.require_service(await reading.configuration(remote), service)
+    hashed = shardmap.key_hash(key)
+    base = shardmap.base_shard(hashed, declared.shards)
+    row_key = keys.shard_map(declared.name, shardmap.chunk_of(base))
+    (row,) = await remote.table.get([row_key])
+    if row.value is None:
+        raise errors.CelerystackError(
+            f"service {service!r} has no shard map yet", step="owner", peer="table"
+        )
+    chunk = shardmap.ShardMapChunk.decode(row.value, key=row_key)
+    shard = chunk.shard_for(hashed, base)
+    print(f"service: {service}", file=remote.out)
+    print(f"key hash: {hashed:016x}", file=remote.out)
+    print(f"shard: {shard}{' (hot)' if shard != base else ''}", file=remote.out)
+    print(f"epoch: {chunk.epoch(shard)}", file=remote.out)
+    print(f"owner: {_owner_text(chunk, shard)}", file=remote.out)
+    return job.ExitCode.OK
+
+
+def _owner_text(chunk: shardmap.ShardMapChunk, shard: ids.ShardId) -> str:
+    move = chunk.moves_by_shard.get(shard)
+    if move is not None:
+        return f"none (moving from {move.source} to {move.target})"
+    return chunk.owner(shard) or "none"
--- /dev/null
+++ b/src/celerystack/queries/show_audit.py
@@ -0,0 +1,119 @@
+"""``celerystack audit``: lists who changed what, when and why."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import functools
+import json as json_module
+
+from celerystack import errors
+from celerystack.commands import job
+from celerystack.state import codec, keys
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Filter:
+    """Conditions on audit rows; an empty one always holds.
+
+    Attributes
+    ----------
+    since_ms, until_ms : int or None
+        Wall clock in milliseconds since 1970; ``until_ms`` is exclusive.
+    """
+
+    since_ms: int | None
+    until_ms: int | None
+    operator: str
+    service: str
+    action: str
+
+    def accepts(self, entry: codec.AuditRow) -> bool:
+        """Return whether an audit row fulfils all conditions."""
+        if self.since_ms is not None and entry.time_ms < self.since_ms:
+            return False
+        if self.until_ms is not None and entry.time_ms >= self.until_ms:
+            return False
+        if self.operator and entry.operator != self.operator:
+            return False
+        if self.service and self.service not in entry.subject.split("/"):
+            return False
+        return not self.action or entry.action == self.action
+
+
+def audit(
+    *,
+    since: str = "",
+    until: str = "",
+    operator: str = "",
+    service: str = "",
+    action: str = "",
+    json: bool = False,
+) -> job.Job:
+    """List changes, oldest first.
+
+    Parameters
+    ----------
+    since
+        First time, as ISO 8601 (UTC if without a zone).
+    until
+        End of the time range, exclusive, as ISO 8601.
+    operator
+        Only changes by this operator.
+    service
+        Only changes whose subject names this service.
+    action
+        Only this action, such as apply, drain or release.
+    json
+        Print one JSON object per line.
+    """
+    wanted = Filter(
+        since_ms=_milliseconds("since", since),
+        until_ms=_milliseconds("until", until),
+        operator=operator,
+        service=service,
+        action=action,
+    )
+    return job.RemoteJob(run=functools.partial(_run, wanted=wanted, as_json=json))
+
+
+def _milliseconds(name: str, text: str) -> int | None:
+    if not text:
+        return None
+    try:
+        moment = datetime.datetime.fromisoformat(text)
+    except ValueError as error:
+        raise errors.SettingsError(f"--{name}: {error}", step="audit") from error
+    if moment.tzinfo is None:
+        moment = moment.replace(tzinfo=datetime.UTC)
+    return int(moment.timestamp() * 1000)
+
+
+async def _run(remote: job.Remote, *, wanted: Filter, as_json: bool) -> int:
+    corrupt: list[errors.CorruptRowError] = []
+    for row in await remote.table.scan(keys.AUDIT_PREFIX):
+        try:
+            entry = codec.decode_flat(codec.AuditRow, row.value, key=row.key)
+        except errors.CorruptRowError as error:
+            corrupt.append(error)
+            continue
+        if wanted.accepts(entry):
+            print(_json_line(entry) if as_json else _line(entry), file=remote.out)
+    if corrupt:
+        # Raised after the listing, so that one bad row does not hide the others.
+        raise corrupt[0]
+    return job.ExitCode.OK
+
+
+def _json_line(entry: codec.AuditRow) -> str:
+    return json_module.dumps(dataclasses.asdict(entry), ensure_ascii=False)
+
+
+def _line(entry: codec.AuditRow) -> str:
+    moment = datetime.datetime.fromtimestamp(entry.time_ms / 1000, datetime.UTC)
+    stamp = moment.isoformat(timespec="milliseconds").replace("+00:00", "Z")
+    reason = f" ({entry.reason})" if entry.reason else ""
+    return (
+        f"{stamp} {entry.operator} {entry.action} {entry.subject}{reason}: "
+        f"{entry.before} -> {entry.after}"
+    )
--- /dev/null
+++ b/src/celerystack/queries/status.py
@@ -0,0 +1,130 @@
+"""``celerystack status``: shows configuration, servers and shards as recorded in the table."""
+
+from __future__ import annotations
+
+import collections
+import functools
+import json as json_module
+from typing import Any
+
+from celerystack import ids, model
+from celerystack.commands import job
+from celerystack.platform import ports
+from celerystack.queries import reading
+from celerystack.state import codec, keys, shardmap
+
+
+def status(*, json: bool = False) -> job.Job:
+    """Show configuration, servers, moves and unowned shards, as recorded in the table.
+
+    Parameters
+    ----------
+    json
+        Print JSON.
+    """
+    return job.RemoteJob(run=functools.partial(_run, as_json=json))
+
+
+async def _run(remote: job.Remote, *, as_json: bool) -> int:
+    current = await reading.configuration(remote)
+    server_rows = await remote.table.scan(keys.SERVER_PREFIX)
+    map_rows = await remote.table.scan(keys.MAP_PREFIX)
+    drain_rows = await remote.table.scan(keys.DRAIN_PREFIX)
+    release_rows = await remote.table.scan(keys.RELEASE_PREFIX)
+    services, shards_by_server = _services(current, map_rows)
+    report = {
+        "config_version": current.version,
+        "services": services,
+        "servers": _servers(
+            current,
+            server_rows,
+            shards_by_server,
+            _operator_rows(drain_rows, keys.DRAIN_PREFIX),
+            _operator_rows(release_rows, keys.RELEASE_PREFIX),
+        ),
+    }
+    text = json_module.dumps(report, indent=2) if as_json else _text(report)
+    print(text, file=remote.out)
+    return job.ExitCode.OK
+
+
+def _operator_rows(rows: list[ports.Row], prefix: str) -> dict[str, codec.OperatorRow]:
+    return {
+        row.key.removeprefix(prefix): codec.decode_flat(codec.OperatorRow, row.value, key=row.key)
+        for row in rows
+    }
+
+
+def _services(
+    current: model.Configuration, rows: list[ports.Row]
+) -> tuple[dict[str, Any], collections.Counter[ids.ServerId]]:
+    services: dict[str, Any] = {
+        name: {"shards": service.shards, "recorded": 0, "unowned": 0, "moving": 0, "hot": 0}
+        for name, service in current.services_by_name.items()
+    }
+    shards_by_server: collections.Counter[ids.ServerId] = collections.Counter()
+    for row in rows:
+        name = row.key.removeprefix(keys.MAP_PREFIX).rpartition("/")[0]
+        chunk = shardmap.ShardMapChunk.decode(row.value, key=row.key)
+        entry = services.get(name)
+        if entry is None:
+            continue
+        owners = [chunk.owner(shard) for shard in chunk.shards()]
+        shards_by_server.update(owner for owner in owners if owner is not None)
+        entry["recorded"] += len(owners)
+        entry["moving"] += len(chunk.moves_by_shard)
+        entry["unowned"] += owners.count(None) - len(chunk.moves_by_shard)
+        entry["hot"] += len(chunk.hot_by_shard)
+    return services, shards_by_server
+
+
+def _servers(
+    current: model.Configuration,
+    rows: list[ports.Row],
+    shards_by_server: collections.Counter[ids.ServerId],
+    drains: dict[str, codec.OperatorRow],
+    releases: dict[str, codec.OperatorRow],
+) -> dict[str, Any]:
+    decoded = [codec.decode_server(row.value, key=row.key) for row in rows]
+    rows_by_id = {row.server: row for row in decoded}
+    report: dict[str, Any] = {}
+    for server in sorted({*current.servers_by_id, *rows_by_id}):
+        declared = current.servers_by_id.get(server)
+        row = rows_by_id.get(server)
+        report[server] = {
+            "declared": declared is not None,
+            "service": declared.service if declared else "",
+            "zone": declared.zone if declared else "",
+            "state": row.state.value if row else "unknown",
+            "token": row.token if row else 0,
+            "lessors": [lessor.vm for lessor in row.lessors] if row else [],
+            "previous_lessors": [lessor.vm for lessor in row.previous_lessors] if row else [],
+            "shards": shards_by_server[server],
+            "drain_requested_by": drains[server].operator if server in drains else "",
+            "released_by": releases[server].operator if server in releases else "",
+        }
+    return report
+
+
+def _text(report: dict[str, Any]) -> str:
+    lines = [f"configuration version: {report['config_version']}"]
+    for name, entry in report["services"].items():
+        lines.append(
+            f"service {name}: {entry['shards']} shards, {entry['unowned']} unowned, "
+            f"{entry['moving']} moving, {entry['hot']} hot"
+        )
+    for name, entry in report["servers"].items():
+        parts = [
+            f"server {name}: {entry['state']}",
+            f"service={entry['service'] or '(not declared)'}",
+            f"zone={entry['zone'] or '-'}",
+            f"shards={entry['shards']}",
+            f"token={entry['token']}",
+            f"lessors={','.join(entry['lessors']) or '-'}",
+        ]
+        if entry["drain_requested_by"]:
+            parts.append(f"drain requested by {entry['drain_requested_by']}")
+        if entry["released_by"]:
+            parts.append(f"released by {entry['released_by']}")
+        lines.append(" ".join(parts))
+    return "\n".join(lines)
--- /dev/null
+++ b/src/celerystack/run.py
@@ -0,0 +1,157 @@
+"""Entry point: command line, settings, reactor and exit codes."""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+
+import defopt
+
+from celerystack import errors, settings
+from celerystack.commands import apply, drain, job, release, router, undrain
+from celerystack.queries import check, diff, owner, show_audit, show_settings, status
+
+SUBCOMMANDS: dict[str, Callable[..., job.Job]] = {
+    "router": router.router,
+    "check": check.check,
+    "diff": diff.diff,
+    "apply": apply.apply,
+    "drain": drain.drain,
+    "undrain": undrain.undrain,
+    "release": release.release,
+    "status": status.status,
+    "owner": owner.owner,
+    "audit": show_audit.audit,
+    "settings": show_settings.settings,
+}
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run one subcommand.
+
+    Parameters
+    ----------
+    argv : list of str or None
+        Arguments without the program name; None takes those of the process.
+
+    Returns
+    -------
+    int
+        Exit code, see `job.ExitCode`.
+    """
+    arguments = sys.argv[1:] if argv is None else argv
+    try:
+        return int(_run(arguments, os.environ))
+    except SystemExit as error:
+        return error.code if isinstance(error.code, int) else job.ExitCode.USAGE
+    except KeyboardInterrupt:
+        return _failed("interrupted", job.ExitCode.FAILED)
+    except Exception as error:
+        return _failed(describe(error), exit_code(error))
+
+
+def exit_code(error: BaseException) -> job.ExitCode:
+    """Return the exit code of an error."""
+    match error:
+        case errors.SettingsError():
+            return job.ExitCode.USAGE
+        case errors.ConfigConflictError() | errors.TransactionConflictError():
+            return job.ExitCode.CONFLICT
+        case errors.ConfigError():
+            return job.ExitCode.INVALID_CONFIGURATION
+        case errors.PlatformError():
+            return job.ExitCode.PLATFORM
+        case _:
+            return job.ExitCode.FAILED
+
+
+def describe(error: BaseException) -> str:
+    """Return an error as one line."""
+    if isinstance(error, errors.CelerystackError):
+        return " ".join(str(error).split())
+    return " ".join(f"internal error: {type(error).__name__}: {error}".split())
+
+
+def _failed(text: str, code: job.ExitCode) -> int:
+    print(f"celerystack: {text}", file=sys.stderr)
+    return int(code)
+
+
+def _run(arguments: Sequence[str], environ: Mapping[str, str]) -> int:
+    flags, rest = split_flags(arguments)
+    call = defopt.bind(
+        SUBCOMMANDS,
+        argv=rest,
+        short={},
+        no_negated_flags=True,
+        argparse_kwargs={
+            "prog": "celerystack",
+            "allow_abbrev": False,
+            "epilog": _settings_help(),
+            "formatter_class": argparse.RawDescriptionHelpFormatter,
+        },
+    )
+    wanted: job.Job = call()
+    loaded = settings.load(flags=flags, environ=environ, required=wanted.required)
+    match wanted:
+        case job.LocalJob():
+            sources = settings.sources_by_name(flags=flags, environ=environ)
+            return wanted.run(job.Local(settings=loaded, sources_by_name=sources, out=sys.stdout))
+        case job.RemoteJob():
+            return _run_in_reactor(wanted, loaded)
+
+
+def split_flags(arguments: Sequence[str]) -> tuple[dict[str, str], list[str]]:
+    """Separate the flags of settings, which all subcommands share, from the other arguments."""
+    parser = argparse.ArgumentParser(prog="celerystack", add_help=False, allow_abbrev=False)
+    for name in settings.FIELDS_BY_NAME:
+        parser.add_argument(settings.flag_name(name), dest=name)
+    known, rest = parser.parse_known_args(list(arguments))
+    flags = {name: value for name, value in vars(known).items() if value is not None}
+    return flags, rest
+
+
+def _settings_help() -> str:
+    lines = ["settings of all subcommands (flag, or CELERYSTACK_<NAME> in the environment):"]
+    for name, field in settings.FIELDS_BY_NAME.items():
+        kind = field.metadata["unit"] or field.metadata["kind"]
+        lines.append(f"  {settings.flag_name(name)} ({kind}): {field.metadata['help']}")
+    return "\n".join(lines)
+
+
+def _run_in_reactor(wanted: job.RemoteJob, loaded: settings.Settings) -> int:
+    # Imported here, because it installs the reactor, which other subcommands do not need.
+    from twisted.internet import defer, reactor
+
+    outcome: list[int | BaseException] = []
+
+    def start() -> None:
+        running = defer.ensureDeferred(_remote(wanted, loaded, reactor))
+        running.addCallbacks(outcome.append, lambda failure: outcome.append(failure.value))
+        running.addBoth(lambda _: reactor.stop())
+
+    reactor.callWhenRunning(start)
+    reactor.run()
+    result = outcome[0] if outcome else job.ExitCode.FAILED
+    if isinstance(result, BaseException):
+        raise result
+    return result
+
+
+def _remote(wanted: job.RemoteJob, loaded: settings.Settings, reactor: object) -> Awaitable[int]:
+    from celerystack.platform import objects, table
+
+    clock = reactor
+    remote = job.Remote(
+        settings=loaded,
+        clock=clock,
+        table=table.HttpTable(reactor, loaded.table_address, timeout_s=loaded.store_timeout_s),
+        objects=objects.HttpObjects(
+            reactor, loaded.object_address, timeout_s=loaded.store_timeout_s
+        ),
+        deadline=clock.seconds() + loaded.command_limit_s,
+        out=sys.stdout,
+    )
+    return wanted.run(remote)
