Run an entry VM end to end

Cause: the parts exist but no process connects them. Ruled out: the reactor's own clock for leases and deadlines: a check showed that its seconds() returns the wall clock. Change: steward, placer, lessor and view tasks, routes, entry VM assembly, monotonic clock, periodic calls that log errors and go on.

--- a/src/celerystack/control/changes.py
+++ b/src/celerystack/control/changes.py
@@ -100,13 +100,20 @@
 
 
 def create_server(
-    view: cluster_view.ClusterView, server: ids.ServerId, lessors: tuple[model.LessorRef, ...]
+    view: cluster_view.ClusterView,
+    server: ids.ServerId,
+    lessors: tuple[model.LessorRef, ...],
+    incarnation: ids.Incarnation,
 ) -> Change:
     """Create a server's row with token 1."""
     builder = ChangeBuilder(view)
     builder.put_server(
         model.ServerRow(
-            server=server, state=model.ServerState.ACTIVE, token=ids.Token(1), lessors=lessors
+            server=server,
+            state=model.ServerState.ACTIVE,
+            token=ids.Token(1),
+            incarnation=incarnation,
+            lessors=lessors,
         )
     )
     return builder.build(
@@ -120,15 +127,22 @@
     *,
     lessors: tuple[model.LessorRef, ...],
     previous: tuple[model.LessorRef, ...],
+    incarnation: ids.Incarnation,
     reason: str,
 ) -> Change:
-    """Record new lessors under a new token; the old set stays until the server acknowledges."""
+    """Record new lessors under a new token; the old set stays until the server acknowledges.
+
+    An operator's evidence of loss ends here, because it spoke of a process that did not answer.
+    """
     builder = ChangeBuilder(view)
+    if view.release_row(row.server).value:
+        builder.put_plain(keys.release(row.server), b"")
     builder.put_server(
         dataclasses.replace(
             row,
             state=model.ServerState.ACTIVE,
             token=ids.Token(row.token + 1),
+            incarnation=incarnation,
             lessors=lessors,
             previous_lessors=previous,
         )
@@ -154,6 +168,17 @@
     )
 
 
+def suspend(view: cluster_view.ClusterView, row: model.ServerRow) -> Change:
+    """Stop all entry VMs from sending to a server that does not check tokens."""
+    builder = ChangeBuilder(view)
+    builder.put_server(
+        dataclasses.replace(row, state=model.ServerState.SUSPENDED, token=ids.Token(row.token + 1))
+    )
+    return builder.build(
+        action="server.suspend", subject=row.server, reason="does not answer, checks no tokens"
+    )
+
+
 def take_over(
     view: cluster_view.ClusterView,
     row: model.ServerRow,
--- /dev/null
+++ b/src/celerystack/control/claims_task.py
@@ -0,0 +1,127 @@
+"""Claims request ids at entry VMs of the home zone; implements `requests.ports.ClaimPort`."""
+
+from __future__ import annotations
+
+import logging
+
+from twisted.internet import defer, interfaces
+
+from celerystack import errors, ids, model
+from celerystack.control import view as cluster_view
+from celerystack.lease import rendezvous
+from celerystack.peers import mesh as peer_mesh
+from celerystack.peers import messages
+from celerystack.requests import claims
+
+CLAIM_TIMEOUT_S = 0.5
+"""Longest wait for one holder. It is shorter than the detection of a silent entry VM, because the
+caller is better served by a prompt ``not-run`` that it can repeat."""
+
+_log = logging.getLogger(__name__)
+
+
+class ClaimsTask:
+    """Asks the holders one after the other, so that of two claimants one wins."""
+
+    def __init__(
+        self,
+        clock: interfaces.IReactorTime,
+        *,
+        table: claims.ClaimTable,
+        view: cluster_view.ClusterView,
+        mesh: peer_mesh.Mesh,
+    ) -> None:
+        self._clock = clock
+        self._table = table
+        self._view = view
+        self._mesh = mesh
+        self._holders_by_request: dict[ids.RequestId, list[ids.EntryVmId]] = {}
+        self._waiting: dict[tuple[ids.RequestId, ids.EntryVmId], defer.Deferred] = {}
+        mesh.add_handler(self._handle)
+
+    def claim(
+        self, request_id: ids.RequestId, home_zone: ids.ZoneName | None, deadline: float
+    ) -> defer.Deferred[messages.ClaimState]:
+        """Claim a request id; fails with `errors.PeerError` if a holder does not answer."""
+        return defer.ensureDeferred(self._claim(request_id, home_zone, deadline))
+
+    def finish(
+        self,
+        request_id: ids.RequestId,
+        home_zone: ids.ZoneName | None,
+        state: messages.ClaimState,
+    ) -> None:
+        """Record the final state at the holders."""
+        for vm in self._holders_by_request.pop(request_id, []):
+            self._mesh.send(vm, messages.ClaimResult(request_id, state))
+
+    async def _claim(
+        self, request_id: ids.RequestId, home_zone: ids.ZoneName | None, deadline: float
+    ) -> messages.ClaimState:
+        if request_id in self._holders_by_request:
+            return messages.ClaimState.RUNNING
+        holders = self._holders(request_id, home_zone)
+        self._holders_by_request[request_id] = holders
+        try:
+            for position, vm in enumerate(holders):
+                state = await self._ask(request_id, vm, deadline)
+                if state is not messages.ClaimState.ACCEPTED:
+                    self._release(request_id, holders[:position])
+                    return state
+        except errors.PeerError:
+            self._release(request_id, holders)
+            raise
+        return messages.ClaimState.ACCEPTED
+
+    def _release(self, request_id: ids.RequestId, asked: list[ids.EntryVmId]) -> None:
+        self._holders_by_request[request_id] = asked
+        self.finish(request_id, None, messages.ClaimState.NOT_RUN)
+
+    def _holders(
+        self, request_id: ids.RequestId, home_zone: ids.ZoneName | None
+    ) -> list[ids.EntryVmId]:
+        zone = home_zone or self._zone_for(request_id)
+        live = [e.vm for e in self._mesh.live_entry_vms() if e.zone == zone]
+        holders = claims.holders(request_id, live)
+        if not holders:
+            raise errors.PeerError(
+                "no entry VM of the home zone is connected", step="claims.holders", peer=zone
+            )
+        return holders
+
+    def _zone_for(self, request_id: ids.RequestId) -> ids.ZoneName:
+        zones = {server.zone for server in self._view.configuration.servers_by_id.values()}
+        return ids.ZoneName(rendezvous.ranked(request_id, zones or {self._mesh.me.zone})[0])
+
+    async def _ask(
+        self, request_id: ids.RequestId, vm: ids.EntryVmId, deadline: float
+    ) -> messages.ClaimState:
+        remaining_ms = max(0, int((deadline - self._clock.seconds()) * 1000))
+        answer: defer.Deferred[messages.ClaimState] = defer.Deferred()
+        self._waiting[request_id, vm] = answer
+        answer.addTimeout(CLAIM_TIMEOUT_S, self._clock)
+        claim = messages.Claim(
+            request=request_id, claimant=self._mesh.me.vm, remaining_ms=remaining_ms
+        )
+        try:
+            if not self._mesh.send(vm, claim):
+                raise errors.PeerError("no stream", step="claims.ask", peer=vm)
+            return await answer
+        except defer.TimeoutError as error:
+            raise errors.PeerError("no answer to a claim", step="claims.ask", peer=vm) from error
+        finally:
+            del self._waiting[request_id, vm]
+
+    def _handle(self, sender: model.EntryVm, message: messages.Message) -> None:
+        now = self._clock.seconds()
+        match message:
+            case messages.Claim(request=request, claimant=claimant, remaining_ms=remaining_ms):
+                deadline = now + remaining_ms / 1000
+                state = self._table.claim(request, claimant, deadline, now)
+                self._mesh.send(sender.vm, messages.ClaimReply(request, state))
+            case messages.ClaimReply(request=request, state=state):
+                answer = self._waiting.get((request, sender.vm))
+                if answer is not None and not answer.called:
+                    answer.callback(state)
+            case messages.ClaimResult(request=request, state=state):
+                self._table.finish(request, state, now)
--- /dev/null
+++ b/src/celerystack/control/entry_vm.py
@@ -0,0 +1,244 @@
+"""Builds the parts of one entry VM and connects them."""
+
+from __future__ import annotations
+
+import logging
+import uuid
+from typing import Any
+
+import prometheus_client
+from twisted.internet import defer, task
+
+from celerystack import clock, ids, model, periodic, settings
+from celerystack.backend import orders as order_senders
+from celerystack.control import (
+    committer,
+    defaults,
+    lessor_task,
+    membership_task,
+    placer_task,
+    routes,
+    steward_task,
+    table_sync,
+    views_task,
+)
+from celerystack.control import view as cluster_view
+from celerystack.lease import lessor as lessors
+from celerystack.peers import mesh as peer_mesh
+from celerystack.peers import messages, sync
+from celerystack.platform import membership, table, transactor
+from celerystack.requests import forwarder, frontend
+from celerystack.state import cache as row_cache
+
+DRAIN_NOTICE_S = 1.0
+"""Time between the end of readiness and the close of the listener."""
+
+HANDOVER_MAX_S = 5.0
+"""Longest wait until other entry VMs have replaced this one as lessor."""
+
+_UPKEEP_S = 0.1
+_log = logging.getLogger(__name__)
+
+
+class EntryVmProcess:
+    """All tasks of one entry VM.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP and IReactorTime
+    configured : Settings
+        Valid settings of the router.
+    """
+
+    def __init__(self, reactor: Any, configured: settings.Settings) -> None:
+        self._reactor = reactor
+        self._clock = clock.MonotonicClock(reactor)
+        self._settings = configured
+        self.draining = False
+        self.registry = prometheus_client.CollectorRegistry()
+        self.me = model.EntryVm(
+            vm=ids.EntryVmId(configured.vm),
+            incarnation=ids.Incarnation(uuid.uuid4().hex),
+            zone=ids.ZoneName(configured.zone),
+            peer_address=configured.advertised_peer_address,
+        )
+        self.cache = row_cache.RowCache()
+        self.view = cluster_view.ClusterView(self.cache)
+        self.mesh = peer_mesh.Mesh(
+            reactor,
+            clock=self._clock,
+            me=self.me,
+            secrets=configured.peer_secrets,
+            heartbeat=self._heartbeat,
+        )
+        self.rows = sync.RowSync(self._clock, mesh=self.mesh, cache=self.cache)
+        self._build_platform()
+        self._build_control()
+        self._build_requests()
+        self._upkeep = periodic.Periodic(self._clock, self._keep_up, interval_s=_UPKEEP_S)
+
+    def _build_platform(self) -> None:
+        chosen = self._settings
+        self.table = table.HttpTable(
+            self._reactor, address=chosen.table_address, timeout_s=chosen.store_timeout_s
+        )
+        self.table_sync = table_sync.TableSync(
+            self._clock, table=self.table, rows=self.rows, mesh=self.mesh
+        )
+        self.membership = membership_task.MembershipTask(
+            self._clock,
+            membership=membership.HttpMembership(
+                self._reactor, address=chosen.membership_address, timeout_s=chosen.store_timeout_s
+            ),
+            mesh=self.mesh,
+        )
+        self.commits = committer.Committer(
+            self._clock,
+            transactor=transactor.Transactor(self._clock, self.table),
+            tables=self.table_sync,
+            rows=self.rows,
+            operator=f"router:{self.me.vm}",
+        )
+
+    def _build_control(self) -> None:
+        self.orders = order_senders.OrderSender(
+            self._reactor, lessor=self.me.vm, address_of=self._address_of
+        )
+        me = model.LessorRef(self.me.vm, self.me.incarnation)
+        self.lessor_task = lessor_task.LessorTask(
+            self._clock,
+            lessor=lessors.Lessor(me=me),
+            orders=self.orders,
+            view=self.view,
+            mesh=self.mesh,
+        )
+        self.views = views_task.ViewTracker(
+            self._clock,
+            view=self.view,
+            mesh=self.mesh,
+            cache=self.cache,
+            in_flight=lambda server: len(self.forwarder.in_flight(server)),
+        )
+        self.placer = placer_task.PlacerTask(
+            self._clock,
+            view=self.view,
+            mesh=self.mesh,
+            lessor=self.lessor_task.lessor,
+            commits=self.commits,
+            membership=self.membership,
+            released=lambda server: (
+                self.views.idle_here(server) and self.views.released(server, answers=True)
+            ),
+        )
+        self.steward = steward_task.StewardTask(
+            self._clock,
+            view=self.view,
+            mesh=self.mesh,
+            lessor=self.lessor_task.lessor,
+            commits=self.commits,
+            membership=self.membership,
+            planner=self.placer,
+            views=self.views,
+        )
+
+    def _build_requests(self) -> None:
+        self.routes = routes.Routes(
+            self.view, may_send=self.views.may_send, usable=self.placer.is_usable
+        )
+        needs = forwarder.Ports(
+            routes=self.routes,
+            claims=defaults.NoClaims(),
+            losses=defaults.NoLosses(),
+            chooser=defaults.RoundRobin(),
+            budget=defaults.UnlimitedRetries(),
+        )
+        self.forwarder = forwarder.Forwarder(self._reactor, needs)
+        self.front_end = frontend.FrontEnd(self._reactor, self.routes, self.forwarder)
+        self.view.add_listener(self._view_changed)
+
+    def _view_changed(self, change: cluster_view.ViewChange) -> None:
+        """Break off requests at servers that were taken over; nothing else would end them."""
+        for server in change.servers:
+            row = self.view.server_rows_by_id.get(server)
+            if row is not None and row.state is not model.ServerState.ACTIVE:
+                self.forwarder.server_lost(server)
+
+    def _address_of(self, server: ids.ServerId) -> str | None:
+        declared = self.view.declared(server)
+        return declared.address if declared is not None else None
+
+    def _heartbeat(self) -> messages.Heartbeat:
+        return messages.Heartbeat(
+            digest=self.cache.digest,
+            config_version=self.view.configuration.version,
+            draining=self.draining,
+            store_reachable=self.table_sync.reachable,
+            unanswered_by_server=self.views.unanswered_by_server(),
+        )
+
+    def is_ready(self) -> bool:
+        """Return whether the platform's balancer should send callers here."""
+        return not self.draining and self.has_state()
+
+    def has_state(self) -> bool:
+        """Return whether the rows are known, from the table or from a peer."""
+        return self.table_sync.has_state or self.view.configuration.version > 0
+
+    def start(self) -> None:
+        """Open the peer listener and start all tasks; the caller listener opens with the state."""
+        self.mesh.start(self._settings.peer_address)
+        self.mesh.dial(self._settings.peers)
+        self.table_sync.start()
+        self.membership.start()
+        self.lessor_task.start()
+        self.steward.start()
+        self.placer.start()
+        self._upkeep.start()
+        host, port = settings.split_address(self._settings.caller_address)
+        self.front_end.listen(host, port)
+
+    def _keep_up(self) -> None:
+        watched = self.steward.watched() | self.placer.watched()
+        self.lessor_task.lessor.watch(watched)
+        peers_reach_it = [
+            peer.heartbeat is None or peer.heartbeat.store_reachable
+            for peer in self.mesh.live_peers()
+            if peer.entry_vm.zone == self.me.zone
+        ]
+        self.lessor_task.store_reachable = self.table_sync.reachable and all(peers_reach_it)
+
+    async def drain(self) -> None:
+        """Shut down without cutting off a request: hand over leases, then finish all requests."""
+        self.draining = True
+        self.steward.stopping = True
+        self.placer.stopping = True
+        self.front_end.announce_drain()
+        await task.deferLater(self._clock, DRAIN_NOTICE_S)
+        await self.front_end.stop_accepting()
+        finished = self.front_end.drained()
+        finished.addTimeout(self._settings.shutdown_limit_s, self._reactor)
+        try:
+            await finished
+        except defer.TimeoutError:
+            _log.warning("requests were still in flight at the shutdown limit")
+        await self._hand_over_leases()
+        self._stop()
+
+    async def _hand_over_leases(self) -> None:
+        deadline = self._clock.seconds() + HANDOVER_MAX_S
+        while self._is_lessor() and self._clock.seconds() < deadline:
+            await task.deferLater(self._clock, _UPKEEP_S)
+
+    def _is_lessor(self) -> bool:
+        if not self.mesh.live_peers():
+            return False
+        me = self.lessor_task.lessor.me
+        return any(me in row.lessors for row in self.view.server_rows_by_id.values())
+
+    def _stop(self) -> None:
+        for part in (self.steward, self.placer, self.lessor_task, self.table_sync, self.membership):
+            part.stop()
+        self._upkeep.stop()
+        self.orders.close()
+        self.forwarder.close()
+        self.mesh.stop()
--- a/src/celerystack/control/lessor_task.py
+++ b/src/celerystack/control/lessor_task.py
@@ -5,10 +5,10 @@
 import logging
 from typing import Protocol
 
-from twisted.internet import defer, interfaces, task
+from twisted.internet import defer, interfaces
 from twisted.python import failure as failures
 
-from celerystack import errors, ids, model
+from celerystack import errors, ids, model, periodic
 from celerystack.backend import messages as order_messages
 from celerystack.control import view as cluster_view
 from celerystack.lease import lessor as lessors
@@ -42,8 +42,7 @@
         self._orders = orders
         self._view = view
         self._mesh = mesh
-        self._loop = task.LoopingCall(self._tick)
-        self._loop.clock = clock
+        self._loop = periodic.Periodic(clock, self._tick, interval_s=TICK_S)
         self.lessor = lessor
         self.store_reachable = True
         view.add_listener(self._view_changed)
@@ -51,12 +50,11 @@
 
     def start(self) -> None:
         """Start renewing."""
-        self._loop.start(TICK_S, now=True)
+        self._loop.start()
 
     def stop(self) -> None:
         """Stop renewing."""
-        if self._loop.running:
-            self._loop.stop()
+        self._loop.stop()
 
     def send(self, orders: list[order_messages.Order]) -> None:
         """Send orders; the replies go to the lessor."""
--- a/src/celerystack/control/membership_task.py
+++ b/src/celerystack/control/membership_task.py
@@ -4,9 +4,9 @@
 
 import logging
 
-from twisted.internet import defer, interfaces, task
+from twisted.internet import defer, interfaces
 
-from celerystack import errors, ids
+from celerystack import errors, ids, periodic
 from celerystack.lease import evidence
 from celerystack.peers import mesh as peer_mesh
 from celerystack.platform import ports
@@ -35,20 +35,18 @@
     ) -> None:
         self._membership = membership
         self._mesh = mesh
-        self._loop = task.LoopingCall(self._poll)
-        self._loop.clock = clock
+        self._loop = periodic.Periodic(clock, self._poll, interval_s=POLL_S)
         self.history = evidence.ListingHistory()
         self.leaving_servers: frozenset[ids.ServerId] = frozenset()
         self.reachable = False
 
     def start(self) -> None:
         """Start polling."""
-        self._loop.start(POLL_S, now=True)
+        self._loop.start()
 
     def stop(self) -> None:
         """Stop polling."""
-        if self._loop.running:
-            self._loop.stop()
+        self._loop.stop()
 
     def _poll(self) -> defer.Deferred[None]:
         return defer.ensureDeferred(self._poll_once())
--- /dev/null
+++ b/src/celerystack/control/placer_task.py
@@ -0,0 +1,308 @@
+"""Plans and carries out the assignment of shards for the services placed by this entry VM."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from twisted.internet import defer, interfaces
+
+from celerystack import ids, model, periodic
+from celerystack.control import changes, committer, membership_task
+from celerystack.control import view as cluster_view
+from celerystack.lease import lessor as lessors
+from celerystack.lease import rendezvous
+from celerystack.peers import mesh as peer_mesh
+from celerystack.placement import assign
+
+TICK_S = 0.2
+FIRST_ASSIGNMENT_WAIT_S = 2.0
+"""How long the first assignment of a service waits for servers that have not answered yet."""
+
+MOVES_AT_ONCE = 8
+"""Moves in progress per service; the requests for a moving shard are held."""
+
+BUDGET_PERIOD_S = 60.0
+_log = logging.getLogger(__name__)
+
+ShardTargets = dict[tuple[ids.ServiceName, ids.ShardId], ids.ServerId | None]
+
+
+class PlacerTask:
+    """Places shards; implements `steward_task.ReceiverPlanner`.
+
+    Parameters
+    ----------
+    released : callable
+        Whether the entry VMs have stopped sending to a server that checks no tokens.
+    loads : callable
+        Estimated requests/s by shard of a service.
+    """
+
+    def __init__(
+        self,
+        clock: interfaces.IReactorTime,
+        *,
+        view: cluster_view.ClusterView,
+        mesh: peer_mesh.Mesh,
+        lessor: lessors.Lessor,
+        commits: committer.Committer,
+        membership: membership_task.MembershipTask,
+        released: Callable[[ids.ServerId], bool],
+        loads: Callable[[ids.ServiceName], dict[ids.ShardId, float]] = lambda _: {},
+    ) -> None:
+        self._clock = clock
+        self._view = view
+        self._mesh = mesh
+        self._lessor = lessor
+        self._commits = commits
+        self._membership = membership
+        self._released = released
+        self._loads = loads
+        self._usable_since_by_server: dict[ids.ServerId, tuple[ids.Incarnation, float]] = {}
+        self._first_seen_by_service: dict[ids.ServiceName, float] = {}
+        self._budgets_by_service: dict[ids.ServiceName, float] = {}
+        self._busy: set[ids.ServiceName] = set()
+        self._started_at = clock.seconds()
+        self._watched: set[ids.ServerId] = set()
+        self._loop = periodic.Periodic(clock, self._tick, interval_s=TICK_S)
+        self.stopping = False
+
+    def start(self) -> None:
+        """Start placing."""
+        self._loop.start()
+
+    def stop(self) -> None:
+        """Stop placing."""
+        self._loop.stop()
+
+    def watched(self) -> frozenset[ids.ServerId]:
+        """Return the servers whose release this entry VM waits for."""
+        return frozenset(self._watched)
+
+    def is_usable(self, server: ids.ServerId) -> bool:
+        """Return whether a server may receive shards or new requests."""
+        row = self._view.server_rows_by_id.get(server)
+        return (
+            row is not None
+            and row.state is model.ServerState.ACTIVE
+            and bool(row.incarnation)
+            and self._view.declared(server) is not None
+            and not self.is_leaving(server)
+        )
+
+    def is_leaving(self, server: ids.ServerId) -> bool:
+        """Return whether a server must give up its shards."""
+        return self._view.is_draining(server) or server in self._membership.leaving_servers
+
+    def receivers(self, lost: ids.ServerId) -> ShardTargets:
+        """Return the receiver of each shard that a lost server owns."""
+        targets: ShardTargets = {}
+        for name, service in self._view.configuration.services_by_name.items():
+            if service.divided:
+                targets |= self._receivers_of(name, lost)
+        return targets
+
+    def _receivers_of(self, service: ids.ServiceName, lost: ids.ServerId) -> ShardTargets:
+        owners = self._owners(service)
+        owned = [shard for shard, owner in owners.items() if owner == lost]
+        if not owned:
+            return {}
+        former = {shard: self._zone(lost) for shard in owned}
+        free: dict[ids.ShardId, ids.ServerId | None] = dict.fromkeys(owned)
+        plan = self._plan(service, {**owners, **free}, former, budget=0, without=lost)
+        chosen = {a.shard: a.target for a in plan.assigns}
+        return {(service, shard): chosen.get(shard) for shard in owned}
+
+    def _zone(self, server: ids.ServerId) -> ids.ZoneName:
+        declared = self._view.declared(server)
+        return declared.zone if declared is not None else ids.ZoneName("")
+
+    def _owners(self, service: ids.ServiceName) -> dict[ids.ShardId, ids.ServerId | None]:
+        return {
+            shard: chunk.owner(shard)
+            for _, chunk in self._view.chunks(service)
+            for shard in chunk.shards()
+        }
+
+    def _moves(self, service: ids.ServiceName) -> dict[ids.ShardId, tuple[str, str]]:
+        return {
+            shard: (move.source, move.target)
+            for _, chunk in self._view.chunks(service)
+            for shard, move in chunk.moves_by_shard.items()
+        }
+
+    def _plan(
+        self,
+        service: ids.ServiceName,
+        owners: dict[ids.ShardId, ids.ServerId | None],
+        former: dict[ids.ShardId, ids.ZoneName],
+        *,
+        budget: int,
+        without: ids.ServerId | None = None,
+    ) -> assign.Plan:
+        moves = self._moves(service)
+        planned = {
+            **owners,
+            **{shard: ids.ServerId(target) for shard, (_, target) in moves.items()},
+        }
+        state = assign.build_state(
+            servers=[
+                self._placement_server(server, lost=server.server == without)
+                for server in self._view.servers_of(service)
+            ],
+            owner_by_shard=planned,
+            load_by_shard=self._loads(service),
+            churn_budget=budget,
+            fixed_shards=moves,
+            former_zone_by_shard=former,
+        )
+        return assign.plan(state, self._clock.seconds())
+
+    def _placement_server(
+        self, server: model.BackendServer, *, lost: bool
+    ) -> assign.PlacementServer:
+        row = self._view.server_rows_by_id.get(server.server)
+        _, since = self._usable_since_by_server.get(server.server, ("", float("-inf")))
+        return assign.PlacementServer(
+            server=server.server,
+            zone=server.zone,
+            weight=server.weight,
+            usable=self.is_usable(server.server),
+            draining=self.is_leaving(server.server),
+            lost=lost or row is None or row.state is model.ServerState.LOST,
+            usable_since=since,
+        )
+
+    def _tick(self) -> None:
+        self._note_usable()
+        self._watched = set()
+        live = [entry_vm.vm for entry_vm in self._mesh.live_entry_vms()]
+        for name, service in self._view.configuration.services_by_name.items():
+            placer = rendezvous.ranked(f"placer/{name}", live)[0]
+            if service.divided and placer == self._mesh.me.vm and not self.stopping:
+                self._first_seen_by_service.setdefault(name, self._clock.seconds())
+                self._consider(service)
+            else:
+                self._first_seen_by_service.pop(name, None)
+
+    def _note_usable(self) -> None:
+        now = self._clock.seconds()
+        for server, row in self._view.server_rows_by_id.items():
+            known = self._usable_since_by_server.get(server)
+            if row.state is model.ServerState.LOST or not row.incarnation:
+                self._usable_since_by_server.pop(server, None)
+            elif known is None or known[0] != row.incarnation:
+                # Servers that were there before this process are taken as warm.
+                since = now if now - self._started_at > assign.RAMP_S else float("-inf")
+                self._usable_since_by_server[server] = (row.incarnation, since)
+
+    def _consider(self, service: model.Service) -> None:
+        moves = self._moves(service.name)
+        self._watched |= {ids.ServerId(source) for source, _ in moves.values()}
+        if service.name in self._busy:
+            return
+        change = self._next_change(service, moves)
+        if change is not None:
+            self._run(service.name, change)
+
+    def _next_change(
+        self, service: model.Service, moves: dict[ids.ShardId, tuple[str, str]]
+    ) -> changes.Change | None:
+        if not self._view.chunks(service.name):
+            return changes.create_map(self._view, service)
+        owners = self._owners(service.name)
+        if self._waits_for_servers(service, owners, moves):
+            return None
+        finished = self._finished_moves(service.name, moves)
+        if finished:
+            return changes.finish_moves(self._view, service.name, finished)
+        plan = self._plan(service.name, owners, {}, budget=self._budget(service, len(owners)))
+        if plan.assigns:
+            targets = {a.shard: a.target for a in plan.assigns}
+            return changes.assign(self._view, service.name, targets)
+        return self._start_moves(service, plan, room=MOVES_AT_ONCE - len(moves))
+
+    def _waits_for_servers(
+        self,
+        service: model.Service,
+        owners: dict[ids.ShardId, ids.ServerId | None],
+        moves: dict[ids.ShardId, tuple[str, str]],
+    ) -> bool:
+        if moves or any(owner is not None for owner in owners.values()):
+            return False
+        servers = self._view.servers_of(service.name)
+        waited = self._clock.seconds() - self._first_seen_by_service[service.name]
+        everyone = all(self.is_usable(s.server) or self.is_leaving(s.server) for s in servers)
+        return not everyone and waited < FIRST_ASSIGNMENT_WAIT_S
+
+    def _finished_moves(
+        self, service: ids.ServiceName, moves: dict[ids.ShardId, tuple[str, str]]
+    ) -> dict[ids.ShardId, ids.ServerId]:
+        released = {
+            shard: ids.ServerId(target)
+            for shard, (source, target) in moves.items()
+            if self._has_released(ids.ServerId(source))
+        }
+        orphans = [shard for shard, target in released.items() if not self.is_usable(target)]
+        if orphans:
+            owners: dict[ids.ShardId, ids.ServerId | None] = dict.fromkeys(orphans)
+            released |= self._replan(service, owners)
+        return {shard: t for shard, t in released.items() if self.is_usable(t)}
+
+    def _replan(
+        self, service: ids.ServiceName, owners: dict[ids.ShardId, ids.ServerId | None]
+    ) -> dict[ids.ShardId, ids.ServerId]:
+        state = assign.build_state(
+            servers=[
+                self._placement_server(server, lost=False)
+                for server in self._view.servers_of(service)
+            ],
+            owner_by_shard={**self._owners(service), **owners},
+        )
+        plan = assign.plan(state, self._clock.seconds())
+        return {a.shard: a.target for a in plan.assigns if a.shard in owners}
+
+    def _has_released(self, source: ids.ServerId) -> bool:
+        row = self._view.server_rows_by_id.get(source)
+        if row is None or row.state is model.ServerState.LOST:
+            return True
+        acknowledged = self._lessor.acknowledged_token(source) == row.token
+        done = acknowledged and self._lessor.running_dropped(source) == 0
+        return done and (self._view.checks_token(source) or self._released(source))
+
+    def _start_moves(
+        self, service: model.Service, plan: assign.Plan, *, room: int
+    ) -> changes.Change | None:
+        chosen = plan.moves[: max(0, room)]
+        # A source must be able to acknowledge its release, or its shards would be held for nothing.
+        chosen = tuple(move for move in chosen if self.is_reachable(move.source))
+        if not chosen:
+            return None
+        balancing = sum(1 for move in chosen if not self.is_leaving(move.source))
+        self._budgets_by_service[service.name] = (
+            self._budgets_by_service.get(service.name, 0.0) - balancing
+        )
+        targets = {move.shard: move.target for move in chosen}
+        reason = "balance" if balancing else "drain"
+        return changes.start_moves(self._view, service.name, targets, reason=reason)
+
+    def is_reachable(self, server: ids.ServerId) -> bool:
+        """Return whether a server's row says that it serves."""
+        row = self._view.server_rows_by_id.get(server)
+        return row is not None and row.state is not model.ServerState.LOST
+
+    def _budget(self, service: model.Service, shards: int) -> int:
+        """Return how many shards balancing may move now; the budget refills evenly."""
+        limit = service.churn_per_minute * shards
+        refill = limit * TICK_S / BUDGET_PERIOD_S
+        known = self._budgets_by_service.get(service.name, limit)
+        budget = min(limit, known + refill)
+        self._budgets_by_service[service.name] = budget
+        return int(budget)
+
+    def _run(self, service: ids.ServiceName, change: changes.Change) -> None:
+        self._busy.add(service)
+        committed = defer.ensureDeferred(self._commits.commit(change))
+        committed.addErrback(lambda failure: _log.error("commit: %s", failure.getTraceback()))
+        committed.addBoth(lambda _: self._busy.discard(service))
--- a/src/celerystack/control/routes.py
+++ b/src/celerystack/control/routes.py
@@ -61,10 +61,13 @@
 
     def route(self, service: model.Service, key_hash: ids.KeyHash) -> model.RouteResult:
         """Return the owner of a key hash."""
-        base = shardmap.base_shard(key_hash, service.shards)
         chunks = self._chunks_by_service.get(service.name)
+        if not chunks:
+            return model.NoOwner(ids.ShardId(0))
+        # The number of shards is fixed when the map is created, whatever is declared later.
+        base = shardmap.base_shard(key_hash, chunks[-1].first_shard + chunks[-1].shard_count)
         number = shardmap.chunk_of(base)
-        if not chunks or number >= len(chunks):
+        if number >= len(chunks):
             return model.NoOwner(base)
         chunk = chunks[number]
         shard = chunk.shard_for(key_hash, base)
--- /dev/null
+++ b/src/celerystack/control/steward_task.py
@@ -0,0 +1,230 @@
+"""Carries out the steward's decisions for the servers of which this entry VM is the steward."""
+
+from __future__ import annotations
+
+import logging
+from typing import Protocol
+
+from twisted.internet import defer, interfaces
+
+from celerystack import ids, model, periodic
+from celerystack.control import changes, committer, membership_task
+from celerystack.control import view as cluster_view
+from celerystack.lease import evidence, stewardship, takeover
+from celerystack.lease import lessor as lessors
+from celerystack.peers import mesh as peer_mesh
+from celerystack.peers import messages
+
+TICK_S = 0.1
+PAUSE_S = 0.5
+"""A longer gap between two ticks counts as a pause of this process."""
+
+_log = logging.getLogger(__name__)
+
+
+class ReceiverPlanner(Protocol):
+    """Chooses receivers for the shards of a lost server."""
+
+    def receivers(
+        self, lost: ids.ServerId
+    ) -> dict[tuple[ids.ServiceName, ids.ShardId], ids.ServerId | None]:
+        """Return the receiver of each shard that ``lost`` owns; None if there is none."""
+
+
+class ViewTracker(Protocol):
+    """Knows whether the entry VMs have stopped sending to a server that checks no tokens."""
+
+    def released(self, server: ids.ServerId, *, answers: bool) -> bool:
+        """Return whether no entry VM can send to the server under older rows any more."""
+
+    def idle_here(self, server: ids.ServerId) -> bool:
+        """Return whether this entry VM has no unanswered request at the server."""
+
+
+class StewardTask:
+    """Decides for servers; all state that matters is in the rows."""
+
+    def __init__(
+        self,
+        clock: interfaces.IReactorTime,
+        *,
+        view: cluster_view.ClusterView,
+        mesh: peer_mesh.Mesh,
+        lessor: lessors.Lessor,
+        commits: committer.Committer,
+        membership: membership_task.MembershipTask,
+        planner: ReceiverPlanner,
+        views: ViewTracker,
+    ) -> None:
+        self._clock = clock
+        self._view = view
+        self._mesh = mesh
+        self._lessor = lessor
+        self._commits = commits
+        self._membership = membership
+        self._planner = planner
+        self._views = views
+        self._watched_since_by_server: dict[ids.ServerId, float] = {}
+        self._takeovers_by_server: dict[ids.ServerId, takeover.Takeover] = {}
+        self._busy: set[ids.ServerId] = set()
+        self._last_tick = clock.seconds()
+        self._loop = periodic.Periodic(clock, self._tick, interval_s=TICK_S)
+        self.stopping = False
+        mesh.add_handler(self._handle)
+
+    def start(self) -> None:
+        """Start deciding."""
+        self._loop.start()
+
+    def stop(self) -> None:
+        """Stop deciding."""
+        self._loop.stop()
+
+    def watched(self) -> frozenset[ids.ServerId]:
+        """Return the servers of which this entry VM is the steward."""
+        return frozenset(self._watched_since_by_server)
+
+    def _handle(self, _sender: model.EntryVm, message: messages.Message) -> None:
+        match message:
+            case messages.PromiseReply(server=server) if server in self._takeovers_by_server:
+                self._takeovers_by_server[server].on_promise(message, self._clock.seconds())
+
+    def _tick(self) -> None:
+        now = self._clock.seconds()
+        if now - self._last_tick > PAUSE_S:
+            self._watched_since_by_server = dict.fromkeys(self._watched_since_by_server, now)
+        self._last_tick = now
+        live = self._mesh.live_entry_vms()
+        declared = self._view.configuration.servers_by_id
+        for server in sorted({*declared, *self._view.server_rows_by_id}):
+            if self._is_steward(server, live):
+                self._watched_since_by_server.setdefault(server, now)
+                self._consider(server, now)
+            else:
+                self._watched_since_by_server.pop(server, None)
+                self._takeovers_by_server.pop(server, None)
+
+    def _is_steward(self, server: ids.ServerId, live: list[model.EntryVm]) -> bool:
+        row = self._view.server_rows_by_id.get(server)
+        steward = stewardship.steward_of(row, self._zone(server), live, server=server)
+        return steward == self._mesh.me.vm and not self.stopping
+
+    def _zone(self, server: ids.ServerId) -> ids.ZoneName:
+        declared = self._view.declared(server)
+        return declared.zone if declared is not None else ids.ZoneName("")
+
+    def _consider(self, server: ids.ServerId, now: float) -> None:
+        if server in self._busy:
+            return
+        decision = stewardship.decide(self._server_view(server, now), now)
+        row = self._view.server_rows_by_id.get(server)
+        if not isinstance(decision, stewardship.StartTakeover):
+            self._takeovers_by_server.pop(server, None)
+        match decision:
+            case stewardship.CreateRow(chosen, incarnation):
+                self._run(server, changes.create_server(self._view, server, chosen, incarnation))
+            case stewardship.ReplaceLessors(chosen, previous) if row is not None:
+                change = changes.replace_lessors(
+                    self._view,
+                    row,
+                    lessors=chosen,
+                    previous=previous,
+                    incarnation=row.incarnation,
+                    reason="lessor silent or missing",
+                )
+                self._run(server, change)
+            case stewardship.ClearPrevious() if row is not None:
+                self._run(server, changes.clear_previous_lessors(self._view, row))
+            case stewardship.Revive(chosen, previous, incarnation) if row is not None:
+                change = changes.replace_lessors(
+                    self._view,
+                    row,
+                    lessors=chosen,
+                    previous=previous,
+                    incarnation=incarnation,
+                    reason="server answers",
+                )
+                self._run(server, change)
+            case stewardship.StartTakeover() if row is not None:
+                self._advance_takeover(server, row, now)
+
+    def _server_view(self, server: ids.ServerId, now: float) -> stewardship.ServerView:
+        me = stewardship.PeerView(peer=self._mesh.me, last_heard_at=now)
+        others = [
+            stewardship.PeerView(
+                peer=peer.entry_vm,
+                last_heard_at=peer.silent_since,
+                draining=peer.heartbeat is not None and peer.heartbeat.draining,
+            )
+            for peer in self._mesh.peers_by_vm.values()
+        ]
+        current = self._takeovers_by_server.get(server)
+        promised = current.promised() if current is not None else frozenset()
+        if self._lessor.has_promised(server):
+            promised |= {self._lessor.me}
+        return stewardship.ServerView(
+            server=server,
+            zone=self._zone(server),
+            row=self._view.server_rows_by_id.get(server),
+            peers=(me, *others),
+            watched_since=self._watched_since_by_server[server],
+            last_reply_at=self._lessor.last_reply_at(server),
+            seen_incarnation=self._lessor.seen_incarnation(server),
+            acknowledged_token=self._lessor.acknowledged_token(server),
+            acknowledged_at=self._lessor.acknowledged_at(server),
+            promised=promised,
+            has_deputies=bool(self._lessor.deputies(server, now)),
+        )
+
+    def _advance_takeover(self, server: ids.ServerId, row: model.ServerRow, now: float) -> None:
+        current = self._takeovers_by_server.get(server)
+        if current is None or current.is_void(row):
+            _log.info("server %s does not reply; asking its lessors", server)
+            current = self._takeovers_by_server[server] = takeover.Takeover(row, now=now)
+        found = self._find_evidence(server)
+        if found is not None:
+            current.on_evidence(found)
+        for lessor, request in current.requests().items():
+            self._mesh.send(lessor.vm, request)
+        match current.state(now):
+            case takeover.Ready(evidence=proof):
+                self._commit_takeover(server, row, proof)
+            case takeover.Blocked(silent=silent):
+                names = ",".join(sorted(lessor.vm for lessor in silent))
+                _log.debug("takeover of %s waits for lessors %s", server, names)
+
+    def _commit_takeover(
+        self, server: ids.ServerId, row: model.ServerRow, proof: evidence.Evidence | None
+    ) -> None:
+        if proof is None and not self._view.checks_token(server):
+            if row.state is model.ServerState.ACTIVE:
+                self._run(server, changes.suspend(self._view, row))
+                return
+            if not (self._views.idle_here(server) and self._views.released(server, answers=False)):
+                return
+        change = changes.take_over(
+            self._view,
+            row,
+            targets_by_shard=self._planner.receivers(server),
+            reason=proof.value if proof is not None else "all lessors promised, lease expired",
+        )
+        self._run(server, change)
+
+    def _find_evidence(self, server: ids.ServerId) -> evidence.Evidence | None:
+        if self._view.release_row(server).value:
+            return evidence.Evidence.RELEASED_BY_OPERATOR
+        service = self._view.service_of(server)
+        zones = frozenset(entry_vm.zone for entry_vm in self._mesh.live_entry_vms())
+        return evidence.from_delisting(
+            self._membership.history,
+            server=server,
+            zone=self._zone(server),
+            connected_zones=zones,
+            zone_loss=service.zone_loss if service else model.ZoneLossPolicy.WAIT,
+        )
+
+    def _run(self, server: ids.ServerId, change: changes.Change) -> None:
+        self._busy.add(server)
+        committed = defer.ensureDeferred(self._commits.commit(change))
+        committed.addErrback(lambda failure: _log.error("commit: %s", failure.getTraceback()))
+        committed.addBoth(lambda _: self._busy.discard(server))
--- a/src/celerystack/control/table_sync.py
+++ b/src/celerystack/control/table_sync.py
@@ -5,9 +5,9 @@
 import logging
 from collections.abc import Callable
 
-from twisted.internet import defer, interfaces, task
+from twisted.internet import defer, interfaces
 
-from celerystack import errors, ids, timing
+from celerystack import errors, ids, periodic, timing
 from celerystack.lease import rendezvous
 from celerystack.peers import mesh as peer_mesh
 from celerystack.peers import sync
@@ -48,19 +48,17 @@
         self._since = 0
         self._polling = False
         self._next_poll = 0.0
-        self._loop = task.LoopingCall(self._tick)
-        self._loop.clock = clock
+        self._loop = periodic.Periodic(clock, self._tick, interval_s=timing.CHANGE_POLL_S / 4)
         self.reachable = False
         self.has_state = False
 
     def start(self) -> None:
         """Start polling."""
-        self._loop.start(timing.CHANGE_POLL_S / 4, now=True)
+        self._loop.start()
 
     def stop(self) -> None:
         """Stop polling."""
-        if self._loop.running:
-            self._loop.stop()
+        self._loop.stop()
 
     def _is_poller(self) -> bool:
         zone = [v for v in self._mesh.live_entry_vms() if v.zone == self._mesh.me.zone]
--- a/src/celerystack/control/view.py
+++ b/src/celerystack/control/view.py
@@ -59,6 +59,10 @@
         declared = self.declared(server)
         return self.configuration.services_by_name.get(declared.service) if declared else None
 
+    def known(self) -> list[ids.ServerId]:
+        """Return all servers that are declared or have a row, by id."""
+        return sorted({*self.configuration.servers_by_id, *self.server_rows_by_id})
+
     def servers_of(self, service: ids.ServiceName) -> list[model.BackendServer]:
         """Return the declared servers of a service, by id."""
         servers = self.configuration.servers_by_id.values()
--- /dev/null
+++ b/src/celerystack/control/views_task.py
@@ -0,0 +1,127 @@
+"""Permission to send to servers that do not check tokens (section 4.6 of the design page)."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from twisted.internet import interfaces
+
+from celerystack import ids, model, timing
+from celerystack.control import view as cluster_view
+from celerystack.peers import mesh as peer_mesh
+from celerystack.peers import messages
+from celerystack.state import cache as row_cache
+
+_VIEW_BOUND_S = timing.VIEW_S * (1 + timing.CLOCK_DRIFT)
+
+
+class ViewTracker:
+    """Tracks which entry VMs share this one's rows, and for how long that is confirmed.
+
+    Parameters
+    ----------
+    in_flight : callable
+        Number of this entry VM's unanswered requests at a server.
+    """
+
+    def __init__(
+        self,
+        clock: interfaces.IReactorTime,
+        *,
+        view: cluster_view.ClusterView,
+        mesh: peer_mesh.Mesh,
+        cache: row_cache.RowCache,
+        in_flight: Callable[[ids.ServerId], int],
+    ) -> None:
+        self._clock = clock
+        self._view = view
+        self._mesh = mesh
+        self._cache = cache
+        self._in_flight = in_flight
+        self._view_until_by_vm: dict[ids.EntryVmId, float] = {}
+        self._confirmed_at_by_vm: dict[ids.EntryVmId, float] = {}
+        self._row_since_by_server: dict[ids.ServerId, float] = {}
+        view.add_listener(self._view_changed)
+        mesh.add_handler(self._handle)
+
+    def may_send(self, server: ids.ServerId) -> bool:
+        """Return whether a request may be written to a server in this reactor turn."""
+        row = self._view.server_rows_by_id.get(server)
+        if row is None or row.state is not model.ServerState.ACTIVE:
+            return False
+        return self._view.checks_token(server) or self._is_confirmed(row)
+
+    def unanswered_by_server(self) -> dict[ids.ServerId, int]:
+        """Return this entry VM's unanswered requests at servers that do not check tokens."""
+        counts = {
+            server: self._in_flight(server)
+            for server in self._view.configuration.servers_by_id
+            if not self._view.checks_token(server)
+        }
+        return {server: count for server, count in counts.items() if count}
+
+    def released(self, server: ids.ServerId, *, answers: bool) -> bool:
+        """Return whether no entry VM can send to a server under older rows any more.
+
+        Parameters
+        ----------
+        answers : bool
+            The server itself answers and reports that nothing runs. Then an entry VM that is
+            silent has only to have lost its permission; otherwise one of its requests may still be
+            waiting at the server, and only evidence of loss helps.
+        """
+        row = self._view.server_rows_by_id.get(server)
+        since = self._row_since_by_server.get(server)
+        if row is None or since is None:
+            return False
+        lessors_confirmed_at = self._lessors_confirmed_at(row, since)
+        if lessors_confirmed_at is None:
+            return False
+        lapsed = self._clock.seconds() > lessors_confirmed_at + _VIEW_BOUND_S
+        peers = self._mesh.peers_by_vm.values()
+        return all(self._has_stopped(peer, server, since, answers and lapsed) for peer in peers)
+
+    def _has_stopped(
+        self, peer: peer_mesh.Peer, server: ids.ServerId, since: float, lapsed: bool
+    ) -> bool:
+        confirmed = self._confirmed_at_by_vm.get(peer.entry_vm.vm, float("-inf")) > since
+        unanswered = peer.heartbeat.unanswered_by_server if peer.heartbeat is not None else {}
+        live = peer.live_until > self._clock.seconds()
+        if live and confirmed:
+            return server not in unanswered
+        return not live and lapsed
+
+    def idle_here(self, server: ids.ServerId) -> bool:
+        """Return whether this entry VM has no unanswered request at a server."""
+        return self._in_flight(server) == 0
+
+    def _lessors_confirmed_at(self, row: model.ServerRow, since: float) -> float | None:
+        latest = since
+        for lessor in (*row.lessors, *row.previous_lessors):
+            if lessor.vm == self._mesh.me.vm:
+                continue
+            confirmed_at = self._confirmed_at_by_vm.get(lessor.vm, float("-inf"))
+            if confirmed_at <= since:
+                return None
+            latest = max(latest, confirmed_at)
+        return latest
+
+    def _is_confirmed(self, row: model.ServerRow) -> bool:
+        now = self._clock.seconds()
+        return any(
+            lessor.vm == self._mesh.me.vm or self._view_until_by_vm.get(lessor.vm, 0.0) > now
+            for lessor in row.lessors
+        )
+
+    def _handle(self, sender: model.EntryVm, message: messages.Message) -> None:
+        match message:
+            case messages.Heartbeat(digest=digest, echo=echo) if digest == self._cache.digest:
+                self._confirmed_at_by_vm[sender.vm] = self._clock.seconds()
+                if echo:
+                    until = self._view_until_by_vm.get(sender.vm, 0.0)
+                    self._view_until_by_vm[sender.vm] = max(until, echo + timing.VIEW_S)
+
+    def _view_changed(self, change: cluster_view.ViewChange) -> None:
+        now = self._clock.seconds()
+        for server in change.servers:
+            self._row_since_by_server[server] = now
--- a/src/celerystack/lease/stewardship.py
+++ b/src/celerystack/lease/stewardship.py
@@ -191,7 +191,7 @@
         return Nothing()
     previous = tuple(dict.fromkeys([*row.lessors, *row.previous_lessors]))
     if (
-        row.state is model.ServerState.LOST
+        row.state is not model.ServerState.ACTIVE
         or not usable
         or view.seen_incarnation != row.incarnation
     ):
@@ -230,16 +230,15 @@
 
 
 def _candidates(view: ServerView, now: float) -> list[model.EntryVm]:
-    return [
-        peer.peer
-        for peer in view.peers
-        if peer.peer.zone == view.zone and not peer.draining and not _is_silent(peer, now)
-    ]
+    """Return live entry VMs of the server's zone; those of other zones if it has none."""
+    live = [p.peer for p in view.peers if not p.draining and not _is_silent(p, now)]
+    return [entry for entry in live if entry.zone == view.zone] or live
 
 
 def _usable_lessors(view: ServerView, row: model.ServerRow, now: float) -> list[model.LessorRef]:
     """Return the recorded lessors that are live, or not yet known to be silent."""
     peers_by_vm = {peer.peer.vm: peer for peer in view.peers}
+    zones = {entry.zone for entry in _candidates(view, now)}
     usable = []
     for lessor in row.lessors:
         peer = peers_by_vm.get(lessor.vm)
@@ -249,6 +248,8 @@
             continue
         same_process = peer.peer.incarnation == lessor.incarnation
         heard = _is_starting(view, now) or not _is_silent(peer, now)
-        if same_process and not peer.draining and heard:
+        # Lessors of other zones step back as soon as the server's zone has an entry VM again.
+        in_zone = peer.peer.zone == view.zone or view.zone not in zones
+        if same_process and not peer.draining and heard and in_zone:
             usable.append(lessor)
     return usable
--- a/src/celerystack/model.py
+++ b/src/celerystack/model.py
@@ -98,7 +98,9 @@
     """State of a server's row."""
 
     ACTIVE = "active"
-    DRAINING = "draining"
+    SUSPENDED = "suspended"
+    """Owns its shards, but no entry VM sends to it: step one of the takeover of a server that does
+    not check tokens."""
     LOST = "lost"
 
 
--- a/src/celerystack/peers/mesh.py
+++ b/src/celerystack/peers/mesh.py
@@ -6,12 +6,14 @@
 import logging
 from collections.abc import Callable, Iterable
 
-from twisted.internet import interfaces, protocol, task
+from twisted.internet import interfaces, protocol
 
-from celerystack import ids, model, timing
+from celerystack import ids, model, periodic, timing
 from celerystack.peers import messages, stream
 
 CONNECT_TIMEOUT_S = 1.0
+PEER_FORGET_S = 60.0
+"""A silent entry VM is forgotten after this time; it is longer than the deadlines of requests."""
 RECONNECT_MAX_S = 0.5
 _log = logging.getLogger(__name__)
 
@@ -31,8 +33,8 @@
 
 
 class _SenderFactory(protocol.ReconnectingClientFactory):
-    initialDelay = 0.05
-    maxDelay = RECONNECT_MAX_S
+    initialDelay = 0.05  # noqa: N815
+    maxDelay = RECONNECT_MAX_S  # noqa: N815
     noisy = False
 
     def __init__(self, build: Callable[[], stream.PeerSender]) -> None:
@@ -58,7 +60,9 @@
 
     Parameters
     ----------
-    reactor : IReactorTCP and IReactorTime
+    reactor : IReactorTCP
+    clock : IReactorTime
+        Monotonic time source.
     me : EntryVm
         This process; ``peer_address`` is the address that peers dial.
     secrets : tuple of bytes
@@ -71,19 +75,20 @@
         self,
         reactor: interfaces.IReactorTCP,
         *,
+        clock: interfaces.IReactorTime,
         me: model.EntryVm,
         secrets: tuple[bytes, ...],
         heartbeat: Callable[[], messages.Heartbeat],
     ) -> None:
         self._reactor = reactor
+        self._clock = clock
         self._secrets = secrets
         self._heartbeat = heartbeat
         self._senders_by_address: dict[str, stream.PeerSender | None] = {}
         self._factories_by_address: dict[str, _SenderFactory] = {}
         self._handlers: list[MessageHandler] = []
         self._port: interfaces.IListeningPort | None = None
-        self._loop = task.LoopingCall(self._beat)
-        self._loop.clock = reactor
+        self._loop = periodic.Periodic(clock, self._beat, interval_s=timing.PEER_HEARTBEAT_S)
         self.me = me
         self.peers_by_vm: dict[ids.EntryVmId, Peer] = {}
 
@@ -98,12 +103,11 @@
             lambda: stream.PeerReceiver(secrets=self._secrets, on_message=self._received)
         )
         self._port = self._reactor.listenTCP(int(port), factory, interface=host)
-        self._loop.start(timing.PEER_HEARTBEAT_S, now=True)
+        self._loop.start()
 
     def stop(self) -> None:
         """Close all streams."""
-        if self._loop.running:
-            self._loop.stop()
+        self._loop.stop()
         if self._port is not None:
             self._port.stopListening()
         for factory in self._factories_by_address.values():
@@ -179,9 +183,13 @@
             if sender is not None:
                 sender.send(message)
 
+    def now(self) -> float:
+        """Return the local monotonic clock in seconds."""
+        return self._clock.seconds()
+
     def live_peers(self) -> list[Peer]:
         """Return the live peers, without this entry VM, by id."""
-        now = self._reactor.seconds()
+        now = self._clock.seconds()
         peers = sorted(self.peers_by_vm.values(), key=lambda peer: peer.entry_vm.vm)
         return [peer for peer in peers if peer.live_until > now]
 
@@ -195,6 +203,9 @@
         return sorted([self.me, *live], key=lambda entry_vm: entry_vm.vm)
 
     def _beat(self) -> None:
+        oldest = self._clock.seconds() - PEER_FORGET_S
+        for vm in [v for v, peer in self.peers_by_vm.items() if peer.silent_since < oldest]:
+            self.forget(self.peers_by_vm.pop(vm).entry_vm.peer_address)
         for address in list(self._senders_by_address):
             self._beat_one(address)
 
@@ -205,7 +216,7 @@
         echo = next(
             (p.stamp for p in self.peers_by_vm.values() if p.entry_vm.peer_address == address), 0.0
         )
-        beat = dataclasses.replace(self._heartbeat(), stamp=self._reactor.seconds(), echo=echo)
+        beat = dataclasses.replace(self._heartbeat(), stamp=self._clock.seconds(), echo=echo)
         sender.send(beat)
 
     def _received(self, receiver: stream.PeerReceiver, message: messages.Message) -> None:
@@ -229,7 +240,7 @@
         known = self.peers_by_vm.get(hello.vm)
         if known is not None and known.entry_vm == entry_vm:
             return known
-        now = self._reactor.seconds()
+        now = self._clock.seconds()
         if known is not None and known.live_until > now and known.heartbeat is not None:
             _log.info("entry VM %s has a new incarnation", hello.vm, extra={"peer": hello.address})
         peer = Peer(entry_vm, live_until=now + timing.PEER_DOWN_S, silent_since=now)
@@ -237,7 +248,7 @@
         return peer
 
     def _note_heartbeat(self, peer: Peer, beat: messages.Heartbeat) -> None:
-        now = self._reactor.seconds()
+        now = self._clock.seconds()
         peer.live_until = now + timing.PEER_DOWN_S
         peer.silent_since = now
         peer.heartbeat = beat
--- a/src/celerystack/run.py
+++ b/src/celerystack/run.py
@@ -147,9 +147,11 @@
     remote = job.Remote(
         settings=loaded,
         clock=clock,
-        table=table.HttpTable(reactor, loaded.table_address, timeout_s=loaded.store_timeout_s),
+        table=table.HttpTable(
+            reactor, address=loaded.table_address, timeout_s=loaded.store_timeout_s
+        ),
         objects=objects.HttpObjects(
-            reactor, loaded.object_address, timeout_s=loaded.store_timeout_s
+            reactor, address=loaded.object_address, timeout_s=loaded.store_timeout_s
         ),
         deadline=clock.seconds() + loaded.command_limit_s,
         out=sys.stdout,
