Queue and limit requests per server; test the backend client

Requests to one server now pass a deadline queue and an adaptive concurrency limit before they take a connection, and the pool follows this entry VM's share of the connections.

Tests of the client found two faults, both fixed here: a stream that was complete before it was delivered returned None instead of a Deferred, and a pool that shrank closed all its idle connections because closing ones still counted as open.

The limits have no tests of their own yet.

--- a/src/celerystack/backend/client.py
+++ b/src/celerystack/backend/client.py
@@ -91,10 +91,17 @@
     def set_limit(self, limit: int) -> None:
         """Change the bound; surplus idle connections close now, busy ones when they finish."""
         self._limit = limit
-        while self._idle and self.open_count > limit:
+        while self._idle and self._surplus():
             self._drop(self._idle.pop(0))
         self._pump()
 
+    def _surplus(self) -> bool:
+        """Return whether there are too many connections besides those that are closing."""
+        if self.open_count <= self._limit:
+            return False
+        closing = sum(connection.closing for connection in self._open)
+        return self.open_count - closing > self._limit
+
     def exchange(
         self,
         request: http.HttpRequest,
@@ -211,7 +218,7 @@
         self._pump()
 
     def _became_idle(self, connection: connections.ClientConnection) -> None:
-        if self._closed or self.open_count > self._limit:
+        if self._closed or self._surplus():
             self._drop(connection)
             return
         connection.idle_since = self._now()
--- a/src/celerystack/backend/connection.py
+++ b/src/celerystack/backend/connection.py
@@ -45,6 +45,13 @@
     ----------
     on_idle, on_closed : callable
         Called with the connection when it can take another exchange, and when it is gone.
+
+    Attributes
+    ----------
+    closing : bool
+        Whether this side has closed the connection; the socket may still be open.
+    idle_since : float
+        Monotonic time in seconds at which the connection last became idle.
     """
 
     def __init__(
@@ -60,7 +67,7 @@
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEADER_MAX)
         self._exchange: exchanges.Exchange | None = None
         self._remainder = False
-        self._closing = False
+        self.closing = False
         self._paused = False
         self.idle_since = 0.0
 
@@ -75,7 +82,7 @@
         A kept connection that the server has closed, or on which it has sent bytes that nobody
         asked for, shows here before a request is written.
         """
-        if self._closing:
+        if self.closing:
             return False
         try:
             self.transport.getHandle().recv(1, socket.MSG_PEEK)
@@ -136,19 +143,19 @@
 
     def pause_reading(self) -> None:
         """Stop reading from the socket."""
-        if not self._closing and not self._paused:
+        if not self.closing and not self._paused:
             self._paused = True
             self.transport.pauseProducing()
 
     def resume_reading(self) -> None:
         """Continue reading from the socket."""
-        if not self._closing and self._paused:
+        if not self.closing and self._paused:
             self._paused = False
             self.transport.resumeProducing()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Feed the parser; bytes outside an exchange close the connection."""
-        if self._closing:
+        if self.closing:
             return
         if self._exchange is None:
             self.abort()
@@ -160,7 +167,7 @@
             self._fail_answer(f"malformed answer: {error}")
 
     def _read_events(self) -> None:
-        while self._exchange is not None and not self._closing:
+        while self._exchange is not None and not self.closing:
             event = self._h11.next_event()
             if event is h11.NEED_DATA:
                 return
@@ -216,7 +223,7 @@
 
     def connectionLost(self, reason: failure.Failure = protocol.connectionDone) -> None:  # noqa: N802
         """Fail the exchange in flight and leave the pool."""
-        self._closing = True
+        self.closing = True
         self._fail_answer(f"the connection was lost: {reason.getErrorMessage()}", broken=True)
         self._on_closed(self)
 
@@ -237,6 +244,6 @@
 
     def abort(self) -> None:
         """Close the connection at once; safe to call again."""
-        if not self._closing:
-            self._closing = True
+        if not self.closing:
+            self.closing = True
             self.transport.abortConnection()
--- a/src/celerystack/backend/exchange.py
+++ b/src/celerystack/backend/exchange.py
@@ -66,7 +66,8 @@
         The Deferred fails with `errors.TruncatedAnswerError` if the answer ends early, and with
         `errors.OutcomeUnknownError` if the deadline passes. Cancelling it closes the connection.
         """
-        self._done = defer.Deferred(lambda _: self._exchange.abort())
+        done: defer.Deferred[None] = defer.Deferred(lambda _: self._exchange.abort())
+        self._done = done
         self._consumer = consumer
         consumer.registerProducer(self, True)
         for chunk in self._exchange.take_body():
@@ -75,7 +76,7 @@
             self._settle()
         elif self._exchange.connection is not None:
             self._exchange.connection.resume_reading()
-        return self._done
+        return done
 
     def abandon(self) -> None:
         """Close the connection without delivering the rest."""
--- /dev/null
+++ b/src/celerystack/limits/deadline_queue.py
@@ -0,0 +1,102 @@
+"""Requests that wait for one server, in deadline order."""
+
+from __future__ import annotations
+
+import bisect
+from typing import Generic, TypeVar
+
+LENGTH_MAX = 512
+SERVICE_TIME_WEIGHT = 0.1
+"""Weight of one observation in the moving average of the service time."""
+
+T = TypeVar("T")
+
+
+class DeadlineQueue(Generic[T]):
+    """Bounded queue in deadline order that sheds what cannot start in time.
+
+    Parameters
+    ----------
+    length_max : int
+        Largest number of waiting items; beyond it the item with the latest deadline is shed.
+    """
+
+    def __init__(self, *, length_max: int = LENGTH_MAX) -> None:
+        self._length_max = length_max
+        self._entries: list[tuple[float, int, T]] = []
+        self._sequence = 0
+        self._service_time_s = 0.0
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    @property
+    def service_time_s(self) -> float:
+        """Moving average of the observed service time in seconds; 0 before any observation."""
+        return self._service_time_s
+
+    def observe(self, service_time_s: float) -> None:
+        """Record the service time of a finished request."""
+        if self._service_time_s == 0.0:
+            self._service_time_s = service_time_s
+        else:
+            change = service_time_s - self._service_time_s
+            self._service_time_s += SERVICE_TIME_WEIGHT * change
+
+    def push(self, item: T, *, deadline: float, now: float, concurrency: int) -> list[T]:
+        """Add an item and return the items that are shed because of it, possibly itself.
+
+        Parameters
+        ----------
+        concurrency : int
+            Requests that the server runs at the same time, at least 1.
+        """
+        self._sequence += 1
+        entry = (deadline, self._sequence, item)
+        place = bisect.bisect_left(self._entries, entry[:2], key=lambda other: other[:2])
+        self._entries.insert(place, entry)
+        shed = self._shed_late(now, concurrency)
+        if len(self._entries) > self._length_max:
+            shed.append(self._entries.pop()[2])
+        return shed
+
+    def _shed_late(self, now: float, concurrency: int) -> list[T]:
+        """Remove and return the items whose expected start is not before their deadline.
+
+        All ``concurrency`` executions are taken when items wait, so the item at position ``p``
+        starts when ``p + 1`` of them have finished, on average after ``(p + 1) / concurrency``
+        service times.
+        """
+        step_s = self._service_time_s / concurrency
+        kept: list[tuple[float, int, T]] = []
+        shed: list[T] = []
+        for entry in self._entries:
+            if now + (len(kept) + 1) * step_s < entry[0]:
+                kept.append(entry)
+            else:
+                shed.append(entry[2])
+        self._entries = kept
+        return shed
+
+    def pop(self) -> T | None:
+        """Remove and return the item with the earliest deadline; None if the queue is empty."""
+        return self._entries.pop(0)[2] if self._entries else None
+
+    def expire(self, now: float) -> list[T]:
+        """Remove and return the items whose deadline has passed."""
+        count = bisect.bisect_right(self._entries, now, key=lambda entry: entry[0])
+        expired = [entry[2] for entry in self._entries[:count]]
+        del self._entries[:count]
+        return expired
+
+    def remove(self, item: T) -> bool:
+        """Remove an item by identity; returns whether it was waiting."""
+        for index, entry in enumerate(self._entries):
+            if entry[2] is item:
+                del self._entries[index]
+                return True
+        return False
+
+    def next_deadline(self) -> float | None:
+        """Return the earliest deadline; None if the queue is empty."""
+        return self._entries[0][0] if self._entries else None
--- a/src/celerystack/requests/forwarder.py
+++ b/src/celerystack/requests/forwarder.py
@@ -10,12 +10,10 @@
 from twisted.internet import defer
 
 from celerystack import errors, ids, model
+from celerystack.backend import http
 from celerystack.peers import messages
 from celerystack.requests import calls, encoding, lanes, ports, replies, retries, targets
 
-CONNECTIONS_DEFAULT = 8
-"""Connections per server until the number of live entry VMs is known."""
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Ports:
@@ -46,19 +44,27 @@
     ----------
     needs : Ports
         Implementations of the protocols in `requests.ports`.
+    entry_vms : int
+        Entry VMs that share the servers, see `set_entry_vms`.
     now : callable
         Monotonic clock in seconds, the one that deadlines refer to.
     """
 
     def __init__(
-        self, reactor: Any, needs: Ports, *, now: Callable[[], float] = time.monotonic
+        self,
+        reactor: Any,
+        needs: Ports,
+        *,
+        entry_vms: int = 1,
+        now: Callable[[], float] = time.monotonic,
     ) -> None:
         self._reactor = reactor
         self._ports = needs
         self._now = now
         self._finder = targets.TargetFinder(reactor, needs.routes, needs.chooser, now=now)
         self._lanes_by_server: dict[ids.ServerId, lanes.Lane] = {}
-        self._limits_by_server: dict[ids.ServerId, int] = {}
+        self._retired: list[lanes.Lane] = []
+        self._entry_vms = entry_vms
 
     def forward(self, call: calls.Call) -> defer.Deferred[replies.Reply]:
         """Run a call to its end; cancelling the Deferred closes the backend connection."""
@@ -69,27 +75,27 @@
 
         Every request in flight there has an unknown outcome.
         """
-        lane = self._lanes_by_server.get(server_id)
-        if lane is not None:
+        for lane in self._lanes_of(server_id):
             lane.lose("the server was taken over")
 
-    def set_connection_limit(self, server_id: ids.ServerId, limit: int) -> None:
-        """Set this entry VM's share of a server's connections."""
-        self._limits_by_server[server_id] = limit
-        lane = self._lanes_by_server.get(server_id)
-        if lane is not None:
-            lane.pool.set_limit(limit)
+    def set_entry_vms(self, entry_vms: int) -> None:
+        """Set the number of entry VMs that share the servers, from `shares.EntryVmCount.count`."""
+        if entry_vms == self._entry_vms:
+            return
+        self._entry_vms = entry_vms
+        for lane in self._lanes_by_server.values():
+            lane.set_entry_vms(entry_vms)
 
     def in_flight(self, server_id: ids.ServerId) -> tuple[lanes.Flight, ...]:
         """Return the attempts that are unanswered on open connections to a server."""
-        lane = self._lanes_by_server.get(server_id)
-        return () if lane is None else tuple(lane.flights)
+        return tuple(flight for lane in self._lanes_of(server_id) for flight in lane.flights)
 
     def close(self) -> None:
         """Close all connections to servers."""
-        for lane in self._lanes_by_server.values():
+        for lane in (*self._lanes_by_server.values(), *self._retired):
             lane.close()
         self._lanes_by_server.clear()
+        self._retired.clear()
 
     async def _forward(self, call: calls.Call) -> replies.Reply:
         self._ports.budget.on_request(self._now())
@@ -122,7 +128,7 @@
                         return replies.AlreadyClaimed(earlier)
                     continue
             except errors.NotRunError as error:
-                return self._give_up(progress, error.reason)
+                return self._give_up(call, progress, error.reason)
             attempt = await self._attempt(call, fingerprint, target, progress)
             if isinstance(attempt, replies.Answered):
                 return attempt
@@ -153,18 +159,24 @@
         target: targets.Target,
         progress: _Progress,
     ) -> replies.Attempt:
-        lane = self._lane(target.server)
-        now = self._now()
-        request = encoding.encode(call, target, now)
+        lane = self._lane(target.server, call.service)
+        progress.attempts += 1
+        try:
+            waiting = lane.admit(call.deadline)
+            if waiting is not None:
+                await waiting
+        except errors.NotRunError as error:
+            return replies.Shed(error.reason)
         shard = None if target.route is None else target.route.shard
         flight = lanes.Flight(lane, shard, fingerprint, self._ports.routes.may_send)
-        progress.attempts += 1
+        now = self._now()
         self._ports.chooser.started(target.server, now)
         outcome = model.Outcome.UNKNOWN
         try:
-            answer = await lane.exchange(request, flight, deadline=call.deadline)
-            attempt = replies.read_answer(answer)
+            sent = lane.exchange(encoding.encode(call, target, now), flight, call.deadline)
+            attempt = replies.read_answer(await sent)
             outcome = _attempt_outcome(attempt)
+            _observe(lane, attempt, self._now() - now)
         except errors.NotRunError as error:
             outcome = model.Outcome.NOT_RUN
             attempt = replies.NotSent(error.reason)
@@ -176,8 +188,7 @@
         finally:
             ended = self._now()
             self._ports.chooser.finished(target.server, ended - now, outcome, ended)
-        if isinstance(attempt, replies.Lost):
-            progress.may_have_run = True
+        progress.may_have_run |= isinstance(attempt, replies.Lost)
         return attempt
 
     async def _prepare_retry(
@@ -192,9 +203,9 @@
         reason = retries.reason_of(attempt)
         now = self._now()
         if not rule.retry or now >= call.deadline:
-            return self._give_up(progress, reason)
+            return self._give_up(call, progress, reason)
         if rule.budget and not self._ports.budget.try_retry(now):
-            return self._give_up(progress, f"{reason}; the retry budget is exhausted")
+            return self._give_up(call, progress, f"{reason}; the retry budget is exhausted")
         if rule.avoid_server:
             progress.avoid.add(target.server.server)
         if rule.wait:
@@ -202,28 +213,46 @@
             await targets.change_or_delay(self._reactor, self._ports.routes, call.service, delay_s)
         return None
 
-    def _give_up(self, progress: _Progress, reason: str) -> replies.Reply:
-        if progress.may_have_run:
-            return replies.Unknown(reason)
-        return replies.NotRun(reason)
+    def _give_up(self, call: calls.Call, progress: _Progress, reason: str) -> replies.Reply:
+        if not progress.may_have_run:
+            return replies.NotRun(reason)
+        late = self._now() >= call.deadline
+        return replies.Unknown(reason, 504 if late else 502)
 
-    def _lane(self, server: model.BackendServer) -> lanes.Lane:
+    def _lane(self, server: model.BackendServer, service: model.Service) -> lanes.Lane:
         lane = self._lanes_by_server.get(server.server)
         if lane is not None and lane.server.address == server.address:
             lane.server = server
             return lane
         if lane is not None:
-            lane.close()
+            # Requests in flight at the old address finish there.
+            lane.retire()
+            self._retired = [old for old in self._retired if old.flights]
+            self._retired.append(lane)
         lane = lanes.Lane(
             self._reactor,
             server,
-            connection_limit=self._limits_by_server.get(server.server, CONNECTIONS_DEFAULT),
+            service,
+            entry_vms=self._entry_vms,
             on_loss=self._ports.losses.server_lost,
             now=self._now,
         )
         self._lanes_by_server[server.server] = lane
         return lane
 
+    def _lanes_of(self, server_id: ids.ServerId) -> list[lanes.Lane]:
+        found = [lane for lane in self._retired if lane.server.server == server_id]
+        current = self._lanes_by_server.get(server_id)
+        return found if current is None else [*found, current]
+
+
+def _observe(lane: lanes.Lane, attempt: replies.Attempt, latency_s: float) -> None:
+    match attempt:
+        case replies.Answered(response=http.HttpResponse()):
+            lane.observe(latency_s, shed=False)
+        case replies.Refused(kind=replies.RefusalKind.SHEDDING):
+            lane.observe(latency_s, shed=True)
+
 
 def _attempt_outcome(attempt: replies.Attempt) -> model.Outcome:
     match attempt:
--- a/src/celerystack/requests/frontend.py
+++ b/src/celerystack/requests/frontend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import re
 import time
 from collections.abc import Callable
 from typing import Any
@@ -18,6 +19,9 @@
 
 DEADLINE_MAX_MS = 600_000
 REQUEST_ID_MAX = 200
+_TARGET = re.compile(rb"/[\x21-\x7e]*")
+_METHOD = re.compile(rb"[A-Z]{1,32}")
+_CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 OUTCOME_HEADER = b"X-Celerystack-Outcome"
 CLAIM_HEADER = b"X-Celerystack-Claim"
 
@@ -93,9 +97,13 @@
     def _read_call(self, request: callerhttp.CallerRequest) -> calls.Call:
         headers = request.header_list()
         target = request.uri
-        if not target.startswith(b"/"):
-            raise RequestError(400, "the request target must be a path")
-        path = target.partition(b"?")[0].decode("utf-8", "surrogateescape")
+        if not _TARGET.fullmatch(target):
+            raise RequestError(400, "the request target must be a path of visible characters")
+        if not _METHOD.fullmatch(request.method) or request.method == b"CONNECT":
+            raise RequestError(400, "the method is not supported")
+        if _CONTROL.search(b"".join(value for _, value in headers)):
+            raise RequestError(400, "a header value contains a control character")
+        path = target.partition(b"?")[0].decode("ascii")
         service = self._routes.service_for(path)
         if service is None:
             raise RequestError(404, "no service owns this path")
@@ -104,11 +112,11 @@
         key = ""
         if service.divided:
             key = self._routes.key_for(service, path, headers) or ""
-            if not key:
-                raise RequestError(400, "the request has no key")
+            if not key or not key.isprintable():
+                raise RequestError(400, "the request has no key, or one that is not printable")
         return calls.Call(
             service=service,
-            method=request.method.decode("ascii", "replace"),
+            method=request.method.decode("ascii"),
             target=target,
             headers=encoding.request_headers(headers),
             body=request.body(),
--- a/src/celerystack/requests/lanes.py
+++ b/src/celerystack/requests/lanes.py
@@ -9,8 +9,9 @@
 
 from twisted.internet import defer
 
-from celerystack import ids, model
+from celerystack import errors, ids, model
 from celerystack.backend import client, exchange, http
+from celerystack.limits import concurrency, deadline_queue, shares
 
 LOSS_WINDOW_S = 0.05
 """Connections of a killed process break within a few ms of each other; a longer window would merge
@@ -50,10 +51,9 @@
         return True
 
     def ended(self, *, broken: bool) -> None:
-        """Leave the set of flights."""
-        if self.sent:
-            self.broken = broken
-            self.lane.ended(self)
+        """Leave the set of flights and give back the place in the lane."""
+        self.broken = broken and self.sent
+        self.lane.ended(self)
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,6 +69,8 @@
 
     Parameters
     ----------
+    entry_vms : int
+        Entry VMs that share the server's connections and slots; 0 if this one has no share yet.
     on_loss : callable
         Called with the server id and the fingerprints in flight when every attempt in flight broke
         within `LOSS_WINDOW_S`.
@@ -83,34 +85,108 @@
         self,
         reactor: Any,
         server: model.BackendServer,
+        service: model.Service,
         *,
-        connection_limit: int,
+        entry_vms: int,
         on_loss: OnLoss,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self.server = server
         self.flights: set[Flight] = set()
+        self._service = service
         self._reactor = reactor
         self._on_loss = on_loss
+        self._now = now
         self._break: _Break | None = None
-        self.pool = client.ServerPool(
-            reactor, address=server.address, limit=connection_limit, now=now
+        self._pumping = False
+        self._timer: Any = None
+        share = shares.equal_share(connections=service.connections, entry_vms=entry_vms)
+        self._queue: deadline_queue.DeadlineQueue[defer.Deferred[None]] = (
+            deadline_queue.DeadlineQueue()
         )
+        self._limit = concurrency.ConcurrencyLimit(
+            slots=service.slots, entry_vms=entry_vms, maximum=share
+        )
+        self.pool = client.ServerPool(reactor, address=server.address, limit=share, now=now)
+
+    def set_entry_vms(self, entry_vms: int) -> None:
+        """Change the number of entry VMs that share the server."""
+        share = shares.equal_share(connections=self._service.connections, entry_vms=entry_vms)
+        self._limit.set_sharing(entry_vms=entry_vms, maximum=share)
+        self.pool.set_limit(share)
+        self._pump()
+
+    def admit(self, deadline: float) -> defer.Deferred[None] | None:
+        """Take a place for one attempt; None if it is granted at once.
+
+        The place is given back by the end of the flight that is passed to `exchange`, which must
+        be called in the same reactor turn. The Deferred fails with `errors.NotRunError` if the
+        attempt cannot start before its deadline.
+        """
+        if not self._queue and self._limit.try_start():
+            return None
+        waiting: defer.Deferred[None] = defer.Deferred(self._queue.remove)
+        shed = self._queue.push(
+            waiting, deadline=deadline, now=self._now(), concurrency=self._limit.limit
+        )
+        self._fail(shed, "the request cannot start before its deadline")
+        self._arm()
+        return waiting
+
+    def _fail(self, waiting: list[defer.Deferred[None]], reason: str) -> None:
+        for item in waiting:
+            item.errback(errors.NotRunError(reason, step="requests.queue", peer=self.server.server))
+
+    def _arm(self) -> None:
+        """Wake up at the earliest deadline in the queue."""
+        earliest = self._queue.next_deadline()
+        if earliest is not None and self._timer is None:
+            delay_s = max(0.0, earliest - self._now())
+            self._timer = self._reactor.callLater(delay_s, self._expire)
+
+    def _expire(self) -> None:
+        self._timer = None
+        self._fail(self._queue.expire(self._now()), "the deadline passed in the queue")
+        self._arm()
+
+    def _pump(self) -> None:
+        # An attempt that ends at once calls this again; the outer call continues the loop, so the
+        # stack does not grow with the queue.
+        if self._pumping:
+            return
+        self._pumping = True
+        try:
+            self._fail(self._queue.expire(self._now()), "the deadline passed in the queue")
+            while self._queue and self._limit.try_start():
+                self._queue.pop().callback(None)
+        finally:
+            self._pumping = False
+
+    def observe(self, latency_s: float, *, shed: bool) -> None:
+        """Record how an attempt ended: answered in ``latency_s`` seconds, or shed."""
+        if shed:
+            self._limit.on_shed(self._now())
+        else:
+            self._limit.on_answer(latency_s, self._now())
+            self._queue.observe(latency_s)
 
     def exchange(
-        self, request: http.HttpRequest, flight: Flight, *, deadline: float
+        self, request: http.HttpRequest, flight: Flight, deadline: float
     ) -> defer.Deferred[Answer]:
         """Send a request; fails as `client.ServerPool.exchange_streaming` does."""
         return self.pool.exchange_streaming(request, deadline=deadline, watcher=flight)
 
     def ended(self, flight: Flight) -> None:
-        """Remove a flight and note whether its connection broke."""
+        """Remove a flight, note whether its connection broke, and start waiting attempts."""
         if flight.broken:
             if self._break is None:
                 self._break = _Break(set(self.flights), set())
                 self._reactor.callLater(LOSS_WINDOW_S, self._judge_break)
             self._break.broken.add(flight)
         self.flights.discard(flight)
+        self._limit.release()
+        if self._queue:
+            self._pump()
 
     def _judge_break(self) -> None:
         seen, self._break = self._break, None
@@ -121,6 +197,15 @@
         """Close all connections at once; flights end with an unknown outcome."""
         self.pool.close_connections(reason)
 
+    def retire(self) -> None:
+        """Close the connections as they become idle; attempts in the queue fail."""
+        self._fail(self._queue.expire(float("inf")), "the server's address changed")
+        self.pool.set_limit(0)
+
     def close(self) -> None:
         """Close the pool; nothing can be sent afterwards."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._fail(self._queue.expire(float("inf")), "the server is no longer used")
         self.pool.close()
--- a/src/celerystack/requests/replies.py
+++ b/src/celerystack/requests/replies.py
@@ -73,7 +73,14 @@
     reason: str
 
 
-Attempt = Answered | Refused | NotSent | Lost
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shed:
+    """The attempt was dropped from the queue of its server."""
+
+    reason: str
+
+
+Attempt = Answered | Refused | NotSent | Shed | Lost
 
 REFUSAL_HEADER = b"x-celerystack-refusal"
 _REFUSAL_STATUS = (409, 503)
--- a/src/celerystack/requests/retries.py
+++ b/src/celerystack/requests/retries.py
@@ -44,6 +44,8 @@
     match attempt:
         case replies.Refused(kind=replies.RefusalKind.DEADLINE):
             return _STOP
+        case replies.Shed():
+            return Rule(retry=not divided, budget=True, avoid_server=True)
         case replies.Refused(kind=replies.RefusalKind.SHEDDING):
             return Rule(retry=True, budget=True, avoid_server=not divided, wait=divided)
         case replies.Refused() | replies.NotSent():
@@ -64,7 +66,9 @@
     match attempt:
         case replies.Refused(kind=kind):
             return f"the server refused the request: {kind.value}"
-        case replies.NotSent(reason=reason) | replies.Lost(reason=reason):
+        case replies.NotSent(reason=reason) | replies.Shed(reason=reason):
+            return reason
+        case replies.Lost(reason=reason):
             return reason
         case _:
             return ""
--- a/tests/backend/fakes.py
+++ b/tests/backend/fakes.py
@@ -38,7 +38,7 @@
 
 
 class FakeConnection(protocol.Protocol):
-    def connectionMade(self):
+    def connectionMade(self):  # noqa: N802
         self.buffer = b""
         self.lost = defer.Deferred()
         self.factory.connections.append(self)
@@ -46,7 +46,7 @@
         if self.factory.on_connect is not None:
             self.factory.on_connect(self)
 
-    def dataReceived(self, data):
+    def dataReceived(self, data):  # noqa: N802
         self.buffer += data
         self.factory.bytes_received += len(data)
         while b"\r\n\r\n" in self.buffer:
@@ -59,7 +59,7 @@
             self.factory.requests.append(request)
             self.factory.handler(request)
 
-    def connectionLost(self, reason=protocol.connectionDone):
+    def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
         self.factory.connections.remove(self)
         self.lost.callback(None)
 
@@ -141,10 +141,10 @@
         self.closed = False
         self.clean = None
 
-    def dataReceived(self, data):
+    def dataReceived(self, data):  # noqa: N802
         self.received += data
 
-    def connectionLost(self, reason=protocol.connectionDone):
+    def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
         self.closed = True
         self.clean = reason.check(defer.CancelledError) is None and "cleanly" in str(reason.value)
 
--- /dev/null
+++ b/tests/backend/test_client.py
@@ -0,0 +1,477 @@
+"""Backend client against scripted servers: what reached the server, and whose answer came back."""
+
+from __future__ import annotations
+
+import socket
+import struct
+import time
+
+from twisted.internet import reactor
+from twisted.trial import unittest
+
+from celerystack import errors
+from celerystack.backend import client, http
+from tests.backend import fakes
+
+GET = http.HttpRequest(method=b"GET", target=b"/x", headers=((b"Host", b"h"),))
+
+
+def soon(seconds: float = 3.0) -> float:
+    return time.monotonic() + seconds
+
+
+def post(body: bytes) -> http.HttpRequest:
+    return http.HttpRequest(method=b"POST", target=b"/x", headers=((b"Host", b"h"),), body=body)
+
+
+class Watcher:
+    """Records what the client reports."""
+
+    def __init__(self, permitted: bool = True):
+        self.permitted = permitted
+        self.asked = 0
+        self.endings = []
+
+    def may_write(self):
+        self.asked += 1
+        return self.permitted
+
+    def ended(self, *, broken):
+        self.endings.append(broken)
+
+
+class ClientTestCase(unittest.TestCase):
+    timeout = 20
+
+    def server(self, *scripts) -> fakes.FakeServer:
+        server = fakes.FakeServer()
+        if scripts:
+            server.answers(*scripts)
+        self.addCleanup(server.stop)
+        return server
+
+    def pool(self, server, *, limit=4, **options) -> client.ServerPool:
+        address = server if isinstance(server, str) else server.address
+        pool = client.ServerPool(reactor, address=address, limit=limit, **options)
+        self.addCleanup(pool.close)
+        return pool
+
+    async def failure_of(self, sent, kind):
+        try:
+            answer = await sent
+        except kind as error:
+            return error
+        raise AssertionError(f"{answer!r} instead of {kind.__name__}")
+
+    async def fails_not_run(self, sent):
+        return await self.failure_of(sent, errors.NotRunError)
+
+    async def fails_unknown(self, sent):
+        return await self.failure_of(sent, errors.OutcomeUnknownError)
+
+
+class WholeAnswerTest(ClientTestCase):
+    async def test_lengths(self):
+        """Guards against wrong ends of answers in each framing that proves the end."""
+        chunked = (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+        )
+        early = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+        none = b"HTTP/1.1 204 No Content\r\n\r\n"
+        server = self.server(fakes.answer(b"abc"), chunked, early + fakes.answer(b"abc"), none)
+        pool = self.pool(server)
+        bodies = [(await pool.exchange(GET, deadline=soon())).body for _ in range(4)]
+        self.assertEqual(bodies, [b"abc", b"abc", b"abc", b""])
+        self.assertEqual(server.accepted, 1)
+
+    async def test_head(self):
+        """Guards against waiting for the body that a HEAD answer only announces."""
+        server = self.server(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n")
+        pool = self.pool(server)
+        head = http.HttpRequest(method=b"HEAD", target=b"/", headers=((b"Host", b"h"),))
+        for _ in range(2):
+            answer = await pool.exchange(head, deadline=soon())
+            self.assertEqual(answer.header(b"content-length"), b"10")
+        self.assertEqual(server.accepted, 1)
+
+    async def test_byte_by_byte(self):
+        """Guards against a parser that depends on segment limits."""
+        server = self.server()
+
+        def trickle(request):
+            data = fakes.answer(b"slow")
+            for index in range(len(data)):
+                reactor.callLater(index * 0.001, request.connection.send, data[index : index + 1])
+
+        server.handler = trickle
+        answer = await self.pool(server).exchange(GET, deadline=soon())
+        self.assertEqual(answer.body, b"slow")
+
+    async def test_connection_close_is_honoured(self):
+        """Guards against a second request on a connection that the server will close."""
+        server = self.server(fakes.answer(headers=b"Connection: close\r\n"))
+        pool = self.pool(server)
+        for _ in range(3):
+            await pool.exchange(GET, deadline=soon())
+        self.assertEqual(server.accepted, 3)
+
+    async def test_bound_and_one_exchange_per_connection(self):
+        """Guards against pipelining and against more connections than the limit."""
+        running = set()
+        server = self.server()
+
+        def handle(request):
+            self.assertNotIn(request.connection, running)
+            running.add(request.connection)
+
+            def reply():
+                running.discard(request.connection)
+                request.connection.send(fakes.answer(request.line))
+
+            reactor.callLater(0.005, reply)
+
+        server.handler = handle
+        pool = self.pool(server, limit=3)
+        requests = [
+            http.HttpRequest(method=b"GET", target=b"/%d" % n, headers=((b"Host", b"h"),))
+            for n in range(30)
+        ]
+        sent = [pool.exchange(request, deadline=soon()) for request in requests]
+        for request, d in zip(requests, sent, strict=True):
+            self.assertIn(b" %s " % request.target, (await d).body)
+        self.assertLessEqual(server.accepted, 3)
+
+    async def test_answer_above_bound(self):
+        """Guards against unbounded memory for an answer that is read whole."""
+        server = self.server(fakes.answer(b"x" * 5000))
+        pool = self.pool(server)
+        await self.fails_unknown(pool.exchange(GET, deadline=soon(), answer_max=4999))
+        await fakes.settle(until=lambda: not server.connections)
+
+    async def test_large_request_body(self):
+        """Guards against lost bytes when the socket buffer does not take a body at once."""
+        server = self.server(lambda r: r.connection.send(fakes.answer(b"%d" % len(r.body))))
+        pool = self.pool(server)
+        for _ in range(2):
+            answer = await pool.exchange(post(b"z" * 6_000_000), deadline=soon(8))
+            self.assertEqual(answer.body, b"6000000")
+        self.assertEqual(server.accepted, 1)
+
+    async def test_early_answer_to_large_body_closes(self):
+        """Guards against the rest of an old body being read as the next request."""
+        server = self.server()
+
+        def on_connect(connection):
+            connection.transport.pauseProducing()
+            connection.send(fakes.answer(b"early"))
+
+        server.on_connect = on_connect
+        pool = self.pool(server)
+        answer = await pool.exchange(post(b"z" * 20_000_000), deadline=soon())
+        self.assertEqual(answer.body, b"early")
+        self.assertEqual(pool.idle_count, 0)
+
+
+class NotRunTest(ClientTestCase):
+    async def test_refused(self):
+        """Guards against an unknown outcome when nothing listens."""
+        server = self.server()
+        await server.stop_listening()
+        await self.fails_not_run(self.pool(server).exchange(post(b""), deadline=soon()))
+
+    async def test_refused_fails_all_waiting(self):
+        """Guards against exchanges that wait for ever behind a failed connection attempt."""
+        server = self.server()
+        await server.stop_listening()
+        pool = self.pool(server, limit=2)
+        sent = [pool.exchange(post(b""), deadline=soon()) for _ in range(7)]
+        for d in sent:
+            await self.fails_not_run(d)
+        self.assertEqual(pool.open_count, 0)
+
+    async def test_deadline_while_waiting_for_a_connection(self):
+        """Guards against an unknown outcome for a request that was never written."""
+        server = self.server(lambda r: None)
+        pool = self.pool(server, limit=1)
+        first = pool.exchange(GET, deadline=soon())
+        await self.fails_not_run(pool.exchange(post(b""), deadline=soon(0.05)))
+        self.assertEqual(len(server.requests), 1)
+        first.addErrback(lambda _: None)
+        first.cancel()
+
+    async def test_deadline_already_passed(self):
+        """Guards against a connection for a request that is too late."""
+        server = self.server()
+        await self.fails_not_run(self.pool(server).exchange(GET, deadline=soon(-1)))
+        self.assertEqual(server.accepted, 0)
+
+    async def test_permission_is_checked_at_the_write(self):
+        """Guards against a write after the permission to send was withdrawn."""
+        server = self.server()
+        pool = self.pool(server)
+        watcher = Watcher(permitted=False)
+        await self.fails_not_run(pool.exchange(post(b"x"), deadline=soon(), watcher=watcher))
+        self.assertEqual((watcher.asked, watcher.endings), (1, [False]))
+        await fakes.sleep(0.02)
+        self.assertEqual(server.bytes_received, 0)
+        await pool.exchange(GET, deadline=soon())
+        self.assertEqual(server.accepted, 1)
+
+    async def test_unencodable_request(self):
+        """Guards against header injection reaching the server."""
+        server = self.server()
+        bad = http.HttpRequest(
+            method=b"GET", target=b"/", headers=((b"Host", b"h"), (b"X", b"a\r\nY: b"))
+        )
+        await self.fails_not_run(self.pool(server).exchange(bad, deadline=soon()))
+        self.assertEqual(server.bytes_received, 0)
+
+
+class BlockingServer:
+    """A server on plain sockets, so that a test can close one between two reactor turns."""
+
+    def __init__(self):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.setblocking(False)
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+
+    async def accept(self) -> socket.socket:
+        peers = []
+
+        def accepted() -> bool:
+            try:
+                peers.append(self.listener.accept()[0])
+            except BlockingIOError:
+                return False
+            return True
+
+        await fakes.settle(until=accepted)
+        peers[0].setblocking(False)
+        return peers[0]
+
+    def close(self):
+        self.listener.close()
+
+
+class KeptConnectionTest(ClientTestCase):
+    async def kept(self):
+        """Return a pool with one kept connection and the server's end of it."""
+        server = BlockingServer()
+        self.addCleanup(server.close)
+        pool = self.pool(server.address)
+        sent = pool.exchange(GET, deadline=soon())
+        peer = await server.accept()
+        self.addCleanup(peer.close)
+        await fakes.settle(until=lambda: _readable(peer))
+        peer.send(fakes.answer(b"first"))
+        self.assertEqual((await sent).body, b"first")
+        self.assertEqual(pool.idle_count, 1)
+        return server, pool, peer
+
+    async def _answered_on_new_connection(self, server, pool):
+        sent = pool.exchange(post(b"once"), deadline=soon())
+        fresh = await server.accept()
+        self.addCleanup(fresh.close)
+        await fakes.settle(until=lambda: _readable(fresh))
+        self.assertTrue(fresh.recv(4096).endswith(b"once"))
+        fresh.send(fakes.answer(b"second"))
+        self.assertEqual((await sent).body, b"second")
+
+    async def test_closed_just_before_the_write(self):
+        """Guards against an unknown outcome when the close had arrived before the write.
+
+        The close is in the socket but the reactor has not seen it yet.
+        """
+        server, pool, peer = await self.kept()
+        peer.close()
+        await self._answered_on_new_connection(server, pool)
+
+    async def test_reset_just_before_the_write(self):
+        """Guards against a write into a connection that was reset."""
+        server, pool, peer = await self.kept()
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        peer.close()
+        await self._answered_on_new_connection(server, pool)
+
+    async def test_bytes_nobody_asked_for(self):
+        """Guards against an old or invented answer being taken for the next request's."""
+        server, pool, peer = await self.kept()
+        peer.send(fakes.answer(b"stray"))
+        await self._answered_on_new_connection(server, pool)
+
+    async def test_closed_just_after_the_write_is_unknown(self):
+        """Guards against a false not-run: the server may have read the bytes."""
+        _, pool, peer = await self.kept()
+        watcher = Watcher()
+        sent = pool.exchange(post(b"once"), deadline=soon(), watcher=watcher)
+        peer.close()
+        error = await self.fails_unknown(sent)
+        self.assertNotIsInstance(error, errors.TruncatedAnswerError)
+        self.assertEqual(watcher.endings, [True])
+
+    async def test_reused_connection_answers_in_order(self):
+        """Guards against mixing the answers of two exchanges on one connection."""
+        _, pool, peer = await self.kept()
+        for number in range(3):
+            sent = pool.exchange(GET, deadline=soon())
+            await fakes.settle(until=lambda: _readable(peer))
+            peer.send(fakes.answer(b"%d" % number))
+            self.assertEqual((await sent).body, b"%d" % number)
+
+
+def _readable(peer: socket.socket) -> bool:
+    """Return whether a request has arrived; takes it from the socket if it is a GET."""
+    try:
+        data = peer.recv(65536, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    if data.startswith(b"GET"):
+        peer.recv(65536)
+    return b"\r\n\r\n" in data
+
+
+class UnknownTest(ClientTestCase):
+    async def test_stalled_answer(self):
+        """Guards against waiting past the deadline, and against an open connection after it."""
+        server = self.server(lambda r: None)
+        watcher = Watcher()
+        started = time.monotonic()
+        sent = self.pool(server).exchange(GET, deadline=soon(0.1), watcher=watcher)
+        await self.fails_unknown(sent)
+        self.assertLess(time.monotonic() - started, 1.0)
+        self.assertEqual(watcher.endings, [False])
+        await fakes.settle(until=lambda: not server.connections)
+
+    async def test_late_answer_never_reaches_a_later_exchange(self):
+        """Guards against a late answer on a connection that is used again."""
+        held = []
+        server = self.server(held.append, lambda r: r.connection.send(fakes.answer(b"second")))
+        pool = self.pool(server, limit=1)
+        await self.fails_unknown(pool.exchange(GET, deadline=soon(0.05)))
+        second = pool.exchange(GET, deadline=soon())
+        held[0].connection.send(fakes.answer(b"late"))
+        self.assertEqual((await second).body, b"second")
+
+    async def test_cancel_closes_the_connection(self):
+        """Guards against a server that works on for a caller that has gone."""
+        server = self.server(lambda r: None)
+        pool = self.pool(server)
+        sent = pool.exchange(GET, deadline=soon())
+        ended = []
+        sent.addBoth(ended.append)
+        await fakes.settle(until=lambda: server.requests)
+        sent.cancel()
+        self.assertEqual(len(ended), 1)
+        await fakes.settle(until=lambda: not server.connections)
+        self.assertEqual(pool.open_count, 0)
+
+    async def test_cancel_before_connected_sends_nothing(self):
+        """Guards against a cancelled request that is written when its connection opens."""
+        server = self.server()
+        pool = self.pool(server)
+        sent = pool.exchange(post(b"x"), deadline=soon())
+        sent.addErrback(lambda _: None)
+        sent.cancel()
+        await fakes.settle(until=lambda: pool.idle_count == 1)
+        self.assertEqual(server.bytes_received, 0)
+
+    async def test_duplicate_answer_closes_the_connection(self):
+        """Guards against the second of two answers reaching the next exchange."""
+        server = self.server(fakes.answer(b"1") + fakes.answer(b"1 again"), fakes.answer(b"2"))
+        pool = self.pool(server, limit=1)
+        self.assertEqual((await pool.exchange(GET, deadline=soon())).body, b"1")
+        self.assertEqual((await pool.exchange(GET, deadline=soon())).body, b"2")
+        self.assertEqual(server.accepted, 2)
+
+    async def test_lost_before_any_answer_byte(self):
+        """Guards against a false not-run after the request was read."""
+        server = self.server(lambda r: r.connection.abort())
+        watcher = Watcher()
+        sent = self.pool(server).exchange(post(b"x"), deadline=soon(), watcher=watcher)
+        error = await self.fails_unknown(sent)
+        self.assertNotIsInstance(error, errors.TruncatedAnswerError)
+        self.assertEqual(watcher.endings, [True])
+
+    async def test_truncated(self):
+        """Guards against a partial answer being taken for a complete one."""
+        head = b"HTTP/1.1 200 OK\r\n"
+        partial = (
+            head + b"Content-Length: 10\r\n\r\nshort",
+            head + b"Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n",
+            head + b"Transfer-Encoding: chunked\r\n\r\n5\r\nabc",
+            head + b"\r\nno length",
+        )
+        for data in partial:
+            server = self.server(
+                lambda r, data=data: (r.connection.send(data), r.connection.close())
+            )
+            sent = self.pool(server).exchange(GET, deadline=soon())
+            await self.failure_of(sent, errors.TruncatedAnswerError)
+
+    async def test_malformed(self):
+        """Guards against answers that two parsers could read differently."""
+        broken = (
+            b"garbage\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+            b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+            b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nX: " + b"a" * 200_000,
+        )
+        for data in broken:
+            server = self.server(data)
+            await self.fails_unknown(self.pool(server).exchange(GET, deadline=soon()))
+            await fakes.settle(until=lambda server=server: not server.connections)
+
+    async def test_takeover_closes_connections(self):
+        """Guards against requests that stay open at a server that was taken over."""
+        server = self.server(lambda r: None)
+        pool = self.pool(server)
+        watcher = Watcher()
+        sent = pool.exchange(post(b""), deadline=soon(), watcher=watcher)
+        await fakes.settle(until=lambda: server.requests)
+        pool.close_connections("the server was taken over")
+        await self.fails_unknown(sent)
+        self.assertEqual(watcher.endings, [False])
+        await fakes.settle(until=lambda: not server.connections)
+
+
+class PoolTest(ClientTestCase):
+    async def test_shrink_closes_idle_connections(self):
+        """Guards against a share that shrinks without closing connections."""
+        server = self.server()
+        pool = self.pool(server, limit=4)
+        for d in [pool.exchange(GET, deadline=soon()) for _ in range(4)]:
+            await d
+        await fakes.settle(until=lambda: pool.idle_count == 4)
+        pool.set_limit(1)
+        await fakes.settle(until=lambda: len(server.connections) == 1)
+
+    async def test_shrink_closes_busy_connections_when_they_finish(self):
+        """Guards against a busy connection that is kept above a smaller share."""
+        server = self.server(lambda r: reactor.callLater(0.05, r.connection.send, fakes.answer()))
+        pool = self.pool(server, limit=3)
+        sent = [pool.exchange(GET, deadline=soon()) for _ in range(3)]
+        await fakes.settle(until=lambda: len(server.requests) == 3)
+        pool.set_limit(1)
+        for d in sent:
+            self.assertEqual((await d).body, b"ok")
+        await fakes.settle(until=lambda: len(server.connections) == 1)
+
+    async def test_idle_connections_expire(self):
+        """Guards against kept connections that outlive the server's keep-alive time."""
+        server = self.server()
+        pool = self.pool(server, idle_max_s=0.05)
+        await pool.exchange(GET, deadline=soon())
+        await fakes.settle(until=lambda: not server.connections)
+        self.assertEqual(pool.open_count, 0)
+
+    async def test_close_refuses_and_closes(self):
+        """Guards against exchanges on a closed pool."""
+        server = self.server()
+        pool = self.pool(server)
+        await pool.exchange(GET, deadline=soon())
+        pool.close()
+        await self.fails_not_run(pool.exchange(GET, deadline=soon()))
+        await fakes.settle(until=lambda: not server.connections)
