--- /dev/null
+++ b/src/celerystack/observe/admin.py
@@ -0,0 +1,104 @@
+"""Admin listener: metrics, health, readiness and status."""
+
+from __future__ import annotations
+
+import json
+import logging
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import prometheus_client
+from twisted.web import http, resource, server
+
+_log = logging.getLogger(__name__)
+
+TEXT_TYPE = b"text/plain; charset=utf-8"
+JSON_TYPE = b"application/json"
+
+
+class _Page(resource.Resource):
+    """A page without children that answers GET and HEAD.
+
+    Parameters
+    ----------
+    render_body : callable
+        Returns HTTP status, content type and body.
+    """
+
+    isLeaf = True  # noqa: N815 (name set by twisted.web)
+
+    def __init__(self, render_body: Callable[[], tuple[int, bytes, bytes]]) -> None:
+        super().__init__()
+        self._render_body = render_body
+
+    def render_GET(self, request: server.Request) -> bytes:  # noqa: N802 (name set by twisted.web)
+        if request.postpath:
+            code, content_type, body = http.NOT_FOUND, TEXT_TYPE, b"not found\n"
+        else:
+            code, content_type, body = self._body(request)
+        request.setResponseCode(code)
+        request.setHeader(b"content-type", content_type)
+        request.setHeader(b"cache-control", b"no-store")
+        return body
+
+    def _body(self, request: server.Request) -> tuple[int, bytes, bytes]:
+        try:
+            return self._render_body()
+        except Exception:
+            path = request.path.decode("ascii", "replace")
+            _log.exception("admin page failed", extra={"step": f"admin {path}"})
+            return http.INTERNAL_SERVER_ERROR, TEXT_TYPE, b"internal error\n"
+
+
+class _Site(server.Site):
+    """Site without an access log: probes arrive every second and would fill it."""
+
+    def log(self, request: http.Request) -> None:
+        return
+
+
+def site(
+    *,
+    registry: prometheus_client.CollectorRegistry,
+    ready: Callable[[], bool],
+    status: Callable[[], Mapping[str, Any]],
+) -> server.Site:
+    """Build the site of the admin listener.
+
+    Parameters
+    ----------
+    registry : prometheus_client.CollectorRegistry
+        Metrics of ``/metrics``.
+    ready : callable
+        Whether ``/readyz`` answers 200 (else 503).
+    status : callable
+        Content of ``/status``, of JSON types.
+
+    Returns
+    -------
+    server.Site
+        To be listened on by the caller. A page whose callable raises answers 500.
+    """
+    root = resource.Resource()
+    root.putChild(b"metrics", _Page(lambda: _metrics(registry)))
+    root.putChild(b"healthz", _Page(lambda: (http.OK, TEXT_TYPE, b"ok\n")))
+    root.putChild(b"readyz", _Page(lambda: _readiness(ready())))
+    root.putChild(b"status", _Page(lambda: _status(status())))
+    result = _Site(root)
+    result.displayTracebacks = False
+    return result
+
+
+def _metrics(registry: prometheus_client.CollectorRegistry) -> tuple[int, bytes, bytes]:
+    content_type = prometheus_client.CONTENT_TYPE_LATEST.encode()
+    return http.OK, content_type, prometheus_client.generate_latest(registry)
+
+
+def _readiness(ready: bool) -> tuple[int, bytes, bytes]:
+    if ready:
+        return http.OK, TEXT_TYPE, b"ready\n"
+    return http.SERVICE_UNAVAILABLE, TEXT_TYPE, b"not ready\n"
+
+
+def _status(status: Mapping[str, Any]) -> tuple[int, bytes, bytes]:
+    return http.OK, JSON_TYPE, json.dumps(status, indent=2, sort_keys=True).encode() + b"\n"
--- /dev/null
+++ b/tests/observe/test_admin.py
@@ -0,0 +1,65 @@
+from __future__ import annotations
+
+import json
+import logging
+
+import prometheus_client
+import testtools
+from twisted.internet import address, testing
+from twisted.web import http
+
+from celerystack.observe import admin
+
+
+class AdminTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.ready = True
+        self.status = {"vm": "e-1"}
+        registry = prometheus_client.CollectorRegistry()
+        prometheus_client.Gauge("g", "Gauge.", registry=registry).set(5)
+        self.site = admin.site(
+            registry=registry, ready=lambda: self.ready, status=lambda: self.status
+        )
+
+    def fetch(self, path: str, method: str = "GET") -> tuple[int, bytes]:
+        peer = address.IPv4Address("TCP", "127.0.0.1", 1)
+        protocol = self.site.buildProtocol(peer)
+        transport = testing.StringTransportWithDisconnection(peerAddress=peer)
+        transport.protocol = protocol
+        protocol.makeConnection(transport)
+        protocol.dataReceived(f"{method} {path} HTTP/1.0\r\n\r\n".encode())
+        head, _, body = transport.value().partition(b"\r\n\r\n")
+        return int(head.split()[1]), body
+
+    def test_metrics(self) -> None:
+        """Guards against exposing another registry."""
+        code, body = self.fetch("/metrics")
+        self.assertEqual(http.OK, code)
+        self.assertIn(b"g 5.0", body)
+
+    def test_readiness_follows_the_callable(self) -> None:
+        """Guards against new work for an entry VM that shuts down."""
+        self.assertEqual(http.OK, self.fetch("/readyz")[0])
+        self.ready = False
+        self.assertEqual(http.SERVICE_UNAVAILABLE, self.fetch("/readyz")[0])
+        self.assertEqual(http.OK, self.fetch("/healthz")[0])
+
+    def test_status_is_json(self) -> None:
+        """Guards against a status that tools cannot read."""
+        self.assertEqual({"vm": "e-1"}, json.loads(self.fetch("/status")[1]))
+
+    def test_failing_status_is_one_line_without_details(self) -> None:
+        """Guards against tracebacks in responses."""
+        logging.getLogger(admin.__name__).disabled = True
+        self.addCleanup(setattr, logging.getLogger(admin.__name__), "disabled", False)
+        self.status = object()
+        code, body = self.fetch("/status")
+        self.assertEqual((http.INTERNAL_SERVER_ERROR, b"internal error\n"), (code, body))
+
+    def test_unknown_pages_and_methods(self) -> None:
+        """Guards against answering 200 for pages that do not exist, and against changes."""
+        self.assertEqual(http.NOT_FOUND, self.fetch("/")[0])
+        self.assertEqual(http.NOT_FOUND, self.fetch("/status/x")[0])
+        self.assertEqual(http.NOT_FOUND, self.fetch("/nope")[0])
+        self.assertEqual(http.NOT_ALLOWED, self.fetch("/status", "POST")[0])
