--- /dev/null
+++ b/tests/test_run.py
@@ -0,0 +1,164 @@
+from __future__ import annotations
+
+import contextlib
+import io
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+import testtools
+
+from celerystack import errors, run
+from celerystack.commands import job
+
+ROOT = pathlib.Path(__file__).parents[1]
+REMOTE_SCRIPT = """
+import sys, types
+from tests import fakes
+from twisted.internet import reactor
+from celerystack import run
+table = types.ModuleType("celerystack.platform.table")
+objects = types.ModuleType("celerystack.platform.objects")
+fake = fakes.FakeTable(reactor)
+table.HttpTable = lambda reactor, address, *, timeout_s: fake
+objects.HttpObjects = lambda reactor, address, *, timeout_s: fakes.FakeObjects()
+{setup}
+sys.modules.update({{table.__name__: table, objects.__name__: objects}})
+import celerystack.platform
+celerystack.platform.table, celerystack.platform.objects = table, objects
+sys.exit(run.main(sys.argv[1:]))
+"""
+PLATFORM = ["--table-address", "127.0.0.1:9", "--object-address", "127.0.0.1:9"]
+SERVICE = '[service.a]\nprefixes = ["/a/"]\n'
+
+
+def _main(*argv: str) -> tuple[int, str, str]:
+    out, err = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+        code = run.main(list(argv))
+    return code, out.getvalue(), err.getvalue()
+
+
+def _remote(*argv: str, setup: str = "") -> subprocess.CompletedProcess:
+    """Run a command with a fake table in its own process, because a reactor runs only once."""
+    return subprocess.run(
+        [sys.executable, "-c", REMOTE_SCRIPT.format(setup=setup), *argv],
+        cwd=ROOT,
+        env={**os.environ, "PYTHONPATH": f"{ROOT / 'src'}{os.pathsep}{ROOT}"},
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+
+
+class _FolderTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        temporary = tempfile.TemporaryDirectory()
+        self.addCleanup(temporary.cleanup)
+        self.folder = pathlib.Path(temporary.name)
+
+
+class ExitCodeTest(_FolderTest):
+    def test_every_error_class_has_its_code(self) -> None:
+        """Guards against scripts that cannot tell a conflict from an outage."""
+        for error_type, code in (
+            (errors.SettingsError, 2),
+            (errors.ConfigError, 3),
+            (errors.ConfigConflictError, 4),
+            (errors.TransactionConflictError, 4),
+            (errors.PlatformUnavailableError, 5),
+            (errors.AnswerLostError, 5),
+            (errors.CorruptRowError, 1),
+        ):
+            self.assertEqual(code, run.exit_code(error_type("x", step="s")), error_type)
+        self.assertEqual(1, run.exit_code(ValueError("x")))
+
+    def test_errors_are_one_line(self) -> None:
+        """Guards against output that log collectors split."""
+        self.assertEqual("internal error: ValueError: a b", run.describe(ValueError("a\nb")))
+
+    def test_check(self) -> None:
+        """Guards against exit code 0 for an invalid folder."""
+        (self.folder / "a.toml").write_text(SERVICE)
+        code, out, _ = _main("check", str(self.folder))
+        self.assertEqual((0, "valid: 1 files, 1 services, 0 servers\n"), (code, out))
+        (self.folder / "a.toml").write_text(SERVICE + "slots = 0\nshards = 0\n")
+        code, out, _ = _main("check", str(self.folder))
+        self.assertEqual((3, 3), (code, len(out.splitlines())))
+        code, _, err = _main("check", str(self.folder / "none"))
+        self.assertEqual((3, 1), (code, len(err.splitlines())))
+
+    def test_usage_errors(self) -> None:
+        """Guards against a wrong command line that does something."""
+        for argv in (
+            [],
+            ["aply"],
+            ["check"],
+            ["check", "x", "--base", "1"],
+            ["apply", "x", "--base", "one", *PLATFORM],
+            ["release", "rv-01", *PLATFORM],
+            ["check", "x", "--zon", "z"],
+            ["check", "x", "--vm"],
+        ):
+            self.assertEqual(2, _main(*argv)[0], argv)
+
+    def test_help_lists_subcommands_and_settings(self) -> None:
+        """Guards against an undocumented subcommand or setting."""
+        code, out, _ = _main("--help")
+        self.assertEqual(0, code)
+        for name in (*run.SUBCOMMANDS, "--table-address", "--peer-secrets"):
+            self.assertIn(name, out)
+
+    def test_settings_are_reported_together_on_one_line(self) -> None:
+        """Guards against a router that starts with incomplete settings."""
+        code, out, err = _main("router", "--vm", "a b", "--table-address", "db:80")
+        self.assertEqual((2, "", 1), (code, out, len(err.splitlines())))
+        for name in ("--vm", "--zone", "--table-address", "--peer-secrets"):
+            self.assertIn(name, err)
+
+    def test_settings_query_masks_secrets(self) -> None:
+        """Guards against secrets on a terminal."""
+        code, out, _ = _main("settings", "--peer-secrets", "0123456789abcdef")
+        self.assertEqual(0, code)
+        self.assertNotIn("0123456789abcdef", out)
+        (line,) = [line for line in out.splitlines() if line.startswith("peer_secrets")]
+        self.assertEqual(["peer_secrets", "********", "(1)", "flag"], line.split())
+
+    def test_short_settings_flags_do_not_capture_arguments_of_commands(self) -> None:
+        """Guards against `--operator` or `--base` read as a setting."""
+        flags, rest = run.split_flags(["apply", "f", "--base", "3", "--zone=z", "--reason", "r"])
+        self.assertEqual({"zone": "z"}, flags)
+        self.assertEqual(["apply", "f", "--base", "3", "--reason", "r"], rest)
+
+
+class RemoteCommandTest(_FolderTest):
+    def test_apply_in_the_reactor(self) -> None:
+        """Guards against a command that does not end or loses its exit code."""
+        (self.folder / "a.toml").write_text(SERVICE)
+        result = _remote("apply", str(self.folder), *PLATFORM)
+        self.assertEqual((0, ""), (result.returncode, result.stderr))
+        self.assertIn("committed version 1", result.stdout)
+
+    def test_platform_failure_is_one_line(self) -> None:
+        """Guards against tracebacks, and against exit code 0 after a failure."""
+        setup = "fake.read_faults.append(fakes.Fault.REFUSED)"
+        result = _remote("status", *PLATFORM, setup=setup)
+        self.assertEqual((5, ""), (result.returncode, result.stdout))
+        self.assertEqual("celerystack: table.get [t]: refused\n", result.stderr)
+
+    def test_internal_error_is_one_line(self) -> None:
+        """Guards against a hanging reactor after an unexpected error."""
+        result = _remote("status", *PLATFORM, setup="fake.scan = None")
+        self.assertEqual(1, result.returncode)
+        self.assertEqual(1, len(result.stderr.splitlines()))
+
+    def test_job_types(self) -> None:
+        """Guards against a subcommand that needs the platform but does not require its address."""
+        for name in ("status", "audit"):
+            wanted = run.SUBCOMMANDS[name]()
+            self.assertIsInstance(wanted, job.RemoteJob)
+            self.assertIn("table_address", wanted.required)
