--- a/src/celerystack/control/entry_vm.py
+++ b/src/celerystack/control/entry_vm.py
@@ -24,6 +24,7 @@
 )
 from celerystack.control import view as cluster_view
 from celerystack.lease import lessor as lessors
+from celerystack.limits import shares
 from celerystack.peers import mesh as peer_mesh
 from celerystack.peers import messages, sync
 from celerystack.platform import membership, table, transactor
@@ -155,6 +156,7 @@
         self.forwarder = forwarder.Forwarder(self._reactor, needs)
         self.front_end = frontend.FrontEnd(self._reactor, self.routes, self.forwarder)
         self.view.add_listener(self._view_changed)
+        self.entry_vm_count = shares.EntryVmCount(self.me.vm, started_at=self._clock.seconds())
 
     def _view_changed(self, change: cluster_view.ViewChange) -> None:
         """Break off requests at servers that were taken over; nothing else would end them."""
@@ -198,6 +200,9 @@
         self.front_end.listen(host, port)
 
     def _keep_up(self) -> None:
+        now = self._clock.seconds()
+        self.entry_vm_count.update([peer.entry_vm.vm for peer in self.mesh.live_peers()], now)
+        self.forwarder.set_entry_vms(self.entry_vm_count.count(now))
         watched = self.steward.watched() | self.placer.watched()
         self.lessor_task.lessor.watch(watched)
         peers_reach_it = [
--- a/tests/backend/test_client.py
+++ b/tests/backend/test_client.py
@@ -347,7 +347,9 @@
         held = []
         server = self.server(held.append, lambda r: r.connection.send(fakes.answer(b"second")))
         pool = self.pool(server, limit=1)
-        await self.fails_unknown(pool.exchange(GET, deadline=soon(0.05)))
+        first = pool.exchange(GET, deadline=soon(0.5))
+        await fakes.settle(until=lambda: held)
+        await self.fails_unknown(first)
         second = pool.exchange(GET, deadline=soon())
         held[0].connection.send(fakes.answer(b"late"))
         self.assertEqual((await second).body, b"second")
