Test control transactions and the permission to send to strict servers

Ruled out: placing shards on servers whose zone has no connected entry VM: they could not be granted, and taking them back costs another lease time. Change: tests over an in-memory table; placement skips servers that are silent or beyond a partition.

--- a/src/celerystack/control/placer_task.py
+++ b/src/celerystack/control/placer_task.py
@@ -91,6 +91,23 @@
             and not self.is_leaving(server)
         )
 
+    def may_receive(self, server: model.BackendServer) -> bool:
+        """Return whether shards may be given to a server now.
+
+        A server beyond a partition, or one that has just fallen silent, could not be granted them,
+        and taking them back would cost another lease time.
+        """
+        if not self.is_usable(server.server):
+            return False
+        now = self._clock.seconds()
+        reachable = self._lessor.reachable(server.server, now)
+        if self._lessor.is_acting(server.server):
+            return reachable
+        return reachable or self._is_connected(server.zone)
+
+    def _is_connected(self, zone: ids.ZoneName) -> bool:
+        return any(entry_vm.zone == zone for entry_vm in self._mesh.live_entry_vms())
+
     def is_leaving(self, server: ids.ServerId) -> bool:
         """Return whether a server must give up its shards."""
         return self._view.is_draining(server) or server in self._membership.leaving_servers
@@ -168,7 +185,7 @@
             server=server.server,
             zone=server.zone,
             weight=server.weight,
-            usable=self.is_usable(server.server),
+            usable=self.may_receive(server),
             draining=self.is_leaving(server.server),
             lost=lost or row is None or row.state is model.ServerState.LOST,
             usable_since=since,
@@ -276,7 +293,7 @@
     ) -> changes.Change | None:
         chosen = plan.moves[: max(0, room)]
         # A source must be able to acknowledge its release, or its shards would be held for nothing.
-        chosen = tuple(move for move in chosen if self.is_reachable(move.source))
+        chosen = tuple(move for move in chosen if self._can_release(move.source))
         if not chosen:
             return None
         balancing = sum(1 for move in chosen if not self.is_leaving(move.source))
@@ -287,10 +304,13 @@
         reason = "balance" if balancing else "drain"
         return changes.start_moves(self._view, service.name, targets, reason=reason)
 
-    def is_reachable(self, server: ids.ServerId) -> bool:
-        """Return whether a server's row says that it serves."""
-        row = self._view.server_rows_by_id.get(server)
-        return row is not None and row.state is not model.ServerState.LOST
+    def _can_release(self, source: ids.ServerId) -> bool:
+        row = self._view.server_rows_by_id.get(source)
+        return (
+            row is not None
+            and row.state is model.ServerState.ACTIVE
+            and self._is_connected(self._zone(source))
+        )
 
     def _budget(self, service: model.Service, shards: int) -> int:
         """Return how many shards balancing may move now; the budget refills evenly."""
--- /dev/null
+++ b/tests/control/test_changes.py
@@ -0,0 +1,142 @@
+from __future__ import annotations
+
+import dataclasses
+
+import testtools
+
+from celerystack import ids, model
+from celerystack.control import changes
+from celerystack.platform import ports
+from celerystack.state import keys
+from tests.control import worlds
+from tests.control.worlds import B1, B2, BROWSE, D1
+
+
+class ChangesTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.world = worlds.World()
+        self.world.create_servers()
+        self.world.assign_all()
+
+    def test_every_assignment_raises_the_receivers_token(self):
+        """Guards against a grant whose content changes under one token."""
+        self.assertEqual(2, self.world.row(B1).token)
+        self.assertEqual([0, 1, 2, 3], self.world.shards_of(B1))
+
+    def test_move_takes_the_shard_first_and_gives_it_later(self):
+        """Guards against two owners during a planned move."""
+        shard = ids.ShardId(1)
+        before = self.world.row(B1).token
+        self.world.commit(
+            changes.start_moves(self.world.view, BROWSE, {shard: B2}, reason="balance")
+        )
+        self.assertEqual([0, 2, 3], self.world.shards_of(B1))
+        self.assertEqual([], self.world.shards_of(B2))
+        self.assertEqual(before + 1, self.world.row(B1).token)
+        self.world.commit(changes.finish_moves(self.world.view, BROWSE, {shard: B2}))
+        self.assertEqual([1], self.world.shards_of(B2))
+        self.assertEqual(2, self.world.row(B2).token)
+
+    def test_racing_moves_of_one_shard_conflict(self):
+        """Guards against two entry VMs that give the same shard to different servers."""
+        shard = ids.ShardId(1)
+        first = changes.start_moves(self.world.view, BROWSE, {shard: B2}, reason="balance")
+        second = changes.start_moves(self.world.view, BROWSE, {shard: B1}, reason="balance")
+        self.world.commit(first)
+        self.assertRaises(worlds.ConflictError, self.world.commit, second)
+
+    def test_takeover_moves_all_shards_in_one_transaction(self):
+        """Guards against shards of a lost server that nobody takes over."""
+        targets = {(BROWSE, ids.ShardId(shard)): B2 for shard in range(4)}
+        epochs = [grant.epoch for grant in self.world.view.granted(B1)]
+        self.world.commit(
+            changes.take_over(
+                self.world.view, self.world.row(B1), targets_by_shard=targets, reason="test"
+            )
+        )
+        self.assertIs(model.ServerState.LOST, self.world.row(B1).state)
+        self.assertEqual((), self.world.row(B1).lessors)
+        self.assertEqual([0, 1, 2, 3], self.world.shards_of(B2))
+        after = [grant.epoch for grant in self.world.view.granted(B2)]
+        self.assertTrue(all(new > old for new, old in zip(after, epochs, strict=True)))
+
+    def test_takeover_conflicts_with_a_change_of_the_lessors(self):
+        """Guards against a takeover on promises of an outdated set of lessors."""
+        row = self.world.row(B1)
+        takeover = changes.take_over(self.world.view, row, targets_by_shard={}, reason="test")
+        self.world.commit(
+            changes.replace_lessors(
+                self.world.view,
+                row,
+                lessors=worlds.LESSORS,
+                previous=row.lessors,
+                incarnation=row.incarnation,
+                reason="test",
+            )
+        )
+        self.assertRaises(worlds.ConflictError, self.world.commit, takeover)
+
+    def test_operator_evidence_is_used_once(self):
+        """Guards against old evidence of loss that takes a server's keys months later."""
+        self.world.write(keys.release(B1), b"evidence")
+        self.world.commit(
+            changes.take_over(
+                self.world.view, self.world.row(B1), targets_by_shard={}, reason="released"
+            )
+        )
+        self.assertFalse(self.world.view.release_row(B1).value)
+
+    def test_evidence_ends_when_the_server_answers(self):
+        """Guards against evidence that spoke of a process that has come back."""
+        self.world.write(keys.release(B1), b"evidence")
+        row = self.world.row(B1)
+        self.world.commit(
+            changes.replace_lessors(
+                self.world.view,
+                row,
+                lessors=row.lessors,
+                previous=(),
+                incarnation=ids.Incarnation("s2"),
+                reason="server answers",
+            )
+        )
+        self.assertFalse(self.world.view.release_row(B1).value)
+
+
+class ClusterViewTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.world = worlds.World()
+        self.world.create_servers()
+
+    def test_corrupt_rows_keep_the_last_good_state(self):
+        """Guards against a crash, or lost ownership, from a corrupt table row."""
+        self.world.assign_all()
+        for key in (keys.server(B1), keys.shard_map(BROWSE, 0), keys.CONFIG_HEAD):
+            self.world.write(key, b"\xc1")
+        self.assertEqual(2, self.world.row(B1).token)
+        self.assertEqual([0, 1, 2, 3], self.world.shards_of(B1))
+        self.assertEqual(1, self.world.view.configuration.version)
+
+    def test_incomplete_configuration_is_not_used(self):
+        """Guards against a mix of files from two versions."""
+        self.world.write(keys.config_file("10.toml"), b"[service.other]\nprefixes=['/o/']\n")
+        self.assertIn(BROWSE, self.world.view.configuration.services_by_name)
+
+    def test_undivided_service_grants_one_shard_to_each_server(self):
+        """Guards against servers of an undivided service that never get a lease."""
+        self.assertEqual([0], self.world.shards_of(D1))
+
+    def test_strict_variant_is_the_default(self):
+        """Guards against trusting a server that was never declared to check tokens."""
+        self.assertTrue(self.world.view.checks_token(B1))
+        self.assertFalse(self.world.view.checks_token(D1))
+        self.assertFalse(self.world.view.checks_token(ids.ServerId("unknown")))
+
+    def test_older_rows_change_nothing(self):
+        """Guards against a peer with an older view that reverts an assignment."""
+        self.world.assign_all()
+        row = dataclasses.replace(self.world.cache.get(keys.server(B1)), version=ids.RowVersion(1))
+        self.world.cache.merge([ports.Row(row.key, row.version, b"\xc1")])
+        self.assertEqual(2, self.world.row(B1).token)
