--- a/src/celerystack/backend/orders.py
+++ b/src/celerystack/backend/orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import time
 from collections.abc import Callable
 from typing import Any
@@ -17,6 +18,7 @@
 """Connections per server and entry VM: one for renewals, one for a probe or grant beside them."""
 
 REPLY_MAX = 64 * 1024
+_MALFORMED = (ValueError, TypeError, KeyError, OverflowError, RecursionError)
 
 
 def _path_and_body(order: messages.Order, lessor: ids.EntryVmId) -> tuple[bytes, dict[str, Any]]:
@@ -40,18 +42,25 @@
     }
 
 
-def _number(value: Any) -> float:
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise TypeError(f"{value!r} is not a number")
+def _integer(value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(f"{value!r} is not an integer")
     return value
 
 
+def _finite(value: Any) -> float:
+    # json accepts NaN and Infinity; either as a stamp would disable the lease arithmetic.
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise TypeError(f"{value!r} is not a finite number")
+    return float(value)
+
+
 def decode_reply(server: ids.ServerId, body: bytes) -> messages.OrderReply:
     """Decode the JSON reply to an order.
 
     Raises
     ------
-    ValueError, TypeError, KeyError
+    ValueError, TypeError, KeyError, OverflowError, RecursionError
         The reply is malformed.
     """
     fields = json.loads(body)
@@ -62,10 +71,10 @@
         server=server,
         result=messages.OrderResult(fields["result"]),
         incarnation=ids.Incarnation(incarnation),
-        token=ids.Token(int(_number(fields["token"]))),
-        stamp=float(_number(fields["stamp"])),
-        running_dropped=int(_number(fields.get("running_dropped", 0))),
-        load=float(_number(fields.get("load", 0.0))),
+        token=ids.Token(_integer(fields["token"])),
+        stamp=_finite(fields["stamp"]),
+        running_dropped=_integer(fields.get("running_dropped", 0)),
+        load=_finite(fields.get("load", 0.0)),
     )
 
 
@@ -140,7 +149,7 @@
             )
         try:
             return decode_reply(server, answer.body)
-        except (ValueError, TypeError, KeyError, AttributeError) as error:
+        except _MALFORMED as error:
             raise errors.OutcomeUnknownError(
                 f"malformed reply: {error}", step="backend.order", peer=server
             ) from error
--- /dev/null
+++ b/tests/limits/test_deadline_queue.py
@@ -0,0 +1,90 @@
+"""Deadline queue: order, early shedding, bounds."""
+
+from __future__ import annotations
+
+import hypothesis
+import testtools
+from hypothesis import strategies
+
+from celerystack.limits import deadline_queue
+
+
+class DeadlineQueueTest(testtools.TestCase):
+    def queue(self, service_time_s=0.0, **options):
+        queue = deadline_queue.DeadlineQueue(**options)
+        if service_time_s:
+            queue.observe(service_time_s)
+        return queue
+
+    def push(self, queue, item, deadline, *, now=0.0, concurrency=1):
+        return queue.push(item, deadline=deadline, now=now, concurrency=concurrency)
+
+    def test_deadline_order_and_arrival_order_within_it(self):
+        """Guards against urgent requests that wait behind patient ones."""
+        queue = self.queue()
+        for item, deadline in (("c", 3.0), ("a", 1.0), ("b1", 2.0), ("b2", 2.0)):
+            self.assertEqual(self.push(queue, item, deadline), [])
+        self.assertEqual([queue.pop() for _ in range(5)], ["a", "b1", "b2", "c", None])
+
+    def test_sheds_what_cannot_start(self):
+        """Guards against holding a request until a deadline that cannot be met."""
+        queue = self.queue(1.0)
+        self.assertEqual(self.push(queue, "in time", 1.5), [])
+        self.assertEqual(self.push(queue, "too late", 1.9), ["too late"])
+        self.assertEqual(self.push(queue, "patient", 2.5), [])
+
+    def test_urgent_request_displaces_one_that_becomes_late(self):
+        """Guards against keeping a request that an earlier deadline has made hopeless."""
+        queue = self.queue(1.0)
+        self.assertEqual(self.push(queue, "later", 1.9), [])
+        self.assertEqual(self.push(queue, "urgent", 1.5), ["later"])
+        self.assertEqual(queue.pop(), "urgent")
+
+    def test_concurrency_shortens_the_wait(self):
+        """Guards against shedding by the time of a server with one slot."""
+        queue = self.queue(1.0)
+        self.assertEqual(self.push(queue, "a", 0.9, concurrency=2), [])
+        self.assertEqual(self.push(queue, "b", 1.1, concurrency=2), [])
+        self.assertEqual(self.push(queue, "c", 1.2, concurrency=2), ["c"])
+
+    def test_length_bound_sheds_the_latest_deadline(self):
+        """Guards against unbounded memory, and against shedding the urgent request."""
+        queue = self.queue(length_max=2)
+        self.push(queue, "a", 5.0)
+        self.push(queue, "b", 6.0)
+        self.assertEqual(self.push(queue, "urgent", 1.0), ["b"])
+        self.assertEqual(self.push(queue, "last", 9.0), ["last"])
+        self.assertEqual(len(queue), 2)
+
+    def test_expire_and_remove(self):
+        """Guards against entries that stay after their deadline or their caller's departure."""
+        queue = self.queue()
+        for item, deadline in (("a", 1.0), ("b", 2.0), ("c", 3.0)):
+            self.push(queue, item, deadline)
+        self.assertEqual(queue.next_deadline(), 1.0)
+        self.assertEqual(queue.expire(1.0), ["a"])
+        self.assertTrue(queue.remove("b"))
+        self.assertFalse(queue.remove("b"))
+        self.assertEqual((len(queue), queue.next_deadline()), (1, 3.0))
+
+    def test_passed_deadline_is_shed_without_observations(self):
+        """Guards against queueing a request that is already late."""
+        self.assertEqual(self.push(self.queue(), "late", 1.0, now=1.0), ["late"])
+
+    @hypothesis.given(
+        strategies.lists(strategies.floats(0.01, 20.0), max_size=60),
+        strategies.floats(0.001, 2.0),
+        strategies.integers(1, 8),
+    )
+    def test_kept_items_can_start_in_time(self, deadlines, service_time_s, concurrency):
+        """Guards against items kept or lost against the rule, for any order of arrival."""
+        queue = self.queue(service_time_s, length_max=30)
+        shed = []
+        for item, deadline in enumerate(deadlines):
+            shed += self.push(queue, item, deadline, concurrency=concurrency)
+        kept = [queue.pop() for _ in range(len(queue))]
+        self.assertEqual(sorted(shed + kept), list(range(len(deadlines))))
+        self.assertTrue(len(kept) <= 30)
+        for place, item in enumerate(kept):
+            start = (place + 1) * service_time_s / concurrency
+            self.assertTrue(start < deadlines[item])
