Add transports that can be cut off from address prefixes

Cause: partitions have to be tested without changing the machine's network. Ruled out: wrapping protocols only, because the backend client sends on the socket itself; a relay process per listener, because a killed entry VM would no longer refuse connections.

--- a/src/celerystack/platform/http.py
+++ b/src/celerystack/platform/http.py
@@ -92,7 +92,7 @@
         Limit of each call in seconds, from the first byte sent to the last byte received.
     """
 
-    def __init__(self, reactor: Any, *, address: str, timeout_s: float) -> None:
+    def __init__(self, reactor: Any, address: str, *, timeout_s: float) -> None:
         self._reactor = reactor
         self._timeout_s = timeout_s
         self.address = address
--- a/src/celerystack/platform/membership.py
+++ b/src/celerystack/platform/membership.py
@@ -34,7 +34,7 @@
         Limit of each call in seconds.
     """
 
-    def __init__(self, reactor: Any, *, address: str, timeout_s: float) -> None:
+    def __init__(self, reactor: Any, address: str, *, timeout_s: float) -> None:
         self._http = http.PlatformHttp(reactor, address=address, timeout_s=timeout_s)
 
     def members(self) -> defer.Deferred[list[ports.Member]]:
--- a/src/celerystack/platform/objects.py
+++ b/src/celerystack/platform/objects.py
@@ -25,7 +25,7 @@
         Limit of each call in seconds.
     """
 
-    def __init__(self, reactor: Any, *, address: str, timeout_s: float) -> None:
+    def __init__(self, reactor: Any, address: str, *, timeout_s: float) -> None:
         self._http = http.PlatformHttp(reactor, address=address, timeout_s=timeout_s)
 
     def put(self, name: str, body: bytes) -> defer.Deferred[None]:
--- a/src/celerystack/platform/table.py
+++ b/src/celerystack/platform/table.py
@@ -43,7 +43,7 @@
         Limit of each call in seconds.
     """
 
-    def __init__(self, reactor: Any, *, address: str, timeout_s: float) -> None:
+    def __init__(self, reactor: Any, address: str, *, timeout_s: float) -> None:
         self._http = http.PlatformHttp(reactor, address=address, timeout_s=timeout_s)
 
     def get(self, keys: list[ids.RowKey]) -> defer.Deferred[list[ports.Row]]:
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -29,7 +29,7 @@
 from twisted.internet import reactor, task
 from twisted.web import http, resource, server
 
-from standins import execution, journal, lease_state
+from standins import execution, journal, lease_state, lifetime
 
 CRASH_STATUS = 70
 LOAD_LAG_S = 5.0
@@ -94,7 +94,7 @@
 class Backend(resource.Resource):
     """Handles orders and requests."""
 
-    isLeaf = True  # noqa: N815
+    isLeaf = True
 
     def __init__(
         self,
@@ -174,7 +174,7 @@
             shard = lease_state.ShardEpoch(service, int(header("Shard")), int(header("Epoch")))
         job = execution.Job(
             service=service,
-            key=header("Key"),
+            key=header("Key") or _key_in_path(request, header("Request-Id")),
             shard=shard,
             request_id=header("Request-Id"),
             method=request.method.decode(),
@@ -231,6 +231,12 @@
         return json.dumps(fields).encode()
 
 
+def _key_in_path(request: server.Request, request_id: str) -> str:
+    """Return the segment before the request id; used if the router names no key."""
+    segments = request.path.decode().split("/")
+    return segments[segments.index(request_id) - 1] if request_id in segments else ""
+
+
 def _number(request: server.Request, name: str) -> float:
     return float(request.args.get(name.encode(), [b"1"])[0])
 
@@ -289,6 +295,7 @@
     """Serve until the process is ended."""
     options = _parse(argv)
     reactor.listenTCP(options.port, build(options), backlog=512, interface=options.host)
+    lifetime.follow_parent(reactor)
     reactor.run()
 
 
--- /dev/null
+++ b/standins/cuts.py
@@ -0,0 +1,261 @@
+"""Cuts a Twisted process off from address prefixes without closing its connections.
+
+While a prefix is cut, bytes to and from its addresses are held back, connections that either side
+opens do not complete, and a close by this side is not seen by the other. After the cut is healed,
+everything that was held back is delivered late, in order.
+
+The sockets below Twisted's transports are wrapped, because celerystack sends the first bytes of a
+request on the socket itself.
+"""
+
+from __future__ import annotations
+
+import errno
+import json
+import socket
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from twisted.internet import abstract, protocol, tcp
+
+HELD_BYTES_MAX = 8 << 20
+FLUSH_RETRY_S = 0.005
+
+
+def _would_block() -> BlockingIOError:
+    return BlockingIOError(errno.EWOULDBLOCK, "held back by a cut")
+
+
+class Network:
+    """The cut prefixes and everything that waits for their end."""
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+        self._prefixes: tuple[str, ...] = ()
+        self._paused: set[tcp.Connection] = set()
+        self._connecting: set[tcp.BaseClient] = set()
+        self._holding: dict[CutSocket, None] = {}
+        self._ports: list[tcp.Port] = []
+        self._retry: Any = None
+
+    @property
+    def prefixes(self) -> tuple[str, ...]:
+        return self._prefixes
+
+    def is_cut(self, host: str) -> bool:
+        return bool(self._prefixes) and host.startswith(self._prefixes)
+
+    def set_cuts(self, prefixes: Iterable[str]) -> None:
+        """Replace the cut prefixes; what is no longer cut is delivered."""
+        self._prefixes = tuple(prefixes)
+        self._flush()
+        for transport in tuple(self._paused):
+            if not self.is_cut(transport.socket.host):
+                self._paused.discard(transport)
+                transport.startReading()
+        for client in tuple(self._connecting):
+            if not self.is_cut(client.realAddress[0]):
+                self._connecting.discard(client)
+                client.doConnect()
+        for port in tuple(self._ports):
+            if port.connected:
+                port.doRead()
+
+    def pause(self, transport: tcp.Connection) -> None:
+        """Stop reading until the cut is healed; polling would find the unread bytes at once."""
+        transport.stopReading()
+        self._paused.add(transport)
+
+    def forget(self, transport: tcp.Connection) -> None:
+        self._paused.discard(transport)
+        self._connecting.discard(transport)
+
+    def connect_later(self, client: tcp.BaseClient) -> None:
+        self._connecting.add(client)
+
+    def add_port(self, port: tcp.Port) -> None:
+        self._ports.append(port)
+
+    def hold(self, held: CutSocket) -> None:
+        self._holding[held] = None
+
+    def _flush(self) -> None:
+        if self._retry is not None and self._retry.active():
+            self._retry.cancel()
+        self._retry = None
+        for held in tuple(self._holding):
+            if not self.is_cut(held.host) and held.flush():
+                del self._holding[held]
+        if any(not self.is_cut(held.host) for held in self._holding):
+            self._retry = self._reactor.callLater(FLUSH_RETRY_S, self._flush)
+
+
+class CutSocket:
+    """A connected socket whose traffic is held back while its peer is cut."""
+
+    def __init__(self, real: socket.socket, network: Network) -> None:
+        self._real = real
+        self._network = network
+        self._held = bytearray()
+        self._shutdown: int | None = None
+        self._closed = False
+        self.host = ""
+        try:
+            self.host = real.getpeername()[0]
+        except OSError:
+            pass  # A client socket that is not connected yet; `_do_connect` sets the host.
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._real, name)
+
+    @property
+    def _holds(self) -> bool:
+        return bool(self._held) or self._network.is_cut(self.host)
+
+    def send(self, data: bytes | memoryview, flags: int = 0) -> int:
+        if not self._holds:
+            return self._real.send(data, flags)
+        if len(self._held) >= HELD_BYTES_MAX:
+            raise _would_block()
+        self._held += data
+        self._network.hold(self)
+        return len(data)
+
+    def recv(self, size: int, flags: int = 0) -> bytes:
+        if self._network.is_cut(self.host):
+            raise _would_block()
+        return self._real.recv(size, flags)
+
+    def shutdown(self, how: int) -> None:
+        if self._holds:
+            self._shutdown = how
+            self._network.hold(self)
+        else:
+            self._real.shutdown(how)
+
+    def close(self) -> None:
+        if self._holds:
+            self._closed = True
+            self._network.hold(self)
+        else:
+            self._real.close()
+
+    def flush(self) -> bool:
+        """Send what was held back; returns whether nothing is left to do."""
+        try:
+            while self._held:
+                del self._held[: self._real.send(self._held)]
+            if self._shutdown is not None:
+                self._real.shutdown(self._shutdown)
+                self._shutdown = None
+        except BlockingIOError:
+            return False
+        except OSError:
+            self._held.clear()
+        if self._closed:
+            self._real.close()
+        return True
+
+
+class CutListener:
+    """A listening socket that keeps connections of cut peers back."""
+
+    def __init__(self, real: socket.socket, network: Network) -> None:
+        self._real = real
+        self._network = network
+        self._waiting: list[tuple[socket.socket, Any]] = []
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._real, name)
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        for position, (_, address) in enumerate(self._waiting):
+            if not self._network.is_cut(address[0]):
+                return self._waiting.pop(position)
+        while True:
+            accepted, address = self._real.accept()
+            if not self._network.is_cut(address[0]):
+                return accepted, address
+            self._waiting.append((accepted, address))
+
+
+def _wrap_connections(network: Network) -> None:
+    initialize, read = tcp.Connection.__init__, tcp.Connection.doRead
+    connect = tcp.BaseClient.doConnect
+
+    def _initialize(self: Any, skt: Any, *rest: Any, **options: Any) -> None:
+        initialize(self, CutSocket(skt, network), *rest, **options)
+
+    def _do_read(self: Any) -> Any:
+        if network.is_cut(self.socket.host):
+            network.pause(self)
+            return None
+        return read(self)
+
+    def _stop_reading(self: Any) -> None:
+        network.forget(self)
+        abstract.FileDescriptor.stopReading(self)
+
+    def _do_connect(self: Any) -> None:
+        if not hasattr(self, "connector"):
+            return
+        self.socket.host = self.realAddress[0]
+        if network.is_cut(self.socket.host):
+            self.stopReading()
+            self.stopWriting()
+            network.connect_later(self)
+        else:
+            connect(self)
+
+    tcp.Connection.__init__ = _initialize
+    tcp.Connection.doRead = _do_read
+    tcp.Connection.stopReading = _stop_reading
+    tcp.BaseClient.doConnect = _do_connect
+
+
+def _wrap_listeners(network: Network) -> None:
+    create: Callable[[Any], socket.socket] = tcp.Port.createInternetSocket
+
+    def _create(self: Any) -> CutListener:
+        network.add_port(self)
+        return CutListener(create(self), network)
+
+    tcp.Port.createInternetSocket = _create
+
+
+def _bind_clients(source_ip: str) -> None:
+    initialize = tcp.Client.__init__
+
+    def _initialize(
+        self: Any, host: str, port: int, bind: Any, connector: Any, reactor: Any = None
+    ) -> None:
+        initialize(self, host, port, bind or (source_ip, 0), connector, reactor)
+
+    tcp.Client.__init__ = _initialize
+
+
+def install(reactor: Any, *, source_ip: str) -> Network:
+    """Wrap all TCP transports that this process creates from now on.
+
+    Parameters
+    ----------
+    source_ip : str
+        Address that outgoing connections are bound to, so that the other side can cut them by
+        prefix; a loopback connection would otherwise come from 127.0.0.1.
+    """
+    network = Network(reactor)
+    _wrap_connections(network)
+    _wrap_listeners(network)
+    _bind_clients(source_ip)
+    return network
+
+
+class ControlProtocol(protocol.DatagramProtocol):
+    """Takes ``{"cut": [prefix, ...]}`` as JSON and answers with the prefixes in force."""
+
+    def __init__(self, network: Network) -> None:
+        self._network = network
+
+    def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
+        self._network.set_cuts(json.loads(datagram)["cut"])
+        self.transport.write(json.dumps({"cut": self._network.prefixes}).encode(), addr)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -25,7 +25,7 @@
 from twisted.python import log
 from twisted.web import http, resource, server
 
-from standins import platform_state
+from standins import lifetime, platform_state
 
 OUTAGES = ("none", "refuse", "hang")
 
@@ -135,7 +135,7 @@
 class PlatformResource(resource.Resource):
     """Applies the switched faults to every call except those under ``/control``."""
 
-    isLeaf = True  # noqa: N815
+    isLeaf = True
 
     def __init__(self, platform: Platform) -> None:
         super().__init__()
@@ -199,6 +199,7 @@
     site = server.Site(PlatformResource(Platform()))
     site.displayTracebacks = False
     reactor.listenTCP(options.port, site, backlog=512, interface=options.host)
+    lifetime.follow_parent(reactor)
     reactor.run()
 
 
