--- a/standins/backend.py
+++ b/standins/backend.py
@@ -94,7 +94,7 @@
 class Backend(resource.Resource):
     """Handles orders and requests."""
 
-    isLeaf = True
+    isLeaf = True  # noqa: N815
 
     def __init__(
         self,
--- a/standins/cuts.py
+++ b/standins/cuts.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import json
 import socket
@@ -100,10 +101,9 @@
         self._shutdown: int | None = None
         self._closed = False
         self.host = ""
-        try:
+        # The host of a client socket that is not connected yet is set by `_do_connect`.
+        with contextlib.suppress(OSError):
             self.host = real.getpeername()[0]
-        except OSError:
-            pass  # A client socket that is not connected yet; `_do_connect` sets the host.
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._real, name)
--- /dev/null
+++ b/standins/layout.py
@@ -0,0 +1,95 @@
+"""What a cluster of stand-ins consists of, and small helpers to reach its parts."""
+
+from __future__ import annotations
+
+import dataclasses
+import http.client
+import json
+import socket
+import time
+from collections.abc import Callable
+from typing import Any
+
+POLL_S = 0.05
+HTTP_TIMEOUT_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ServiceSpec:
+    """A service to declare; ``fields`` are further fields of its table."""
+
+    name: str
+    prefix: str
+    divided: bool = True
+    shards: int = 16
+    checks_token: bool = True
+    fields: dict[str, Any] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BackendSpec:
+    """A backend server; ``flags`` are passed to the stand-in."""
+
+    name: str
+    service: str
+    zone: int
+    flags: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EntryVmSpec:
+    """An entry VM; ``environment`` overrides its settings."""
+
+    name: str
+    zone: int
+    environment: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EntryVmAddresses:
+    """``IP:port`` of the listeners of an entry VM."""
+
+    caller: str
+    peer: str
+    admin: str
+    control: str
+
+
+def free_address(ip: str, kind: int = socket.SOCK_STREAM) -> str:
+    """Return ``ip`` with a port that is free now."""
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind((ip, 0))
+        return f"{ip}:{probe.getsockname()[1]}"
+
+
+def call(
+    address: str, method: str, path: str, body: object = None, timeout_s: float = HTTP_TIMEOUT_S
+) -> tuple[int, bytes]:
+    """Send one HTTP request; returns status and body."""
+    connection = http.client.HTTPConnection(address, timeout=timeout_s)
+    try:
+        connection.request(method, path, None if body is None else json.dumps(body))
+        answer = connection.getresponse()
+        return answer.status, answer.read()
+    finally:
+        connection.close()
+
+
+def wait_until(condition: Callable[[], bool], *, what: str, timeout_s: float) -> float:
+    """Poll until ``condition`` holds; returns the seconds it took, raises TimeoutError."""
+    started = time.monotonic()
+    while not condition():
+        if time.monotonic() - started > timeout_s:
+            raise TimeoutError(f"{what} did not happen within {timeout_s} s")
+        time.sleep(POLL_S)
+    return time.monotonic() - started
+
+
+def toml(kind: str, tables_by_name: dict[str, dict[str, Any]]) -> str:
+    """Write tables whose values JSON and TOML spell alike."""
+    lines = []
+    for name, fields in tables_by_name.items():
+        lines.append(f"[{kind}.{name}]")
+        lines += [f"{field} = {json.dumps(value)}" for field, value in fields.items()]
+        lines.append("")
+    return "\n".join(lines)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -135,7 +135,7 @@
 class PlatformResource(resource.Resource):
     """Applies the switched faults to every call except those under ``/control``."""
 
-    isLeaf = True
+    isLeaf = True  # noqa: N815
 
     def __init__(self, platform: Platform) -> None:
         super().__init__()
