--- a/src/celerystack/control/changes.py
+++ b/src/celerystack/control/changes.py
@@ -6,6 +6,7 @@
 
 from celerystack import errors, ids, model
 from celerystack.control import view as cluster_view
+from celerystack.observe import audit
 from celerystack.platform import ports
 from celerystack.state import codec, keys, shardmap
 
@@ -16,7 +17,7 @@
 
     expected_versions_by_key: dict[ids.RowKey, ids.RowVersion]
     writes: tuple[ports.Write, ...]
-    action: str
+    action: audit.Action
     subject: str
     reason: str
     before: str
@@ -75,7 +76,7 @@
         self._plain_by_key[key] = value
 
     def build(
-        self, *, action: str, subject: str, reason: str, before: str = "", after: str = ""
+        self, *, action: audit.Action, subject: str, reason: str, before: str = "", after: str = ""
     ) -> Change:
         """Return the transaction."""
         writes = [
@@ -117,7 +118,10 @@
         )
     )
     return builder.build(
-        action="server.create", subject=server, reason="declared", after=_lessor_text(lessors)
+        action=audit.Action.CREATE_SERVER,
+        subject=f"server/{server}",
+        reason="declared",
+        after=_lessor_text(lessors),
     )
 
 
@@ -148,8 +152,8 @@
         )
     )
     return builder.build(
-        action="server.lessors",
-        subject=row.server,
+        action=audit.Action.LESSORS,
+        subject=f"server/{row.server}",
         reason=reason,
         before=_lessor_text(row.lessors),
         after=_lessor_text(lessors),
@@ -161,8 +165,8 @@
     builder = ChangeBuilder(view)
     builder.put_server(dataclasses.replace(row, previous_lessors=()))
     return builder.build(
-        action="server.lessors_acknowledged",
-        subject=row.server,
+        action=audit.Action.LESSORS,
+        subject=f"server/{row.server}",
         reason=f"server acknowledged token {row.token}",
         before=_lessor_text(row.previous_lessors),
     )
@@ -175,7 +179,9 @@
         dataclasses.replace(row, state=model.ServerState.SUSPENDED, token=ids.Token(row.token + 1))
     )
     return builder.build(
-        action="server.suspend", subject=row.server, reason="does not answer, checks no tokens"
+        action=audit.Action.SUSPEND,
+        subject=f"server/{row.server}",
+        reason="does not answer, checks no tokens",
     )
 
 
@@ -203,8 +209,8 @@
         if target is not None:
             builder.raise_token(target)
     return builder.build(
-        action="server.takeover",
-        subject=row.server,
+        action=audit.Action.TAKEOVER,
+        subject=f"server/{row.server}",
         reason=reason,
         before=f"token {row.token}, {len(targets_by_shard)} shards",
         after=_count_text(targets_by_shard),
@@ -238,8 +244,8 @@
     for number, chunk in enumerate(shardmap.new_chunks(service.shards)):
         builder.put_chunk(keys.shard_map(service.name, number), chunk)
     return builder.build(
-        action="map.create",
-        subject=service.name,
+        action=audit.Action.CREATE_MAP,
+        subject=f"map/{service.name}",
         reason="declared",
         after=f"{service.shards} shards",
     )
@@ -257,8 +263,8 @@
         builder.raise_token(target)
     qualified = {(service, shard): target for shard, target in targets_by_shard.items()}
     return builder.build(
-        action="map.assign",
-        subject=service,
+        action=audit.Action.ASSIGN,
+        subject=f"map/{service}",
         reason="shards without owner",
         before=f"{len(targets_by_shard)} shards",
         after=_count_text(qualified),
@@ -281,8 +287,8 @@
         builder.raise_token(chunk.moves_by_shard[shard].source if source is None else source)
     qualified = {(service, shard): target for shard, target in targets_by_shard.items()}
     return builder.build(
-        action="map.move_start",
-        subject=service,
+        action=audit.Action.MOVE_START,
+        subject=f"map/{service}",
         reason=reason,
         before=f"{len(targets_by_shard)} shards",
         after=_count_text(qualified),
@@ -296,4 +302,4 @@
 ) -> Change:
     """Give released shards to their receivers."""
     change = assign(view, service, targets_by_shard)
-    return dataclasses.replace(change, action="map.move_finish", reason="old owner released")
+    return dataclasses.replace(change, action=audit.Action.MOVE_END, reason="old owner released")
--- a/src/celerystack/control/committer.py
+++ b/src/celerystack/control/committer.py
@@ -9,9 +9,9 @@
 
 from celerystack import errors
 from celerystack.control import changes, table_sync
+from celerystack.observe import audit
 from celerystack.peers import sync
 from celerystack.platform import transactor as transactors
-from celerystack.state import codec
 
 COMMIT_TIMEOUT_S = 3.0
 """Longest time to find out whether a transaction took effect."""
@@ -43,7 +43,7 @@
         After a conflict, and when the result is unknown, the affected rows are read again, so that
         the caller can decide anew.
         """
-        audit = codec.AuditRow(
+        entry = audit.row(
             transaction=transactors.new_transaction_id(),
             operator=self._operator,
             time_ms=int(time.time() * 1000),
@@ -57,7 +57,7 @@
             rows = await self._transactor.transact(
                 expected_versions_by_key=change.expected_versions_by_key,
                 writes=change.writes,
-                audit=audit,
+                audit=entry,
                 deadline=self._clock.seconds() + COMMIT_TIMEOUT_S,
             )
         except errors.TransactionConflictError:
@@ -69,11 +69,11 @@
         self._rows.push(rows)
         _log.info(
             "%s %s: %s -> %s (%s)",
-            change.action,
+            change.action.value,
             change.subject,
             change.before,
             change.after,
             change.reason,
-            extra={"step": change.action},
+            extra={"step": change.action.value},
         )
         return True
--- a/src/celerystack/observe/audit.py
+++ b/src/celerystack/observe/audit.py
@@ -29,6 +29,9 @@
     MOVE_END = "move_end"
     TAKEOVER = "takeover"
     LESSORS = "lessors"
+    CREATE_SERVER = "create_server"
+    CREATE_MAP = "create_map"
+    SUSPEND = "suspend"
     HOT_SPLIT = "hot_split"
     HOT_MERGE = "hot_merge"
 
