Refuse ambiguous framing at the caller listener and test the front end

The tests of malformed and hostile requests found these faults, all fixed here: - twisted.web ignores "Transfer-Encoding: identity", which another hop may delimit differently; - it reads "Connection: close, x" as keep-alive, because it separates values at spaces; - a header line above 16 KiB closed the connection without an answer; - closing with unread body bytes could reset the connection before the caller read the 413 answer; - a cancelled exchange ended with OutcomeUnknownError instead of CancelledError, so a GET whose caller had gone was retried until its deadline; - a request that was still being received did not delay the end of a drain.

--- a/src/celerystack/backend/exchange.py
+++ b/src/celerystack/backend/exchange.py
@@ -181,7 +181,10 @@
         self.streamed: StreamedResponse | None = None
 
     def _cancelled(self, _deferred: defer.Deferred[Any]) -> None:
-        self.abort()
+        # The Deferred fails with CancelledError by itself.
+        if self.state is not ExchangeState.DONE:
+            self._finish()
+            self.on_cancel(self)
 
     def abort(self) -> None:
         """Give up; closes the connection if the request was written."""
--- a/src/celerystack/requests/callerhttp.py
+++ b/src/celerystack/requests/callerhttp.py
@@ -19,6 +19,8 @@
 """Idle connections stay open this long after the last answer, so that a request which is already
 on its way is still answered."""
 
+LINGER_S = 1.0
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Limits:
@@ -30,10 +32,6 @@
     idle_s: float = 60.0
 
 
-class _BoundedBody(io.BytesIO):
-    """Request body in memory; entry VMs have no disk for twisted.web's temporary files."""
-
-
 @provider(iweb.INonQueuedRequestFactory)
 class CallerRequest(http.Request):
     """One request; ``factory.received`` is called when it is complete."""
@@ -47,13 +45,20 @@
         self._rejected = False
         self._size = 0
         self._on_disconnect: Callable[[], None] | None = None
+        self.factory.started(self)
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
-        """Prepare the body buffer; rejects a declared length above the limit."""
-        self.content = _BoundedBody()
+        """Prepare the body buffer; rejects a declared length above the limit.
+
+        The body is kept in memory: entry VMs have no disk for twisted.web's temporary files.
+        """
+        self.content = io.BytesIO()
         if length is not None and length > self.factory.limits.body_max:
             self._reject()
 
+    def parseCookies(self) -> None:  # noqa: N802
+        """Leave cookies as they are."""
+
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
         """Take body bytes; rejects a chunked body above the limit."""
         if self._rejected:
@@ -74,9 +79,6 @@
             return
         self.method, self.uri, self.clientproto = command, path, version
         self.path = path.partition(b"?")[0]
-        if self.factory.draining:
-            self.channel.persistent = False
-        self.factory.started()
         self.factory.received(self)
 
     def header_list(self) -> backend_http.HeaderList:
@@ -99,6 +101,11 @@
         """Return whether the caller's connection is lost."""
         return self._disconnected
 
+    def close_after_answer(self) -> None:
+        """Close the connection after this answer and say so in its head."""
+        self.channel.persistent = False
+        self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
+
     def abort(self) -> None:
         """Close the caller's connection at once, so that a partial answer is seen as such."""
         self.channel.transport.abortConnection()
@@ -106,30 +113,33 @@
     def write(self, data: bytes) -> None:
         """Write body bytes; adds ``Connection: close`` to the head while draining."""
         if not self.startedWriting and self.factory.draining:
-            self.channel.persistent = False
-            self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
+            self.close_after_answer()
         super().write(data)
 
     def finish(self) -> None:
         """End the answer."""
         super().finish()
-        self.factory.ended()
+        self.factory.ended(self)
 
     def connectionLost(self, reason: failure.Failure) -> None:  # noqa: N802
         """Tell the handler that the caller is gone."""
-        received = self.uri != http.Request.uri
         super().connectionLost(reason)
-        if received and not self.finished:
-            self.factory.ended()
+        if not self.finished:
+            self.factory.ended(self)
             if self._on_disconnect is not None:
                 self._on_disconnect()
 
 
+def _discard(data: bytes) -> None:
+    """Ignore bytes that a caller sends after its request was refused."""
+
+
 class CallerChannel(http.HTTPChannel):
     """HTTP/1.1 connection of a caller."""
 
     requestFactory = CallerRequest  # noqa: N815
     factory: CallerFactory
+    _lingering: Any = None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Apply the limits."""
@@ -142,17 +152,45 @@
     def connectionLost(self, reason: failure.Failure) -> None:  # noqa: N802
         """Forget the connection."""
         self.factory.channels.discard(self)
+        if self._lingering is not None and self._lingering.active():
+            self._lingering.cancel()
         super().connectionLost(reason)
         self.factory.check_drained()
 
     def refuse(self, status: int, reason: bytes) -> None:
-        """Answer a request that cannot be read and close the connection."""
+        """Answer a request that cannot be read and close the connection.
+
+        Discards what the caller still sends for up to `LINGER_S`: closing with unread bytes resets
+        the connection, and the caller might lose the answer.
+        """
+        if self._lingering is not None:
+            return
         body = reason + b"\n"
         self.transport.write(
             b"HTTP/1.1 %d %s\r\nX-Celerystack-Outcome: not-run\r\nContent-Length: %d\r\n"
             b"Connection: close\r\n\r\n%s" % (status, http.RESPONSES[status], len(body), body)
         )
-        self.loseConnection()
+        self.persistent = False
+        self.paused = True
+        self.dataReceived = _discard
+        self.setTimeout(None)
+        self._networkProducer.unregisterProducer()
+        self.transport.loseWriteConnection()
+        self._lingering = self.callLater(LINGER_S, self.transport.abortConnection)
+
+    def checkPersistence(self, request: CallerRequest, version: bytes) -> bool:  # noqa: N802
+        """Return whether the connection stays open after this request.
+
+        twisted.web separates the values of ``Connection`` at spaces and so misses ``close, x``.
+        """
+        for value in request.requestHeaders.getRawHeaders(b"Connection", ()):
+            if b"close" in (part.strip().lower() for part in value.split(b",")):
+                return False
+        return super().checkPersistence(request, version)
+
+    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
+        """Refuse a line above `MAX_LENGTH`; twisted.web would close without an answer."""
+        self.refuse(400, b"a header line is too long")
 
     def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
         # Overrides twisted.web's bare answer, which has no outcome header.
@@ -185,7 +223,7 @@
         self.draining = False
         self.channels: set[CallerChannel] = set()
         self._reactor = reactor
-        self._active = 0
+        self._active: set[CallerRequest] = set()
         self._waiting: list[defer.Deferred[None]] = []
         self._linger: Any = None
 
@@ -199,17 +237,17 @@
     def log(self, request: CallerRequest) -> None:
         """Ignore twisted.web's access log record."""
 
-    def started(self) -> None:
-        """Count a request that is being answered."""
-        self._active += 1
+    def started(self, request: CallerRequest) -> None:
+        """Record a request whose first line has arrived."""
+        self._active.add(request)
 
-    def ended(self) -> None:
-        """Count the end of a request."""
-        self._active -= 1
+    def ended(self, request: CallerRequest) -> None:
+        """Record that a request was answered or its connection was lost."""
+        self._active.discard(request)
         self.check_drained()
 
     def drained(self) -> defer.Deferred[None]:
-        """Return a Deferred that fires when no request is in progress."""
+        """Return a Deferred that fires when no request is being received or answered."""
         result: defer.Deferred[None] = defer.Deferred()
         self._waiting.append(result)
         self.check_drained()
@@ -222,7 +260,7 @@
         if self._linger is not None:
             self._linger.cancel()
             self._linger = None
-        if self._active == 0:
+        if not self._active:
             delay_s = DRAIN_IDLE_S if self.channels else 0.0
             self._linger = self._reactor.callLater(delay_s, self._finish_drain)
 
--- a/src/celerystack/requests/encoding.py
+++ b/src/celerystack/requests/encoding.py
@@ -41,8 +41,13 @@
 
 
 def answer_headers(headers: http.HeaderList) -> http.HeaderList:
-    """Return the headers of a server's answer that are passed on; names are in lower case."""
+    """Return the headers of a server's answer that are passed on; names are in lower case.
+
+    A length beside a transfer encoding is not the length of the body and is dropped.
+    """
     dropped = _HOP_BY_HOP | _named_by_connection(headers)
+    if any(name == b"transfer-encoding" for name, _ in headers):
+        dropped |= {b"content-length"}
     return tuple(
         (name, value)
         for name, value in headers
--- a/src/celerystack/requests/frontend.py
+++ b/src/celerystack/requests/frontend.py
@@ -87,6 +87,8 @@
         try:
             call = self._read_call(request)
         except RequestError as error:
+            if error.status == 400:
+                request.close_after_answer()
             self._answer(request, replies.NotRun(error.reason, error.status))
             return
         running = self._forwarder.forward(call)
@@ -101,6 +103,10 @@
             raise RequestError(400, "the request target must be a path of visible characters")
         if not _METHOD.fullmatch(request.method) or request.method == b"CONNECT":
             raise RequestError(400, "the method is not supported")
+        codings = [value.lower() for name, value in headers if name == b"transfer-encoding"]
+        if codings not in ([], [b"chunked"]):
+            # twisted.web ignores "identity"; another hop may delimit such a request differently.
+            raise RequestError(400, "the transfer encoding is not supported")
         if _CONTROL.search(b"".join(value for _, value in headers)):
             raise RequestError(400, "a header value contains a control character")
         path = target.partition(b"?")[0].decode("ascii")
--- a/src/celerystack/requests/lanes.py
+++ b/src/celerystack/requests/lanes.py
@@ -98,6 +98,7 @@
         self._on_loss = on_loss
         self._now = now
         self._break: _Break | None = None
+        self._break_timer: Any = None
         self._pumping = False
         self._timer: Any = None
         share = shares.equal_share(connections=service.connections, entry_vms=entry_vms)
@@ -181,7 +182,7 @@
         if flight.broken:
             if self._break is None:
                 self._break = _Break(set(self.flights), set())
-                self._reactor.callLater(LOSS_WINDOW_S, self._judge_break)
+                self._break_timer = self._reactor.callLater(LOSS_WINDOW_S, self._judge_break)
             self._break.broken.add(flight)
         self.flights.discard(flight)
         self._limit.release()
@@ -189,6 +190,7 @@
             self._pump()
 
     def _judge_break(self) -> None:
+        self._break_timer = None
         seen, self._break = self._break, None
         if seen is not None and seen.expected <= seen.broken:
             self._on_loss(self.server.server, tuple({flight.fingerprint for flight in seen.broken}))
@@ -204,8 +206,9 @@
 
     def close(self) -> None:
         """Close the pool; nothing can be sent afterwards."""
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        for timer in (self._timer, self._break_timer):
+            if timer is not None:
+                timer.cancel()
+        self._timer = self._break_timer = None
         self._fail(self._queue.expire(float("inf")), "the server is no longer used")
         self.pool.close()
--- a/src/celerystack/requests/ports.py
+++ b/src/celerystack/requests/ports.py
@@ -48,7 +48,8 @@
         """Claim a request id for one run.
 
         Fires with ACCEPTED if every holder accepted, else with the state of the earlier claim;
-        fails if a holder did not answer. ``home_zone`` is None for a service that is not divided
+        fails if a holder did not answer. Cancelling it means that the request was not sent, so what
+        was claimed may be released. ``home_zone`` is None for a service that is not divided
         by key: the port then takes the zone by rendezvous hash of the id.
         """
 
--- a/tests/backend/fakes.py
+++ b/tests/backend/fakes.py
@@ -124,12 +124,12 @@
     await done
 
 
-async def settle(*, until: Callable[[], bool], timeout: float = 5.0) -> None:
+async def settle(*, until: Callable[[], bool], timeout: float = 5.0, what: str = "") -> None:
     """Wait until a condition holds; fails after ``timeout`` seconds."""
     end = reactor.seconds() + timeout
     while not until():
         if reactor.seconds() > end:
-            raise AssertionError("the condition did not hold in time")
+            raise AssertionError(f"the condition did not hold in time {what}")
         await sleep(0.002)
 
 
@@ -137,12 +137,17 @@
     """A caller that sends raw bytes and records what it receives."""
 
     def __init__(self):
-        self.received = b""
+        self.parts = []
         self.closed = False
         self.clean = None
 
+    @property
+    def received(self) -> bytes:
+        self.parts = [b"".join(self.parts)]
+        return self.parts[0]
+
     def dataReceived(self, data):  # noqa: N802
-        self.received += data
+        self.parts.append(data)
 
     def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
         self.closed = True
--- /dev/null
+++ b/tests/requests/cases.py
@@ -0,0 +1,36 @@
+"""Base of the tests that run a front end and fake servers."""
+
+from __future__ import annotations
+
+from twisted.trial import unittest
+
+from celerystack import model
+from tests.backend import fakes as backend_fakes
+from tests.requests import fakes
+
+
+class RigTestCase(unittest.TestCase):
+    timeout = 20
+
+    async def rig(
+        self, *, servers: int = 1, service: model.Service = fakes.ATLAS, **options
+    ) -> tuple[fakes.Rig, list[backend_fakes.FakeServer]]:
+        """Return a rig and its fake servers, named ``a0``, ``a1`` and so on."""
+        backends = [backend_fakes.FakeServer() for _ in range(servers)]
+        declared = [
+            fakes.server(f"a{index}", backend.address, service)
+            for index, backend in enumerate(backends)
+        ]
+        rig = fakes.Rig(*declared, **options)
+        self.addCleanup(self._stop, rig, backends)
+        return rig, backends
+
+    async def _stop(self, rig, backends):
+        for backend in backends:
+            await backend.stop()
+        await rig.stop()
+
+    def assert_outcome(self, response, status, outcome):
+        self.assertEqual(
+            (response.status, response.header(b"x-celerystack-outcome")), (status, outcome)
+        )
