--- a/src/celerystack/backend/client.py
+++ b/src/celerystack/backend/client.py
@@ -250,6 +250,20 @@
             wait_s = max(0.1, self._idle[0].idle_since - oldest)
             self._sweep = self._reactor.callLater(wait_s, self._close_unused)
 
+    def check_reachable(self) -> defer.Deferred[bool]:
+        """Open and close one connection; fires with whether the server accepted it.
+
+        The connection is not counted against the limit.
+        """
+        creator = protocol.ClientCreator(self._reactor, protocol.Protocol)
+        opened = creator.connectTCP(self._host, self._port, timeout=self._connect_timeout_s)
+
+        def accepted(made: protocol.Protocol) -> bool:
+            made.transport.abortConnection()
+            return True
+
+        return opened.addCallbacks(accepted, lambda _: False)
+
     def close_connections(self, reason: str) -> None:
         """Close all connections at once; exchanges in flight fail with an unknown outcome."""
         self._idle.clear()
--- a/src/celerystack/backend/connection.py
+++ b/src/celerystack/backend/connection.py
@@ -69,6 +69,8 @@
         self._remainder = False
         self.closing = False
         self._paused = False
+        self._kept = False
+        self._answering = False
         self.idle_since = 0.0
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -114,6 +116,7 @@
             self.abort()
             exchange.fail(self._not_run(f"the connection is closed: {error}"))
             return
+        self._answering = False
         exchange.state = exchanges.ExchangeState.WRITTEN
         exchange.connection = self
         self._exchange = exchange
@@ -160,6 +163,7 @@
         if self._exchange is None:
             self.abort()
             return
+        self._answering = True
         try:
             self._h11.receive_data(data)
             self._read_events()
@@ -201,6 +205,7 @@
             and not self._remainder
             and not self._h11.trailing_data[0]
         )
+        self._kept = True
         if reusable:
             self._h11.start_next_cycle()
             self.resume_reading()
@@ -209,7 +214,7 @@
             self.abort()
         exchange.complete()
 
-    def _fail_answer(self, reason: str, *, broken: bool = False) -> None:
+    def _fail_answer(self, reason: str, ending: exchanges.Ending = exchanges.Ending.INTACT) -> None:
         exchange, self._exchange = self._exchange, None
         self.abort()
         if exchange is None:
@@ -218,13 +223,16 @@
         kind = errors.TruncatedAnswerError if exchange.status else errors.OutcomeUnknownError
         exchange.fail(
             kind(reason, step="backend.exchange", peer=self._peer),
-            broken=broken,
+            ending,
         )
 
     def connectionLost(self, reason: failure.Failure = protocol.connectionDone) -> None:  # noqa: N802
         """Fail the exchange in flight and leave the pool."""
         self.closing = True
-        self._fail_answer(f"the connection was lost: {reason.getErrorMessage()}", broken=True)
+        ending = exchanges.Ending.BROKEN
+        if self._kept and not self._answering:
+            ending = exchanges.Ending.MAYBE_IDLE_CLOSE
+        self._fail_answer(f"the connection was lost: {reason.getErrorMessage()}", ending)
         self._on_closed(self)
 
     def release(self, exchange: exchanges.Exchange) -> None:
--- a/src/celerystack/requests/lanes.py
+++ b/src/celerystack/requests/lanes.py
@@ -31,8 +31,8 @@
     ----------
     sent : bool
         Whether the write was permitted, so that bytes may have left.
-    broken : bool
-        Whether the connection was lost while the attempt was in flight.
+    ending : exchange.Ending
+        How the attempt ended.
     """
 
     lane: Lane
@@ -40,7 +40,7 @@
     fingerprint: ids.Fingerprint
     permitted: Callable[[model.BackendServer], bool]
     sent: bool = False
-    broken: bool = False
+    ending: exchange.Ending = exchange.Ending.INTACT
 
     def may_write(self) -> bool:
         """Check the permission to send and enter the set of flights."""
@@ -50,9 +50,9 @@
         self.lane.flights.add(self)
         return True
 
-    def ended(self, *, broken: bool) -> None:
+    def ended(self, ending: exchange.Ending) -> None:
         """Leave the set of flights and give back the place in the lane."""
-        self.broken = broken and self.sent
+        self.ending = ending
         self.lane.ended(self)
 
 
@@ -179,7 +179,7 @@
 
     def ended(self, flight: Flight) -> None:
         """Remove a flight, note whether its connection broke, and start waiting attempts."""
-        if flight.broken:
+        if flight.ending is not exchange.Ending.INTACT:
             if self._break is None:
                 self._break = _Break(set(self.flights), set())
                 self._break_timer = self._reactor.callLater(LOSS_WINDOW_S, self._judge_break)
@@ -192,8 +192,18 @@
     def _judge_break(self) -> None:
         self._break_timer = None
         seen, self._break = self._break, None
-        if seen is not None and seen.expected <= seen.broken:
-            self._on_loss(self.server.server, tuple({flight.fingerprint for flight in seen.broken}))
+        if seen is None or not seen.expected <= seen.broken:
+            return
+        fingerprints = tuple({flight.fingerprint for flight in seen.broken})
+        if any(flight.ending is exchange.Ending.BROKEN for flight in seen.broken):
+            self._on_loss(self.server.server, fingerprints)
+            return
+        self.pool.check_reachable().addCallback(self._report_unless, fingerprints)
+
+    def _report_unless(self, reachable: bool, fingerprints: tuple[ids.Fingerprint, ...]) -> None:
+        """Report a loss unless the server accepts connections, so only closed an idle one."""
+        if not reachable:
+            self._on_loss(self.server.server, fingerprints)
 
     def lose(self, reason: str) -> None:
         """Close all connections at once; flights end with an unknown outcome."""
