--- a/src/celerystack/requests/lanes.py
+++ b/src/celerystack/requests/lanes.py
@@ -31,8 +31,8 @@
     ----------
     sent : bool
         Whether the write was permitted, so that bytes may have left.
-    broken : bool
-        Whether the connection was lost while the attempt was in flight.
+    ending : exchange.Ending
+        How the attempt ended.
     """
 
     lane: Lane
@@ -40,7 +40,7 @@
     fingerprint: ids.Fingerprint
     permitted: Callable[[model.BackendServer], bool]
     sent: bool = False
-    broken: bool = False
+    ending: exchange.Ending = exchange.Ending.INTACT
 
     def may_write(self) -> bool:
         """Check the permission to send and enter the set of flights."""
@@ -50,9 +50,9 @@
         self.lane.flights.add(self)
         return True
 
-    def ended(self, *, broken: bool) -> None:
+    def ended(self, ending: exchange.Ending) -> None:
         """Leave the set of flights and give back the place in the lane."""
-        self.broken = broken and self.sent
+        self.ending = ending
         self.lane.ended(self)
 
 
@@ -98,6 +98,7 @@
         self._on_loss = on_loss
         self._now = now
         self._break: _Break | None = None
+        self._break_timer: Any = None
         self._pumping = False
         self._timer: Any = None
         share = shares.equal_share(connections=service.connections, entry_vms=entry_vms)
@@ -178,10 +179,10 @@
 
     def ended(self, flight: Flight) -> None:
         """Remove a flight, note whether its connection broke, and start waiting attempts."""
-        if flight.broken:
+        if flight.ending is not exchange.Ending.INTACT:
             if self._break is None:
                 self._break = _Break(set(self.flights), set())
-                self._reactor.callLater(LOSS_WINDOW_S, self._judge_break)
+                self._break_timer = self._reactor.callLater(LOSS_WINDOW_S, self._judge_break)
             self._break.broken.add(flight)
         self.flights.discard(flight)
         self._limit.release()
@@ -189,9 +190,20 @@
             self._pump()
 
     def _judge_break(self) -> None:
+        self._break_timer = None
         seen, self._break = self._break, None
-        if seen is not None and seen.expected <= seen.broken:
-            self._on_loss(self.server.server, tuple({flight.fingerprint for flight in seen.broken}))
+        if seen is None or not seen.expected <= seen.broken:
+            return
+        fingerprints = tuple({flight.fingerprint for flight in seen.broken})
+        if any(flight.ending is exchange.Ending.BROKEN for flight in seen.broken):
+            self._on_loss(self.server.server, fingerprints)
+            return
+        self.pool.check_reachable().addCallback(self._report_unless, fingerprints)
+
+    def _report_unless(self, reachable: bool, fingerprints: tuple[ids.Fingerprint, ...]) -> None:
+        """Report a loss unless the server accepts connections, so only closed an idle one."""
+        if not reachable:
+            self._on_loss(self.server.server, fingerprints)
 
     def lose(self, reason: str) -> None:
         """Close all connections at once; flights end with an unknown outcome."""
@@ -204,8 +216,9 @@
 
     def close(self) -> None:
         """Close the pool; nothing can be sent afterwards."""
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        for timer in (self._timer, self._break_timer):
+            if timer is not None:
+                timer.cancel()
+        self._timer = self._break_timer = None
         self._fail(self._queue.expire(float("inf")), "the server is no longer used")
         self.pool.close()
