Add hot key sketch and policy, churn budget, and placement figures

Cause: one key may carry most of a server's load, and shards as a whole cannot even that out. Balancing on every small deviation spent the whole churn budget on noise in the load estimates.

Change: Space-Saving counters with forward decay, merged between entry VMs; splits and merges with two thresholds and waiting times; balancing starts at 10% and continues down to 5%, moves hot shards first at a quarter of the budget of a base shard, and prefers base shards up to twice the mean; a sliding-window churn budget; a load estimate per shard; measurements and scripts/measure. The property test of the balance bound now runs plans until nothing moves and takes the trigger as its bound, because shards that moved once stay for the rest of a plan.

--- /dev/null
+++ b/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded experiments; each module's ``run`` returns a list of figures."""
--- a/src/celerystack/placement/assign.py
+++ b/src/celerystack/placement/assign.py
@@ -11,7 +11,7 @@
 import math
 from collections.abc import Iterable, Mapping, Sequence
 
-from celerystack import ids, model
+from celerystack import ids
 from celerystack.placement import balance
 
 NO_OWNER = 0xFFFF_FFFF
@@ -76,8 +76,8 @@
         Position of the owner in ``servers``, or `NO_OWNER`.
     loads : array of float, length ``len(shards)``
         Estimated requests/s; 0 if unknown.
-    churn_budget : int
-        Number of shards that balancing may move now.
+    churn_budget : float
+        Number of shards that balancing may move now; a hot shard counts `balance.HOT_MOVE_COST`.
     fixed_shards : frozenset of ShardId
         Shards that are not planned, such as those with a move in progress. Give the receiver of
         the move as their owner, so that its load is counted.
@@ -89,7 +89,7 @@
     shards: Sequence[ids.ShardId]
     owners: array.array
     loads: array.array
-    churn_budget: int = 0
+    churn_budget: float = 0.0
     fixed_shards: frozenset[ids.ShardId] = frozenset()
     former_zone_by_shard: Mapping[ids.ShardId, ids.ZoneName] = dataclasses.field(
         default_factory=dict
@@ -122,7 +122,8 @@
     assigns : tuple of Assign
         Not limited by the churn budget.
     moves : tuple of MoveShard
-        Drain moves, which are not limited, followed by at most ``churn_budget`` balancing moves.
+        Drain moves, which are not limited, followed by balancing moves within
+        ``churn_budget``.
     drain_moves : int
         Number of drain moves at the start of ``moves``.
     """
@@ -137,7 +138,7 @@
     servers: Iterable[PlacementServer],
     owner_by_shard: Mapping[ids.ShardId, ids.ServerId | None],
     load_by_shard: Mapping[ids.ShardId, float] | None = None,
-    churn_budget: int = 0,
+    churn_budget: float = 0.0,
     fixed_shards: Iterable[ids.ShardId] = (),
     former_zone_by_shard: Mapping[ids.ShardId, ids.ZoneName] | None = None,
 ) -> PlacementState:
@@ -167,10 +168,10 @@
     Shards without owner and shards of draining servers go to the least filled servers, the
     largest shards first; a server of the former owner's zone is preferred if it stays below the
     mean or ends up no fuller than the least filled server. Then shards move from the fullest to
-    the least filled servers while the imbalance exceeds `balance.TOLERANCE` and each move makes
-    it smaller. Fill is cost divided by weight; a server that is being ramped up receives as if
-    its weight were smaller, but is not emptied for being cold. The result depends on nothing but
-    the arguments.
+    the least filled servers if the imbalance exceeds `balance.TRIGGER`, until it is down to
+    `balance.TOLERANCE` or no move makes it smaller. Fill is cost divided by weight; a server that
+    is being ramped up receives as if its weight were smaller, but is not emptied for being cold.
+    The result depends on nothing but the arguments.
     """
     if not any(server.receives() for server in state.servers):
         return Plan()
@@ -192,7 +193,7 @@
         )
     ]
     drain_moves = len(moves)
-    if state.churn_budget > 0:
+    if state.churn_budget > 0.0:
         for position, source, target in balance.balance(state, costs, table):
             moves.append(MoveShard(state.shards[position], names[source], names[target]))
     return Plan(tuple(assigns), tuple(moves), drain_moves)
@@ -205,7 +206,7 @@
     cost the same.
     """
     shards = state.shards
-    hot = [p for p, shard in enumerate(shards) if shard >= model.HOT_SHARD_BASE]
+    hot = [p for p, shard in enumerate(shards) if balance.is_hot(shard)]
     capacity = sum(server.weight for server in state.servers if server.receives())
     total_load = math.fsum(state.loads)
     key_part = KEY_SHARE if total_load > 0.0 else 1.0
@@ -217,6 +218,11 @@
     return costs
 
 
+def churn_cost(moves: Iterable[MoveShard]) -> float:
+    """Return what the moves take from the churn budget, in base shards."""
+    return math.fsum(balance.churn_cost(move.shard) for move in moves)
+
+
 def _collect(
     state: PlacementState, costs: array.array, table: balance.FillTable
 ) -> tuple[list[int], list[int]]:
--- /dev/null
+++ b/tests/placement/test_sketch.py
@@ -0,0 +1,96 @@
+"""Hot key sketch: error bounds, aging, merging, bounded memory."""
+
+from __future__ import annotations
+
+import collections
+import math
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from celerystack.placement import sketch
+
+
+@hypothesis.given(
+    keys=strategies.lists(strategies.integers(0, 30), max_size=300),
+    capacity=strategies.integers(1, 20),
+)
+@hypothesis.settings(max_examples=200, deadline=None)
+def test_bounds_hold(keys: list[int], capacity: int):
+    """The true count lies within the bounds, and unlisted keys are below the floor."""
+    counters = sketch.HotKeySketch(capacity=capacity, started_at=0.0)
+    for key in keys:
+        counters.add(key, 0.0)
+    assert len(counters) <= capacity
+    counts = collections.Counter(keys)
+    scale = 1.0 / (sketch.AGING_S * -math.expm1(-0.1 / sketch.AGING_S))
+    rates = counters.rates(0.0)
+    for key, count in counts.items():
+        rate = rates.rate_by_key.get(key)
+        if rate is None:
+            assert count * scale <= rates.floor + 1e-6
+        else:
+            assert rate.sure - 1e-6 <= count * scale <= rate.rate + 1e-6
+            assert rate.error <= len(keys) / capacity * scale + 1e-6
+
+
+@hypothesis.given(
+    parts=strategies.lists(
+        strategies.lists(strategies.integers(0, 20), max_size=100), min_size=1, max_size=4
+    ),
+    limit=strategies.integers(1, 30),
+)
+@hypothesis.settings(max_examples=200, deadline=None)
+def test_merged_bounds_hold(parts: list[list[int]], limit: int):
+    """Guards against a key being lost or inflated when entry VMs saw different keys."""
+    reports = []
+    for keys in parts:
+        counters = sketch.HotKeySketch(capacity=5, started_at=0.0)
+        for key in keys:
+            counters.add(key, 0.0)
+        reports.append(counters.rates(0.0))
+    merged = sketch.merge(reports, limit=limit)
+    assert len(merged.rate_by_key) <= limit
+    scale = 1.0 / (sketch.AGING_S * -math.expm1(-0.1 / sketch.AGING_S))
+    for key, count in collections.Counter(key for keys in parts for key in keys).items():
+        rate = merged.rate_by_key.get(key)
+        if rate is None:
+            assert count * scale <= merged.floor + 1e-6
+        else:
+            assert rate.sure - 1e-6 <= count * scale <= rate.rate + 1e-6
+
+
+def test_rate_follows_the_traffic():
+    counters = sketch.HotKeySketch(capacity=64, started_at=0.0)
+    rng = random.Random(2)
+    now = 0.0
+    while now < 60.0:
+        now += 0.01
+        counters.add(7 if rng.random() < 0.3 else rng.getrandbits(64), now, weight=10.0)
+    rate = counters.rates(now).rate_by_key[7]
+    assert rate.sure <= 330.0
+    assert rate.rate >= 250.0
+
+
+def test_cold_keys_age_out():
+    """Guards against yesterday's hot key being split today."""
+    counters = sketch.HotKeySketch(capacity=8, started_at=0.0)
+    for _ in range(10_000):
+        counters.add(1, 10.0)
+    later = 10.0 + 20 * sketch.AGING_S
+    assert counters.rates(later).rate_by_key[1].rate < 0.01
+
+
+@pytest.mark.parametrize("gap", [400.0, 600.0, 100_000.0])
+def test_long_pauses_do_not_overflow(gap: float):
+    counters = sketch.HotKeySketch(capacity=4, started_at=0.0)
+    now = 0.0
+    for _ in range(20):
+        now += gap
+        for key in range(6):
+            counters.add(key, now)
+    rates = counters.rates(now)
+    assert len(rates.rate_by_key) == 4
+    assert all(math.isfinite(rate.rate) for rate in rates.rate_by_key.values())
