--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -142,8 +142,8 @@
 class Rig:
     """A front end and a forwarder before fake servers."""
 
-    def __init__(self, *servers, **options):
-        self.routes = Routes(*servers)
+    def __init__(self, *servers, routes=None, port=0, **options):
+        self.routes = routes or Routes(*servers)
         self.claims = Claims()
         self.losses = Losses()
         self.chooser = First()
@@ -159,7 +159,7 @@
             ),
         )
         self.front = frontend.FrontEnd(reactor, self.routes, self.forwarder, **options)
-        self.port = self.front.listen("127.0.0.1", 0)
+        self.port = self.front.listen("127.0.0.1", port)
         self.pool = client.ServerPool(reactor, address=f"127.0.0.1:{self.port}", limit=50)
 
     def call(self, target="/atlas/browse/k1/x", *, method="GET", headers=(), body=b"", wait=5.0):
