Measure the unavailable time of a key apart from slow requests

Ruled out: a longer bound; it stays at the target of 2.0 s. Closing connections differently in the stand-in, which would hide how the router reacts. Change: the time ends at the first answer to a request that started no earlier; an answer of status 500 or above does not end it; the demonstration shows the slowest request in a column of its own. Three tests added. That the router waits out the deadline of such a GET is unchanged.

--- a/standins/checks.py
+++ b/standins/checks.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import http
 from collections.abc import Iterable, Mapping
 
 from standins import journal, records
@@ -201,9 +202,11 @@
 ) -> dict[ServiceKey, float]:
     """Return the longest time in seconds for which each key was not served.
 
-    It runs from the start of the first request that failed, or of an answered request without a
-    failure before it, to the end of the next answered request. Waiting time of requests that were
-    held is thereby included. A key that is not served again counts until its last failure.
+    It runs from the start of a request to the earliest end of a request that started no earlier
+    and was answered without a server error. So the waiting time of held requests counts, but not
+    the waiting time of a request that fails while others for its key are answered; see
+    `slowest_s` for that. A key that is not served again counts until its last failure. Entry VMs
+    are not told apart; select the records of one to see what its callers saw.
     """
     grouped: dict[ServiceKey, list[records.CallerRecord]] = collections.defaultdict(list)
     for record in sorted(caller_records, key=lambda record: record.start):
@@ -213,14 +216,28 @@
 
 def _longest_unavailable_s(key_records: list[records.CallerRecord]) -> float:
     longest = 0.0
-    since: float | None = None
-    for record in key_records:
-        began = record.start if since is None else since
-        longest = max(longest, record.end - began)
-        since = None if record.outcome is records.Outcome.ANSWERED else began
+    last_end = max(record.end for record in key_records)
+    served_at: float | None = None
+    for record in reversed(key_records):
+        if _is_served(record):
+            served_at = record.end if served_at is None else min(served_at, record.end)
+        until = last_end if served_at is None else served_at
+        longest = max(longest, until - record.start)
     return longest
 
 
+def _is_served(record: records.CallerRecord) -> bool:
+    return (
+        record.outcome is records.Outcome.ANSWERED
+        and record.status < http.HTTPStatus.INTERNAL_SERVER_ERROR
+    )
+
+
+def slowest_s(caller_records: Iterable[records.CallerRecord]) -> float:
+    """Return the longest time in seconds that a caller waited for the end of a request."""
+    return max((record.end - record.start for record in caller_records), default=0.0)
+
+
 def check_unavailable(
     caller_records: Iterable[records.CallerRecord], *, limit_s: float
 ) -> list[UnavailableTooLong]:
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -105,12 +105,16 @@
 
 
 def table(evidence: Evidence) -> list[str]:
-    """Return one line per service."""
+    """Return one line per service.
+
+    ``longest s`` is the longest time for which a key was not served, ``slowest s`` the longest time
+    that one caller waited.
+    """
     longest_by_service: dict[str, float] = collections.defaultdict(float)
     for (service, _), seconds in checks.unavailable_s_by_key(evidence.records).items():
         longest_by_service[service] = max(longest_by_service[service], seconds)
     columns = ("requests", "answered", "not run", "unknown", "wrong owner", "doubled")
-    lines = [f"{'service':14}" + "".join(f"{c:>13}" for c in (*columns, "longest s"))]
+    lines = [f"{'service':14}" + "".join(f"{c:>13}" for c in (*columns, "longest s", "slowest s"))]
     for spec in SERVICES:
         found = [record for record in evidence.records if record.service == spec.name]
         runs = [run for run in evidence.runs if run.service == spec.name]
@@ -123,6 +127,7 @@
         counts += [sum(map(len, wrong)), len(checks.check_doubled(runs))]
         cells = "".join(f"{count:13}" for count in counts)
         lines.append(f"{spec.name:14}{cells}{longest_by_service[spec.name]:13.2f}")
+        lines[-1] += f"{checks.slowest_s(found):13.2f}"
     return lines
 
 
--- a/tests/standins/test_checks.py
+++ b/tests/standins/test_checks.py
@@ -147,6 +147,28 @@
         self.assertEqual([checks.UnavailableTooLong("atlas", "k", 1.75)], found)
         self.assertEqual([], checks.check_unavailable(seen, limit_s=2.0))
 
+    def test_one_slow_failure_does_not_make_its_key_unavailable(self) -> None:
+        """Guards against a request's own waiting time that counts as time without an owner."""
+        seen = [
+            record(start=1.0, end=3.0, outcome=records.Outcome.UNKNOWN),
+            record(start=1.25, end=1.5),
+            record(start=2.0, end=2.25),
+            record(start=3.5, end=3.75),
+        ]
+        self.assertEqual({("atlas", "k"): 0.5}, checks.unavailable_s_by_key(seen))
+        self.assertEqual(2.0, checks.slowest_s(seen))
+
+    def test_answers_that_started_before_prove_nothing(self) -> None:
+        """Guards against an answer that may come from before the loss."""
+        failed = record(start=1.0, end=1.5, outcome=records.Outcome.UNKNOWN)
+        seen = [record(start=0.9, end=1.75), failed, record(start=3.0, end=3.5)]
+        self.assertEqual({("atlas", "k"): 2.5}, checks.unavailable_s_by_key(seen))
+
+    def test_server_errors_do_not_serve_a_key(self) -> None:
+        """Guards against an answer of status 500 that ends the unavailable time."""
+        seen = [record(start=1.0, end=1.5, status=500), record(start=3.0, end=3.5)]
+        self.assertEqual({("atlas", "k"): 2.5}, checks.unavailable_s_by_key(seen))
+
     def test_held_and_never_served_requests_count(self) -> None:
         """Guards against waiting time that is left out."""
         held = [record(start=1.0, end=3.0)]
