--- a/standins/demo.py
+++ b/standins/demo.py
@@ -29,6 +29,9 @@
     layout.ServiceSpec(name="atlas-browse", prefix="/atlas/browse/"),
     layout.ServiceSpec(name="filing-desk", prefix="/filing/desk/", divided=False),
 )
+SHOWN_MAX = 3
+"""Violations printed per promise."""
+
 KILLED_BACKEND = "ab-1a"
 KILLED_ENTRY_VM = "vm-2"
 
@@ -131,21 +134,26 @@
     return lines
 
 
-def main() -> int:
-    """Run the demonstration; returns the exit code."""
-    with tempfile.TemporaryDirectory() as folder:
-        evidence = run(pathlib.Path(folder))
+def report(evidence: Evidence) -> int:
+    """Print the table and the promises; returns the exit code."""
     print("", *table(evidence), "", sep="\n")
     failed = 0
     checked = violations_by_promise(evidence)
     for promise, violations in checked.items():
         print(f"{'BROKEN' if violations else 'ok':7} {promise}")
-        for violation in violations[:3]:
+        for violation in violations[:SHOWN_MAX]:
             print(f"        {violation}")
         failed += bool(violations)
     print(f"{len(checked) - failed} passed, {failed} failed")
     return 1 if failed else 0
 
 
+def main() -> int:
+    """Run the demonstration; returns the exit code."""
+    with tempfile.TemporaryDirectory() as folder:
+        evidence = run(pathlib.Path(folder))
+    return report(evidence)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/standins/test_backend.py
+++ b/tests/standins/test_backend.py
@@ -12,7 +12,7 @@
 
 import testtools
 
-from standins import backend, journal
+from standins import backend, journal, layout, processes
 
 HOST = "127.0.0.1"
 ROOT = pathlib.Path(__file__).parents[2]
@@ -173,6 +173,59 @@
         time.sleep(0.1)
         self.assertEqual(200, self.request()[0])
 
+    def test_cold_start_is_slower_for_a_while(self) -> None:
+        """Guards against a stand-in that is as fast at its start as later."""
+        self.start("--undivided", "--service-ms", "50", "--cold-s", "2", "--cold-factor", "6")
+        self.request(request_id="cold")
+        time.sleep(2.0)
+        self.request(request_id="warm")
+        cold, warm = self.runs()
+        self.assertGreater(cold.end - cold.start, 0.29)
+        self.assertLess(warm.end - warm.start, 0.15)
+
+    def test_misleading_load(self) -> None:
+        """Guards against a load report that a router could rely on."""
+        self.start("--undivided", "--misleading-load")
+        self.assertEqual({"load": 1.0}, json.loads(self.call("GET", "/load")[2]))
+        self.assertEqual(1.0, self.order("probe")["load"])
+
+    def test_stamps_follow_the_own_clock(self) -> None:
+        """Guards against stamps that a router can compare with its own clock."""
+        self.start("--clock-rate", "2.0")
+        first, began = self.order("probe")["stamp"], time.monotonic()
+        time.sleep(0.5)
+        second, ended = self.order("probe")["stamp"], time.monotonic()
+        self.assertAlmostEqual(2.0, (second - first) / (ended - began), delta=0.1)
+
+    def test_process_ends_with_its_parent(self) -> None:
+        """Guards against stand-ins that outlive a killed test run."""
+        program = (
+            "import subprocess, sys\n"
+            "print(subprocess.Popen([sys.executable, *sys.argv[1:]]).pid, flush=True)\n"
+            "sys.stdin.read()\n"
+        )
+        command = [sys.executable, "-c", program, "-m", "standins.backend", "--host", HOST]
+        parent = subprocess.Popen(
+            [*command, "--port", str(self.port), "--id", "s1"],
+            cwd=ROOT,
+            env=processes.python_environment(),
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
+        self.addCleanup(parent.stdout.close)
+        self.addCleanup(parent.stdin.close)
+        parent.stdout.readline()
+        layout.wait_until(self._answers, what="start", timeout_s=10)
+        parent.kill()
+        parent.wait()
+        layout.wait_until(lambda: not self._answers(), what="end", timeout_s=5)
+
+    def _answers(self) -> bool:
+        try:
+            return self.call("GET", "/health")[0] == 200
+        except OSError:
+            return False
+
     def test_drain(self) -> None:
         """Guards against new work on a server that is leaving."""
         self.start()
--- a/tests/standins/test_lease_state.py
+++ b/tests/standins/test_lease_state.py
@@ -79,3 +79,11 @@
         lease.grant(_grant(2, 10.0), stamp=10.0)
         self.assertEqual("ok", lease.grant(_grant(1, 10.0), stamp=10.0))
         self.assertEqual("ok", lease.renew(_order(1, 10.0), stamp=99.0))
+
+
+class ClockTest(testtools.TestCase):
+    def test_stamp_and_back(self) -> None:
+        """Guards against a journal time that is off for a clock with another rate."""
+        clock = lease_state.Clock(offset_s=500.0, rate=1.01)
+        self.assertAlmostEqual(601.0, clock.stamp(100.0))
+        self.assertAlmostEqual(100.0, clock.monotonic(clock.stamp(100.0)))
