Test that a thawed server records no run beyond its lease

Cause: a frozen backend server is a main case of takeovers, and the stand-in's behaviour after a thaw had no test of its own. Change: a test that stops a server during a run for longer than its lease.

--- a/tests/standins/test_backend.py
+++ b/tests/standins/test_backend.py
@@ -1,8 +1,10 @@
 from __future__ import annotations
 
+import contextlib
 import http.client
 import json
 import pathlib
+import signal
 import socket
 import subprocess
 import sys
@@ -99,6 +101,25 @@
         self.assertEqual(journal.Ending.LEASE_EXPIRED, run.ending)
         self.assertLess(run.end - run.start, 1.1)
 
+    def test_frozen_server_records_no_run_beyond_its_lease(self) -> None:
+        """Guards against a thawed server that completes a run after its lease has expired."""
+        process = self.start()
+        self.grant()
+        caller = threading.Thread(target=self._ignore_break, args=("/atlas/k/slow?s=0.6",))
+        caller.start()
+        time.sleep(0.2)
+        process.send_signal(signal.SIGSTOP)
+        time.sleep(1.5)
+        process.send_signal(signal.SIGCONT)
+        caller.join()
+        (run,) = self.runs()
+        self.assertEqual(journal.Ending.LEASE_EXPIRED, run.ending)
+        self.assertLess(run.end - run.start, 1.01)
+
+    def _ignore_break(self, path: str) -> None:
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            self.request(path)
+
     def test_dropped_shard_is_reported_until_its_run_ends(self) -> None:
         """Guards against a move that completes while the old owner still runs a request."""
         self.start()
