Claim request ids at two holders; count traffic and split hot keys

Cause: a repeated request id could run twice through another entry VM, and placement did not know the load. Ruled out: one holder per id, because its loss would forget the claims; claiming at both holders at once, because two claimants could refuse each other. Change: claims task, traffic reports to the placer of each service, hot key splits and merges, churn budget over a sliding minute.

--- a/src/celerystack/control/changes.py
+++ b/src/celerystack/control/changes.py
@@ -295,6 +295,48 @@
     )
 
 
+def split_hot_keys(
+    view: cluster_view.ClusterView,
+    service: ids.ServiceName,
+    base_by_key: dict[ids.KeyHash, ids.ShardId],
+) -> Change:
+    """Give hot keys shards of their own on their present owners."""
+    builder = ChangeBuilder(view)
+    for key_hash, base in base_by_key.items():
+        chunk = builder.chunk(service, shardmap.chunk_of(base))
+        owner = chunk.owner(base)
+        if owner is not None:
+            chunk.split_hot(key_hash, base)
+            builder.raise_token(owner)
+    return builder.build(
+        action=audit.Action.HOT_SPLIT,
+        subject=f"map/{service}",
+        reason="hot keys",
+        after=f"{len(base_by_key)} keys with shards of their own",
+    )
+
+
+def merge_hot_shards(
+    view: cluster_view.ClusterView,
+    service: ids.ServiceName,
+    base_by_shard: dict[ids.ShardId, ids.ShardId],
+) -> Change:
+    """Fold hot shards back into their base shards; both must have the same owner."""
+    builder = ChangeBuilder(view)
+    for shard, base in base_by_shard.items():
+        chunk = builder.chunk(service, shardmap.chunk_of(base))
+        owner = chunk.owner(base)
+        if owner is not None:
+            chunk.merge_hot(shard, base)
+            builder.raise_token(owner)
+    return builder.build(
+        action=audit.Action.HOT_MERGE,
+        subject=f"map/{service}",
+        reason="keys have cooled down",
+        before=f"{len(base_by_shard)} keys with shards of their own",
+    )
+
+
 def finish_moves(
     view: cluster_view.ClusterView,
     service: ids.ServiceName,
--- a/src/celerystack/control/claims_task.py
+++ b/src/celerystack/control/claims_task.py
@@ -35,6 +35,7 @@
         self._table = table
         self._view = view
         self._mesh = mesh
+        self._started_at = clock.seconds()
         self._holders_by_request: dict[ids.RequestId, list[ids.EntryVmId]] = {}
         self._waiting: dict[tuple[ids.RequestId, ids.EntryVmId], defer.Deferred] = {}
         mesh.add_handler(self._handle)
@@ -82,13 +83,22 @@
     ) -> list[ids.EntryVmId]:
         zone = home_zone or self._zone_for(request_id)
         live = [e.vm for e in self._mesh.live_entry_vms() if e.zone == zone]
-        holders = claims.holders(request_id, live)
+        holders = claims.holders(request_id, live, recent=self._recent())
         if not holders:
             raise errors.PeerError(
                 "no entry VM of the home zone is connected", step="claims.holders", peer=zone
             )
         return holders
 
+    def _recent(self) -> set[ids.EntryVmId]:
+        now = self._clock.seconds()
+        recent = {
+            peer.entry_vm.vm
+            for peer in self._mesh.live_peers()
+            if peer.heartbeat is None or peer.heartbeat.uptime_s < claims.RECENT_S
+        }
+        return recent | ({self._mesh.me.vm} if now - self._started_at < claims.RECENT_S else set())
+
     def _zone_for(self, request_id: ids.RequestId) -> ids.ZoneName:
         zones = {server.zone for server in self._view.configuration.servers_by_id.values()}
         return ids.ZoneName(rendezvous.ranked(request_id, zones or {self._mesh.me.zone})[0])
@@ -124,4 +134,4 @@
                 if answer is not None and not answer.called:
                     answer.callback(state)
             case messages.ClaimResult(request=request, state=state):
-                self._table.finish(request, state, now)
+                self._table.finish(request, state, now, claimant=sender.vm)
--- a/src/celerystack/control/entry_vm.py
+++ b/src/celerystack/control/entry_vm.py
@@ -12,6 +12,7 @@
 from celerystack import clock, ids, model, periodic, settings
 from celerystack.backend import orders as order_senders
 from celerystack.control import (
+    claims_task,
     committer,
     defaults,
     lessor_task,
@@ -20,6 +21,7 @@
     routes,
     steward_task,
     table_sync,
+    traffic_task,
     views_task,
 )
 from celerystack.control import view as cluster_view
@@ -28,7 +30,7 @@
 from celerystack.peers import mesh as peer_mesh
 from celerystack.peers import messages, sync
 from celerystack.platform import membership, table, transactor
-from celerystack.requests import forwarder, frontend
+from celerystack.requests import claims, forwarder, frontend
 from celerystack.state import cache as row_cache
 
 DRAIN_NOTICE_S = 1.0
@@ -55,6 +57,7 @@
         self._reactor = reactor
         self._clock = clock.MonotonicClock(reactor)
         self._settings = configured
+        self._started_at = self._clock.seconds()
         self.draining = False
         self.registry = prometheus_client.CollectorRegistry()
         self.me = model.EntryVm(
@@ -120,6 +123,7 @@
             cache=self.cache,
             in_flight=lambda server: len(self.forwarder.in_flight(server)),
         )
+        self.traffic = traffic_task.TrafficTask(self._clock, view=self.view, mesh=self.mesh)
         self.placer = placer_task.PlacerTask(
             self._clock,
             view=self.view,
@@ -127,6 +131,7 @@
             lessor=self.lessor_task.lessor,
             commits=self.commits,
             membership=self.membership,
+            traffic=self.traffic,
             released=lambda server: (
                 self.views.idle_here(server) and self.views.released(server, answers=True)
             ),
@@ -144,11 +149,16 @@
 
     def _build_requests(self) -> None:
         self.routes = routes.Routes(
-            self.view, may_send=self.views.may_send, usable=self.placer.is_usable
+            self.view,
+            may_send=self.views.may_send,
+            usable=self.placer.is_usable,
+            on_route=self.traffic.count,
         )
         needs = forwarder.Ports(
             routes=self.routes,
-            claims=defaults.NoClaims(),
+            claims=claims_task.ClaimsTask(
+                self._clock, table=claims.ClaimTable(), view=self.view, mesh=self.mesh
+            ),
             losses=defaults.NoLosses(),
             chooser=defaults.RoundRobin(),
             budget=defaults.UnlimitedRetries(),
@@ -173,6 +183,7 @@
         return messages.Heartbeat(
             digest=self.cache.digest,
             config_version=self.view.configuration.version,
+            uptime_s=self._clock.seconds() - self._started_at,
             draining=self.draining,
             store_reachable=self.table_sync.reachable,
             unanswered_by_server=self.views.unanswered_by_server(),
@@ -195,6 +206,7 @@
         self.lessor_task.start()
         self.steward.start()
         self.placer.start()
+        self.traffic.start()
         self._upkeep.start()
         host, port = settings.split_address(self._settings.caller_address)
         self.front_end.listen(host, port)
@@ -241,7 +253,14 @@
         return any(me in row.lessors for row in self.view.server_rows_by_id.values())
 
     def _stop(self) -> None:
-        for part in (self.steward, self.placer, self.lessor_task, self.table_sync, self.membership):
+        for part in (
+            self.steward,
+            self.placer,
+            self.traffic,
+            self.lessor_task,
+            self.table_sync,
+            self.membership,
+        ):
             part.stop()
         self._upkeep.stop()
         self.orders.close()
--- a/src/celerystack/control/placer_task.py
+++ b/src/celerystack/control/placer_task.py
@@ -8,12 +8,11 @@
 from twisted.internet import defer, interfaces
 
 from celerystack import ids, model, periodic
-from celerystack.control import changes, committer, membership_task
+from celerystack.control import changes, committer, membership_task, traffic_task
 from celerystack.control import view as cluster_view
 from celerystack.lease import lessor as lessors
-from celerystack.lease import rendezvous
 from celerystack.peers import mesh as peer_mesh
-from celerystack.placement import assign
+from celerystack.placement import assign, churn, hotkeys
 
 TICK_S = 0.2
 FIRST_ASSIGNMENT_WAIT_S = 2.0
@@ -22,7 +21,6 @@
 MOVES_AT_ONCE = 8
 """Moves in progress per service; the requests for a moving shard are held."""
 
-BUDGET_PERIOD_S = 60.0
 _log = logging.getLogger(__name__)
 
 ShardTargets = dict[tuple[ids.ServiceName, ids.ShardId], ids.ServerId | None]
@@ -35,8 +33,6 @@
     ----------
     released : callable
         Whether the entry VMs have stopped sending to a server that checks no tokens.
-    loads : callable
-        Estimated requests/s by shard of a service.
     """
 
     def __init__(
@@ -48,8 +44,8 @@
         lessor: lessors.Lessor,
         commits: committer.Committer,
         membership: membership_task.MembershipTask,
+        traffic: traffic_task.TrafficTask,
         released: Callable[[ids.ServerId], bool],
-        loads: Callable[[ids.ServiceName], dict[ids.ShardId, float]] = lambda _: {},
     ) -> None:
         self._clock = clock
         self._view = view
@@ -58,10 +54,11 @@
         self._commits = commits
         self._membership = membership
         self._released = released
-        self._loads = loads
+        self._traffic = traffic
+        self._policies_by_service: dict[ids.ServiceName, hotkeys.HotKeyPolicy] = {}
         self._usable_since_by_server: dict[ids.ServerId, tuple[ids.Incarnation, float]] = {}
         self._first_seen_by_service: dict[ids.ServiceName, float] = {}
-        self._budgets_by_service: dict[ids.ServiceName, float] = {}
+        self._budgets_by_service: dict[ids.ServiceName, churn.ChurnBudget] = {}
         self._busy: set[ids.ServiceName] = set()
         self._started_at = clock.seconds()
         self._watched: set[ids.ServerId] = set()
@@ -156,6 +153,7 @@
         former: dict[ids.ShardId, ids.ZoneName],
         *,
         budget: int,
+        fixed: frozenset[ids.ShardId] = frozenset(),
         without: ids.ServerId | None = None,
     ) -> assign.Plan:
         moves = self._moves(service)
@@ -169,9 +167,9 @@
                 for server in self._view.servers_of(service)
             ],
             owner_by_shard=planned,
-            load_by_shard=self._loads(service),
+            load_by_shard=self._traffic.shard_rates(service),
             churn_budget=budget,
-            fixed_shards=moves,
+            fixed_shards={*moves, *fixed},
             former_zone_by_shard=former,
         )
         return assign.plan(state, self._clock.seconds())
@@ -194,9 +192,9 @@
     def _tick(self) -> None:
         self._note_usable()
         self._watched = set()
-        live = [entry_vm.vm for entry_vm in self._mesh.live_entry_vms()]
+        live = self._mesh.live_entry_vms()
         for name, service in self._view.configuration.services_by_name.items():
-            placer = rendezvous.ranked(f"placer/{name}", live)[0]
+            placer = traffic_task.placer_of(name, live)
             if service.divided and placer == self._mesh.me.vm and not self.stopping:
                 self._first_seen_by_service.setdefault(name, self._clock.seconds())
                 self._consider(service)
@@ -234,11 +232,56 @@
         finished = self._finished_moves(service.name, moves)
         if finished:
             return changes.finish_moves(self._view, service.name, finished)
-        plan = self._plan(service.name, owners, {}, budget=self._budget(service, len(owners)))
+        budget = self._budget(service, len(owners)).available(self._clock.seconds())
+        hot = self._hot_plan(service, owners, moves, budget)
+        plan = self._plan(service.name, owners, {}, budget=int(budget), fixed=hot.cooling_shards)
         if plan.assigns:
             targets = {a.shard: a.target for a in plan.assigns}
             return changes.assign(self._view, service.name, targets)
-        return self._start_moves(service, plan, room=MOVES_AT_ONCE - len(moves))
+        if hot.splits:
+            base_by_key = {split.key_hash: split.base for split in hot.splits}
+            return changes.split_hot_keys(self._view, service.name, base_by_key)
+        if hot.merges:
+            base_by_shard = {merge.shard: merge.base for merge in hot.merges}
+            return changes.merge_hot_shards(self._view, service.name, base_by_shard)
+        wanted = (*plan.moves[: plan.drain_moves], *hot.moves, *plan.moves[plan.drain_moves :])
+        return self._start_moves(service, wanted, room=MOVES_AT_ONCE - len(moves))
+
+    def _hot_plan(
+        self,
+        service: model.Service,
+        owners: dict[ids.ShardId, ids.ServerId | None],
+        moves: dict[ids.ShardId, tuple[str, str]],
+        budget: float,
+    ) -> hotkeys.HotPlan:
+        if not service.hot_keys:
+            return hotkeys.HotPlan()
+        rates = self._traffic.shard_rates(service.name)
+        load_by_server = {
+            server.server: 0.0
+            for server in self._view.servers_of(service.name)
+            if self.may_receive(server)
+        }
+        for shard, owner in owners.items():
+            declared = self._view.declared(owner) if owner is not None else None
+            if declared is not None and declared.server in load_by_server:
+                load_by_server[declared.server] += rates.get(shard, 0.0) / declared.weight
+        hot_shards = {
+            shard: hot.key_hash
+            for _, chunk in self._view.chunks(service.name)
+            for shard, hot in chunk.hot_by_shard.items()
+        }
+        state = hotkeys.HotState(
+            rates=self._traffic.key_rates(service.name),
+            base_shards=len(owners) - len(hot_shards),
+            owner_by_shard=owners,
+            key_by_hot_shard=hot_shards,
+            load_by_server=load_by_server,
+            moving_shards=frozenset(moves),
+            churn_budget=budget,
+        )
+        policy = self._policies_by_service.setdefault(service.name, hotkeys.HotKeyPolicy())
+        return policy.decide(state, self._clock.seconds())
 
     def _waits_for_servers(
         self,
@@ -289,17 +332,16 @@
         return done and (self._view.checks_token(source) or self._released(source))
 
     def _start_moves(
-        self, service: model.Service, plan: assign.Plan, *, room: int
+        self, service: model.Service, wanted: tuple[assign.MoveShard, ...], *, room: int
     ) -> changes.Change | None:
-        chosen = plan.moves[: max(0, room)]
+        chosen = wanted[: max(0, room)]
         # A source must be able to acknowledge its release, or its shards would be held for nothing.
         chosen = tuple(move for move in chosen if self._can_release(move.source))
         if not chosen:
             return None
-        balancing = sum(1 for move in chosen if not self.is_leaving(move.source))
-        self._budgets_by_service[service.name] = (
-            self._budgets_by_service.get(service.name, 0.0) - balancing
-        )
+        balancing = [move for move in chosen if not self.is_leaving(move.source)]
+        budget = self._budgets_by_service[service.name]
+        budget.spend(assign.churn_cost(balancing), self._clock.seconds())
         targets = {move.shard: move.target for move in chosen}
         reason = "balance" if balancing else "drain"
         return changes.start_moves(self._view, service.name, targets, reason=reason)
@@ -312,14 +354,12 @@
             and self._is_connected(self._zone(source))
         )
 
-    def _budget(self, service: model.Service, shards: int) -> int:
-        """Return how many shards balancing may move now; the budget refills evenly."""
-        limit = service.churn_per_minute * shards
-        refill = limit * TICK_S / BUDGET_PERIOD_S
-        known = self._budgets_by_service.get(service.name, limit)
-        budget = min(limit, known + refill)
-        self._budgets_by_service[service.name] = budget
-        return int(budget)
+    def _budget(self, service: model.Service, shards: int) -> churn.ChurnBudget:
+        if service.name not in self._budgets_by_service:
+            self._budgets_by_service[service.name] = churn.ChurnBudget(
+                share=service.churn_per_minute, shards=shards
+            )
+        return self._budgets_by_service[service.name]
 
     def _run(self, service: ids.ServiceName, change: changes.Change) -> None:
         self._busy.add(service)
--- a/src/celerystack/control/routes.py
+++ b/src/celerystack/control/routes.py
@@ -20,6 +20,8 @@
         The check of section 4.6 for a server id.
     usable : callable
         Whether a server may get new requests of a service that is not divided by key.
+    on_route : callable
+        Called with service name, key hash and shard of each request that has an owner.
     """
 
     def __init__(
@@ -28,10 +30,12 @@
         *,
         may_send: Callable[[ids.ServerId], bool],
         usable: Callable[[ids.ServerId], bool],
+        on_route: Callable[[ids.ServiceName, ids.KeyHash, ids.ShardId], None],
     ) -> None:
         self._view = view
         self._may_send = may_send
         self._usable = usable
+        self._on_route = on_route
         self._services_by_prefix: dict[str, model.Service] = {}
         self._prefix_lengths: list[int] = []
         self._chunks_by_service: dict[ids.ServiceName, list[shardmap.ShardMapChunk]] = {}
@@ -76,6 +80,7 @@
         owner = chunk.owner(shard)
         if owner is None:
             return model.NoOwner(shard)
+        self._on_route(service.name, key_hash, shard)
         return model.Route(owner, shard, chunk.epoch(shard))
 
     def servers(self, service: model.Service) -> tuple[model.BackendServer, ...]:
--- /dev/null
+++ b/src/celerystack/control/traffic_task.py
@@ -0,0 +1,135 @@
+"""Counts requests per shard and key, and tells each service's placer."""
+
+from __future__ import annotations
+
+import random
+
+from twisted.internet import interfaces
+
+from celerystack import ids, model, periodic
+from celerystack.control import view as cluster_view
+from celerystack.lease import rendezvous
+from celerystack.peers import mesh as peer_mesh
+from celerystack.peers import messages
+from celerystack.placement import loads, sketch
+
+REPORT_S = 1.0
+REPORT_KEYS = 32
+"""Most frequent keys in one report."""
+
+REPORT_SHARDS = 512
+"""Most loaded shards in one report; the others count as idle."""
+
+SKETCH_KEYS = 256
+SAMPLE_PROBABILITY = 0.25
+"""Share of the requests that is counted: enough for keys of a few requests/s, and cheap."""
+
+STALE_S = 5.0
+_SAMPLE_WEIGHT = 1 / SAMPLE_PROBABILITY
+
+
+def placer_of(service: ids.ServiceName, vms: list[model.EntryVm]) -> ids.EntryVmId:
+    """Return the entry VM that places a service's shards, by rendezvous hash."""
+    return ids.EntryVmId(rendezvous.ranked(f"placer/{service}", [vm.vm for vm in vms])[0])
+
+
+class _ServiceTraffic:
+    """Counters of one service at this entry VM."""
+
+    def __init__(self, now: float) -> None:
+        self.loads = loads.ShardLoads(started_at=now)
+        self.keys = sketch.HotKeySketch(capacity=SKETCH_KEYS, started_at=now)
+
+
+class TrafficTask:
+    """Owns the counters; holds the newest report of each entry VM for services placed here."""
+
+    def __init__(
+        self,
+        clock: interfaces.IReactorTime,
+        *,
+        view: cluster_view.ClusterView,
+        mesh: peer_mesh.Mesh,
+    ) -> None:
+        self._clock = clock
+        self._view = view
+        self._mesh = mesh
+        self._random = random.Random()
+        self._traffic_by_service: dict[ids.ServiceName, _ServiceTraffic] = {}
+        self._reports: dict[
+            tuple[ids.ServiceName, ids.EntryVmId], tuple[float, messages.Traffic]
+        ] = {}
+        self._loop = periodic.Periodic(clock, self._report, interval_s=REPORT_S)
+        mesh.add_handler(self._handle)
+
+    def start(self) -> None:
+        """Start reporting."""
+        self._loop.start()
+
+    def stop(self) -> None:
+        """Stop reporting."""
+        self._loop.stop()
+
+    def count(self, service: ids.ServiceName, key: ids.KeyHash, shard: ids.ShardId) -> None:
+        """Count a request, with probability `SAMPLE_PROBABILITY`."""
+        if self._random.random() >= SAMPLE_PROBABILITY:
+            return
+        now = self._clock.seconds()
+        traffic = self._traffic_by_service.get(service)
+        if traffic is None:
+            traffic = self._traffic_by_service[service] = _ServiceTraffic(now)
+        traffic.loads.add(shard, weight=_SAMPLE_WEIGHT)
+        traffic.keys.add(key, now, weight=_SAMPLE_WEIGHT)
+
+    def shard_rates(self, service: ids.ServiceName) -> dict[ids.ShardId, float]:
+        """Return requests/s by shard, summed over the entry VMs."""
+        rates: dict[ids.ShardId, float] = {}
+        for report in self._fresh(service):
+            for shard, rate in report.rate_by_shard.items():
+                rates[shard] = rates.get(shard, 0.0) + rate
+        return rates
+
+    def key_rates(self, service: ids.ServiceName) -> sketch.KeyRates:
+        """Return the rates of the most frequent keys, merged over the entry VMs."""
+        parts = [
+            sketch.KeyRates(
+                {key: sketch.KeyRate(*pair) for key, pair in report.rates_by_key.items()},
+                report.floor,
+            )
+            for report in self._fresh(service)
+        ]
+        return sketch.merge(parts, limit=SKETCH_KEYS)
+
+    def _fresh(self, service: ids.ServiceName) -> list[messages.Traffic]:
+        now = self._clock.seconds()
+        return [
+            report
+            for (name, _), (expires_at, report) in self._reports.items()
+            if name == service and expires_at > now
+        ]
+
+    def _report(self) -> None:
+        now = self._clock.seconds()
+        live = self._mesh.live_entry_vms()
+        self._reports = {k: v for k, v in self._reports.items() if v[0] > now}
+        for name, service in self._view.configuration.services_by_name.items():
+            if service.divided:
+                self._mesh.send(placer_of(name, live), self._own_report(name, now))
+
+    def _own_report(self, service: ids.ServiceName, now: float) -> messages.Traffic:
+        traffic = self._traffic_by_service.setdefault(service, _ServiceTraffic(now))
+        traffic.loads.roll(now)
+        rates = sorted(traffic.loads.rates().items(), key=lambda item: (-item[1], item[0]))
+        keys = traffic.keys.rates(now, limit=REPORT_KEYS)
+        return messages.Traffic(
+            service=service,
+            rate_by_shard=dict(rates[:REPORT_SHARDS]),
+            rates_by_key={k: (rate.rate, rate.error) for k, rate in keys.rate_by_key.items()},
+            floor=keys.floor,
+        )
+
+    def _handle(self, sender: model.EntryVm, message: messages.Message) -> None:
+        match message:
+            case messages.Traffic(service=service):
+                expires_at = self._clock.seconds() + STALE_S
+                self._reports[service, sender.vm] = (expires_at, message)
--- a/src/celerystack/peers/codec.py
+++ b/src/celerystack/peers/codec.py
@@ -63,7 +63,20 @@
             return dataclasses.replace(message, state=messages.ClaimState(message.state))
         case messages.Heartbeat():
             return dataclasses.replace(
-                message, stamp=float(message.stamp), echo=float(message.echo)
+                message,
+                stamp=float(message.stamp),
+                echo=float(message.echo),
+                uptime_s=float(message.uptime_s),
+            )
+        case messages.Traffic():
+            return dataclasses.replace(
+                message,
+                rate_by_shard={int(s): float(rate) for s, rate in message.rate_by_shard.items()},
+                rates_by_key={
+                    int(key): (float(rate), float(error))
+                    for key, (rate, error) in message.rates_by_key.items()
+                },
+                floor=float(message.floor),
             )
     return message
 
--- a/src/celerystack/peers/messages.py
+++ b/src/celerystack/peers/messages.py
@@ -31,6 +31,8 @@
     echo : float
         Newest stamp that the sender received from the addressed peer; 0 if none. Time limits run
         from the echoed stamp, so that a delayed heartbeat cannot extend them.
+    uptime_s : float
+        Seconds since the sender's process started.
     draining : bool
         The sender shuts down and takes no new work.
     store_reachable : bool
@@ -43,6 +45,7 @@
     config_version: ids.ConfigVersion
     stamp: float = 0.0
     echo: float = 0.0
+    uptime_s: float = 0.0
     draining: bool = False
     store_reachable: bool = True
     unanswered_by_server: dict[ids.ServerId, int] = dataclasses.field(default_factory=dict)
@@ -149,6 +152,26 @@
     weights_by_fingerprint: dict[ids.Fingerprint, int]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Traffic:
+    """Request rates of one service at the sender, for its placer.
+
+    Attributes
+    ----------
+    rate_by_shard : dict
+        Requests/s by shard.
+    rates_by_key : dict
+        Rate and largest error in requests/s by key hash, for the most frequent keys.
+    floor : float
+        Largest possible rate of a key that is not listed.
+    """
+
+    service: ids.ServiceName
+    rate_by_shard: dict[ids.ShardId, float]
+    rates_by_key: dict[ids.KeyHash, tuple[float, float]]
+    floor: float
+
+
 Message = (
     Hello
     | Heartbeat
@@ -162,4 +185,5 @@
     | ClaimReply
     | ClaimResult
     | Suspects
+    | Traffic
 )
