--- a/standins/demo.py
+++ b/standins/demo.py
@@ -29,6 +29,9 @@
     layout.ServiceSpec(name="atlas-browse", prefix="/atlas/browse/"),
     layout.ServiceSpec(name="filing-desk", prefix="/filing/desk/", divided=False),
 )
+SHOWN_MAX = 3
+"""Violations printed per promise."""
+
 KILLED_BACKEND = "ab-1a"
 KILLED_ENTRY_VM = "vm-2"
 
@@ -105,12 +108,16 @@
 
 
 def table(evidence: Evidence) -> list[str]:
-    """Return one line per service."""
+    """Return one line per service.
+
+    ``longest s`` is the longest time for which a key was not served, ``slowest s`` the longest time
+    that one caller waited.
+    """
     longest_by_service: dict[str, float] = collections.defaultdict(float)
     for (service, _), seconds in checks.unavailable_s_by_key(evidence.records).items():
         longest_by_service[service] = max(longest_by_service[service], seconds)
     columns = ("requests", "answered", "not run", "unknown", "wrong owner", "doubled")
-    lines = [f"{'service':14}" + "".join(f"{c:>13}" for c in (*columns, "longest s"))]
+    lines = [f"{'service':14}" + "".join(f"{c:>13}" for c in (*columns, "longest s", "slowest s"))]
     for spec in SERVICES:
         found = [record for record in evidence.records if record.service == spec.name]
         runs = [run for run in evidence.runs if run.service == spec.name]
@@ -123,24 +130,30 @@
         counts += [sum(map(len, wrong)), len(checks.check_doubled(runs))]
         cells = "".join(f"{count:13}" for count in counts)
         lines.append(f"{spec.name:14}{cells}{longest_by_service[spec.name]:13.2f}")
+        lines[-1] += f"{checks.slowest_s(found):13.2f}"
     return lines
 
 
-def main() -> int:
-    """Run the demonstration; returns the exit code."""
-    with tempfile.TemporaryDirectory() as folder:
-        evidence = run(pathlib.Path(folder))
+def report(evidence: Evidence) -> int:
+    """Print the table and the promises; returns the exit code."""
     print("", *table(evidence), "", sep="\n")
     failed = 0
     checked = violations_by_promise(evidence)
     for promise, violations in checked.items():
         print(f"{'BROKEN' if violations else 'ok':7} {promise}")
-        for violation in violations[:3]:
+        for violation in violations[:SHOWN_MAX]:
             print(f"        {violation}")
         failed += bool(violations)
     print(f"{len(checked) - failed} passed, {failed} failed")
     return 1 if failed else 0
 
 
+def main() -> int:
+    """Run the demonstration; returns the exit code."""
+    with tempfile.TemporaryDirectory() as folder:
+        evidence = run(pathlib.Path(folder))
+    return report(evidence)
+
+
 if __name__ == "__main__":
     sys.exit(main())
