Check the route again in the reactor turn of the write

A request that waited for a place at its server was written with the route of its arrival. The write now requires that the route is still the same, and for undivided services that the server is still usable; otherwise the request looks for its server again.

--- a/src/celerystack/requests/forwarder.py
+++ b/src/celerystack/requests/forwarder.py
@@ -168,7 +168,13 @@
         except errors.NotRunError as error:
             return replies.Shed(error.reason)
         shard = None if target.route is None else target.route.shard
-        flight = lanes.Flight(lane, shard, fingerprint, self._ports.routes.may_send)
+        flight = lanes.Flight(
+            lane,
+            shard,
+            fingerprint,
+            is_current=lambda: self._finder.is_current(call, target),
+            permitted=self._ports.routes.may_send,
+        )
         now = self._now()
         self._ports.chooser.started(target.server, now)
         outcome = model.Outcome.UNKNOWN
@@ -179,7 +185,7 @@
             _observe(lane, attempt, self._now() - now)
         except errors.NotRunError as error:
             outcome = model.Outcome.NOT_RUN
-            attempt = replies.NotSent(error.reason)
+            attempt = replies.Outdated() if flight.outdated else replies.NotSent(error.reason)
         except errors.OutcomeUnknownError as error:
             attempt = replies.Lost(error.reason)
         except defer.CancelledError:
@@ -258,7 +264,7 @@
     match attempt:
         case replies.Answered():
             return model.Outcome.ANSWERED
-        case replies.Refused() | replies.NotSent():
+        case replies.Refused() | replies.NotSent() | replies.Outdated():
             return model.Outcome.NOT_RUN
         case _:
             return model.Outcome.UNKNOWN
--- a/src/celerystack/requests/lanes.py
+++ b/src/celerystack/requests/lanes.py
@@ -29,6 +29,12 @@
 
     Attributes
     ----------
+    is_current : callable
+        Returns whether the server is still the one to send to.
+    permitted : callable
+        Returns whether a request may be written to the server now.
+    outdated : bool
+        Whether the write was dropped because the server is no longer the one to send to.
     sent : bool
         Whether the write was permitted, so that bytes may have left.
     ending : exchange.Ending
@@ -38,12 +44,17 @@
     lane: Lane
     shard: ids.ShardId | None
     fingerprint: ids.Fingerprint
+    is_current: Callable[[], bool]
     permitted: Callable[[model.BackendServer], bool]
+    outdated: bool = False
     sent: bool = False
     ending: exchange.Ending = exchange.Ending.INTACT
 
     def may_write(self) -> bool:
         """Check the permission to send and enter the set of flights."""
+        if not self.is_current():
+            self.outdated = True
+            return False
         if not self.permitted(self.lane.server):
             return False
         self.sent = True
--- a/src/celerystack/requests/replies.py
+++ b/src/celerystack/requests/replies.py
@@ -80,7 +80,12 @@
     reason: str
 
 
-Attempt = Answered | Refused | NotSent | Shed | Lost
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outdated:
+    """The attempt was not written because another server is now the one to send to."""
+
+
+Attempt = Answered | Refused | NotSent | Outdated | Shed | Lost
 
 REFUSAL_HEADER = b"x-celerystack-refusal"
 _REFUSAL_STATUS = (409, 503)
--- a/src/celerystack/requests/retries.py
+++ b/src/celerystack/requests/retries.py
@@ -44,6 +44,8 @@
     match attempt:
         case replies.Refused(kind=replies.RefusalKind.DEADLINE):
             return _STOP
+        case replies.Outdated():
+            return Rule(retry=True)
         case replies.Shed():
             return Rule(retry=not divided, budget=True, avoid_server=True)
         case replies.Refused(kind=replies.RefusalKind.SHEDDING):
@@ -70,5 +72,7 @@
             return reason
         case replies.Lost(reason=reason):
             return reason
+        case replies.Outdated():
+            return "the server is no longer the one to send to"
         case _:
             return ""
--- a/src/celerystack/requests/targets.py
+++ b/src/celerystack/requests/targets.py
@@ -70,6 +70,17 @@
             return self._choose(call, avoid)
         return await self._owner(call, avoid)
 
+    def is_current(self, call: calls.Call, target: Target) -> bool:
+        """Return whether a target is still the one to send to.
+
+        A call can wait for a place at the server while its shard moves away. A server that does
+        not check epochs would run it although it no longer owns the key.
+        """
+        if target.route is None:
+            usable = self._source.servers(call.service)
+            return any(server.server == target.server.server for server in usable)
+        return self._source.route(call.service, call.key_hash()) == target.route
+
     def _choose(self, call: calls.Call, avoid: set[ids.ServerId]) -> Target:
         servers = self._source.servers(call.service)
         if avoid:
--- a/tests/requests/test_forwarder.py
+++ b/tests/requests/test_forwarder.py
@@ -458,12 +458,44 @@
         """Guards against more requests at a server than the concurrency limit."""
         rig, (server,) = await self.rig()
         server.handler = lambda r: None
-        sent = [rig.call(method="POST", headers=short(300)) for _ in range(6)]
-        answers = [await d for d in sent]
+        running = [rig.call(method="POST", headers=short(2000)) for _ in range(2)]
+        await backend_fakes.settle(until=lambda: len(server.requests) == 2)
+        sent = [rig.call(method="POST", headers=short(300)) for _ in range(4)]
+        answers = [await d for d in (*sent, *running)]
         self.assertEqual(len(server.requests), 2)
         outcomes = sorted(a.header(b"x-celerystack-outcome") for a in answers)
         self.assertEqual(outcomes, [b"not-run"] * 4 + [b"unknown"] * 2)
 
+    async def test_route_changes_while_waiting(self):
+        """Guards against a write to a server that lost the key while the request waited for it."""
+        rig, (old, new) = await self.rig(servers=2)
+        old.handler = lambda r: None
+        first = [rig.call(method="POST") for _ in range(2)]
+        await backend_fakes.settle(until=lambda: len(old.requests) == 2)
+        waiting = [rig.call("/atlas/browse/k1/waiting", method="POST") for _ in range(3)]
+        await backend_fakes.sleep(0.05)
+        rig.routes.change(rig.routes.to("a1", epoch=8))
+        for request in old.requests[:]:
+            request.connection.send(backend_fakes.answer())
+        for d in (*first, *waiting):
+            self.assert_outcome(await d, 200, b"answered")
+        self.assertEqual((len(old.requests), len(new.requests)), (2, 3))
+
+    async def test_server_leaves_while_waiting(self):
+        """Guards against new work for a server that became unusable while a request waited."""
+        rig, (old, new) = await self.rig(servers=2, service=fakes.DESK)
+        old.handler = lambda r: None
+        first = [rig.call(DESK, method="POST") for _ in range(2)]
+        await backend_fakes.settle(until=lambda: len(old.requests) == 2)
+        waiting = rig.call(DESK, method="POST")
+        await backend_fakes.sleep(0.05)
+        del rig.routes.servers_by_id["a0"]
+        for request in old.requests[:]:
+            request.connection.send(backend_fakes.answer())
+        for d in (*first, waiting):
+            self.assert_outcome(await d, 200, b"answered")
+        self.assertEqual((len(old.requests), len(new.requests)), (2, 1))
+
     async def test_earlier_deadline_goes_first(self):
         """Guards against first come, first served when deadlines differ."""
         rig, (server,) = await self.rig()
