--- a/src/celerystack/commands/job.py
+++ b/src/celerystack/commands/job.py
@@ -43,6 +43,8 @@
     ----------
     clock : interfaces.IReactorTime
         Time source of deadlines and back-off.
+    objects : ports.ObjectPort or None
+        None if ``object_address`` is not set; jobs that use it name it in ``required``.
     deadline : float
         Clock time in seconds at which the command gives up.
     now_ms : callable
@@ -52,7 +54,7 @@
     settings: settings.Settings
     clock: interfaces.IReactorTime
     table: ports.TablePort
-    objects: ports.ObjectPort
+    objects: ports.ObjectPort | None
     deadline: float
     out: TextIO
     now_ms: Callable[[], int] = lambda: int(time.time() * 1000)
--- a/src/celerystack/run.py
+++ b/src/celerystack/run.py
@@ -5,12 +5,14 @@
 import argparse
 import os
 import sys
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import defopt
 
+import celerystack
 from celerystack import errors, settings
 from celerystack.commands import apply, drain, job, release, router, undrain
+from celerystack.observe import logs
 from celerystack.queries import check, diff, owner, show_audit, show_settings, status
 
 SUBCOMMANDS: dict[str, Callable[..., job.Job]] = {
@@ -86,6 +88,7 @@
         argv=rest,
         short={},
         no_negated_flags=True,
+        version=celerystack.__version__,
         argparse_kwargs={
             "prog": "celerystack",
             "allow_abbrev": False,
@@ -95,11 +98,12 @@
     )
     wanted: job.Job = call()
     loaded = settings.load(flags=flags, environ=environ, required=wanted.required)
+    sources = settings.sources_by_name(flags=flags, environ=environ)
     match wanted:
         case job.LocalJob():
-            sources = settings.sources_by_name(flags=flags, environ=environ)
             return wanted.run(job.Local(settings=loaded, sources_by_name=sources, out=sys.stdout))
         case job.RemoteJob():
+            _configure_logs(loaded, sources["log_level"])
             return _run_in_reactor(wanted, loaded)
 
 
@@ -121,6 +125,16 @@
     return "\n".join(lines)
 
 
+def _configure_logs(loaded: settings.Settings, source: settings.Source) -> None:
+    """Log errors only, unless a level was set: a command reports its failure by itself."""
+    default = source is settings.Source.DEFAULT
+    logs.configure(
+        log_format=loaded.log_format,
+        log_level=settings.LogLevel.ERROR if default else loaded.log_level,
+    )
+    logs.forward_twisted()
+
+
 def _run_in_reactor(wanted: job.RemoteJob, loaded: settings.Settings) -> int:
     # Imported here, because it installs the reactor, which other subcommands do not need.
     from twisted.internet import defer, reactor
@@ -134,13 +148,16 @@
 
     reactor.callWhenRunning(start)
     reactor.run()
-    result = outcome[0] if outcome else job.ExitCode.FAILED
+    if not outcome:
+        return _failed("interrupted: unknown whether it took effect", job.ExitCode.FAILED)
+    result = outcome[0]
     if isinstance(result, BaseException):
         raise result
     return result
 
 
-def _remote(wanted: job.RemoteJob, loaded: settings.Settings, reactor: object) -> Awaitable[int]:
+async def _remote(wanted: job.RemoteJob, loaded: settings.Settings, reactor: object) -> int:
+    # A coroutine, so that a failure to build the adapters also ends the reactor.
     from celerystack.platform import objects, table
 
     clock = reactor
@@ -150,8 +167,10 @@
         table=table.HttpTable(reactor, loaded.table_address, timeout_s=loaded.store_timeout_s),
         objects=objects.HttpObjects(
             reactor, loaded.object_address, timeout_s=loaded.store_timeout_s
-        ),
+        )
+        if loaded.object_address
+        else None,
         deadline=clock.seconds() + loaded.command_limit_s,
         out=sys.stdout,
     )
-    return wanted.run(remote)
+    return await wanted.run(remote)
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -10,6 +10,7 @@
 
 import testtools
 
+import celerystack
 from celerystack import errors, run
 from celerystack.commands import job
 
@@ -156,6 +157,26 @@
         self.assertEqual(1, result.returncode)
         self.assertEqual(1, len(result.stderr.splitlines()))
 
+    def test_failure_before_the_first_call_ends_the_command(self) -> None:
+        """Guards against a reactor that keeps running if an adapter cannot be built."""
+        result = _remote("status", *PLATFORM, setup="table.HttpTable = None")
+        self.assertEqual(1, result.returncode)
+        self.assertEqual(1, len(result.stderr.splitlines()))
+
+    def test_interrupted_command_does_not_claim_an_outcome(self) -> None:
+        """Guards against a silent exit while a change may have been committed."""
+        setup = (
+            "import os, signal; from twisted.internet import defer; "
+            "fake.scan = lambda _: (os.kill(os.getpid(), signal.SIGTERM), defer.Deferred())[1]"
+        )
+        result = _remote("status", *PLATFORM, setup=setup)
+        self.assertEqual(1, result.returncode)
+        self.assertIn("unknown whether it took effect", result.stderr)
+
+    def test_version(self) -> None:
+        """Guards against a version that is read from package metadata, which the binary lacks."""
+        self.assertEqual((0, f"{celerystack.__version__}\n"), _main("--version")[:2])
+
     def test_job_types(self) -> None:
         """Guards against a subcommand that needs the platform but does not require its address."""
         for name in ("status", "audit"):
