--- a/src/celerystack/peers/messages.py
+++ b/src/celerystack/peers/messages.py
@@ -123,9 +123,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class Suspects:
-    """Fingerprints that were in flight on a lost server, with their weights."""
+    """Fingerprints that were in flight on a lost server, with their weights.
+
+    Attributes
+    ----------
+    weights_by_fingerprint : dict
+        2 for the only fingerprint in flight, 1 for one of several, 0 for one that has completed
+        since then and is no longer suspect.
+    server, incarnation
+        The loss that is reported; reports of the same loss by several entry VMs count once.
+    """
 
     weights_by_fingerprint: dict[ids.Fingerprint, int]
+    server: ids.ServerId
+    incarnation: ids.Incarnation
 
 
 Message = (
