--- /dev/null
+++ b/src/celerystack/control/losses_task.py
@@ -0,0 +1,67 @@
+"""Shares suspects of crashed servers with the peers; implements `requests.ports.LossPort`."""
+
+from __future__ import annotations
+
+import logging
+
+from twisted.internet import interfaces
+
+from celerystack import ids, model
+from celerystack.control import view as cluster_view
+from celerystack.peers import mesh as peer_mesh
+from celerystack.peers import messages
+from celerystack.requests import quarantine
+
+_log = logging.getLogger(__name__)
+
+
+class LossesTask:
+    """Owns the quarantine of this entry VM."""
+
+    def __init__(
+        self,
+        clock: interfaces.IReactorTime,
+        *,
+        view: cluster_view.ClusterView,
+        mesh: peer_mesh.Mesh,
+    ) -> None:
+        self._clock = clock
+        self._view = view
+        self._mesh = mesh
+        self._quarantine = quarantine.Quarantine()
+        mesh.add_handler(self._handle)
+
+    def server_lost(
+        self, server_id: ids.ServerId, fingerprints_in_flight: tuple[ids.Fingerprint, ...]
+    ) -> None:
+        """Record that every exchange in flight at a server broke at the same time."""
+        row = self._view.server_rows_by_id.get(server_id)
+        if row is None:
+            return
+        _log.warning(
+            "server %s was lost with %d requests in flight",
+            server_id,
+            len(fingerprints_in_flight),
+            extra={"step": "requests.loss", "peer": server_id},
+        )
+        report = self._quarantine.server_lost(
+            server_id, row.incarnation, fingerprints_in_flight, self._clock.seconds()
+        )
+        if report is not None:
+            self._mesh.broadcast(report)
+
+    def is_quarantined(self, fingerprint: ids.Fingerprint) -> bool:
+        """Return whether requests with a fingerprint are rejected."""
+        return self._quarantine.is_quarantined(fingerprint, self._clock.seconds())
+
+    def completed(self, fingerprint: ids.Fingerprint) -> None:
+        """Clear a request whose complete answer arrived."""
+        for report in self._quarantine.completed(fingerprint, self._clock.seconds()):
+            self._mesh.broadcast(report)
+
+    def _handle(self, _sender: model.EntryVm, message: messages.Message) -> None:
+        match message:
+            case messages.Suspects():
+                report = self._quarantine.merge(message, self._clock.seconds())
+                if report is not None:
+                    self._mesh.broadcast(report)
