Limit new tokens and promises in outages

A steward that knew of deputies under any token committed a new token about every tick. After that was changed, leases ended in an outage because lessors promised to takers that could not commit. Ruled out: taking back a promise when the server replies again; a taker that holds all promises may commit at any later time. Change: only deputies of the row's token lead to a new token. No takeover starts while the table is unreachable, and a process that just became a lessor or deputy refuses. The test of a rolling replacement in an outage failed before the other changes and passes after them.

--- a/src/celerystack/lease/lessor.py
+++ b/src/celerystack/lease/lessor.py
@@ -29,14 +29,20 @@
     def update(
         self, row: model.ServerRow, shards: tuple[model.ShardGrant, ...], now: float
     ) -> list[orders.Order]:
-        """Take over a server's newest row and the full list of its shards.
+        """Store a server's newest row and the full list of its shards.
 
         ``row`` and ``shards`` must stem from the same state of the table: one token stands for
         exactly one list. A row with an older token is ignored.
+
+        Returns
+        -------
+        list of Order
+            A grant or a probe to be sent at once if this process acts for the server.
         """
         record = self._record(row.server)
         if record.row is not None and row.token < record.row.token:
             return []
+        acted = self._acts(record)
         changed = record.row is None or row.token != record.row.token or shards != record.shards
         record.replace_row(row, shards)
         if not changed:
@@ -44,6 +50,8 @@
         record.reset_grant()
         if not self._acts(record):
             return []
+        if not acted:
+            record.acting_since = now
         record.renew_at = now + timing.RENEW_S
         return [self._order(record, now)]
 
@@ -52,7 +60,7 @@
 
         The steward of a server whose lessors are all gone learns in this way that it answers.
         """
-        for server in servers:
+        for server in sorted(servers):
             self._record(server)
         for server, record in self._records_by_server.items():
             record.watched = server in servers
@@ -94,12 +102,14 @@
     ) -> peer_messages.PromiseReply:
         """Promise not to grant or renew under tokens up to the requested one, or refuse.
 
-        Refused if the server replied within `timing.REACHABLE_S`, or if the requested token is
-        no longer the newest. An earlier promise stays in force in either case.
+        Refused if the server replied within `timing.REACHABLE_S`, if this process took its role
+        within that time and so cannot know yet whether the server replies, or if the requested
+        token is no longer the newest. An earlier promise stays in force in all cases.
         """
         record = self._record(request.server)
         superseded = record.row is not None and record.row.token > request.token
-        promised = not superseded and not self.reachable(request.server, now)
+        starting = self._acts(record) and now - record.acting_since < timing.REACHABLE_S
+        promised = not (superseded or starting or self.reachable(request.server, now))
         if promised:
             record.promised_token = max(record.promised_token, request.token)
         return peer_messages.PromiseReply(
@@ -129,9 +139,11 @@
         record = self._record(message.server)
         if message.token <= max(record.promised_token, record.deputy_token):
             return []
+        acted = self._acts(record)
         record.deputy_token = message.token
-        if not self._acts(record):
+        if acted or not self._acts(record):
             return []
+        record.acting_since = now
         record.renew_at = now + timing.RENEW_S
         return [self._order(record, now)]
 
@@ -176,9 +188,11 @@
         """Return whether this process renews the server's lease, as lessor or deputy."""
         return self._acts(self._record(server))
 
-    def deputies(self, server: ids.ServerId, now: float) -> tuple[model.LessorRef, ...]:
-        """Return the deputies appointed by this process that may still cause a lease."""
-        return self._record(server).active_deputies(now)
+    def deputies(self, server: ids.ServerId) -> tuple[model.LessorRef, ...]:
+        """Return the deputies that this process appointed under the row's token."""
+        record = self._record(server)
+        token = record.row.token if record.row is not None else 0
+        return tuple(ref for ref, held in record.deputy_tokens_by_ref.items() if held >= token)
 
     def _record(self, server: ids.ServerId) -> records.ServerRecord:
         record = self._records_by_server.get(server)
--- a/src/celerystack/lease/records.py
+++ b/src/celerystack/lease/records.py
@@ -34,6 +34,8 @@
         Newest token under which this process is a deputy.
     newest_token_seen : Token
         Newest token in a reply; the row is outdated if its token is lower.
+    acting_since : float
+        When this process last became a lessor or deputy of the server.
     acknowledged_at : float or None
         When the row's token was first acknowledged by the recorded server process.
     has_grant : bool
@@ -50,6 +52,7 @@
     stamps_by_incarnation: dict[ids.Incarnation, Stamp] = dataclasses.field(default_factory=dict)
     seen_incarnation: ids.Incarnation | None = None
     last_reply_at: float | None = None
+    acting_since: float = float("-inf")
     acknowledged_at: float | None = None
     has_grant: bool = False
     running_dropped: int = 0
--- a/src/celerystack/lease/stewardship.py
+++ b/src/celerystack/lease/stewardship.py
@@ -56,8 +56,12 @@
         When that acknowledgement first arrived.
     promised : frozenset of LessorRef
         Lessors that are known to have promised under the row's token.
+    table_reachable : bool
+        Whether the steward's last call to the table succeeded. Promises cannot be taken back
+        without the table, so none is asked for while no takeover could be committed.
     has_deputies : bool
-        Whether deputies are known that may still cause a lease.
+        Whether deputies under the row's token are known. A lost deputy would block a takeover, so
+        they are replaced by a new token as soon as the table can be written again.
     """
 
     server: ids.ServerId
@@ -70,6 +74,7 @@
     acknowledged_token: ids.Token | None = None
     acknowledged_at: float | None = None
     promised: frozenset[model.LessorRef] = frozenset()
+    table_reachable: bool = True
     has_deputies: bool = False
 
 
@@ -171,7 +176,7 @@
         return _decide_reachable(view, row, now)
     heard_at = view.watched_since if view.last_reply_at is None else view.last_reply_at
     silent = now - max(heard_at, view.watched_since) >= timing.SUSPECT_S
-    if silent and row.state is not model.ServerState.LOST:
+    if silent and view.table_reachable and row.state is not model.ServerState.LOST:
         return StartTakeover()
     return Nothing()
 
