Test the lease decisions, with a randomized simulation

Ruled out: hypothesis' RuleBasedStateMachine, because a run is driven by simulated time and not by a sequence of rules; an own driver with fixed seeds gives the same verdict on every run. Change: focused tests per behaviour, a model server without I/O, a simulation of entry VMs, servers and table, and eight variants with one broken rule each that the driver must reject. Not guaranteed, and shown as such: a server whose clock stops while its VM is paused, and a server that restarts while the table is down waits for the table.

--- /dev/null
+++ b/tests/lease/sim_world.py
@@ -0,0 +1,222 @@
+"""The simulated installation: entry VMs, servers, faults and the invariant on ownership."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import itertools
+import random
+from collections.abc import Callable
+
+from celerystack import ids, model
+from celerystack.backend import messages as orders
+from celerystack.lease import lessor, stewardship, takeover
+from tests.lease import model_server, sim_core, sim_shards, sim_vm
+
+ZONE = ids.ZoneName("zone-1")
+LIST_LAG_S = 0.4
+
+
+class OverlapError(AssertionError):
+    """Two servers would accept requests for the same shard."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Rules:
+    """The classes and functions under test; variants replace one of them."""
+
+    lessor: Callable[..., lessor.Lessor] = lessor.Lessor
+    takeover: Callable[..., takeover.Takeover] = takeover.Takeover
+    decide: Callable[..., stewardship.Decision] = stewardship.decide
+    server: Callable[..., model_server.ModelServer] = model_server.ModelServer
+
+
+class SimServer:
+    """The machine of a backend server; its process can pause, restart or be lost."""
+
+    def __init__(self, world: World, server: ids.ServerId) -> None:
+        self.world = world
+        self.server = server
+        self.is_alive = False
+        self.is_paused = False
+        self.listing_times: list[tuple[float, bool]] = []
+        self._incarnations = itertools.count(1)
+        self._waiting: list[tuple[orders.Order, Callable[[orders.OrderReply], None]]] = []
+        self.start()
+
+    def start(self) -> None:
+        incarnation = ids.Incarnation(f"{self.server}.{next(self._incarnations)}")
+        self.process = self.world.rules.server(self.server, incarnation)
+        self.clock = sim_core.Clock(self.world.scheduler, self.world.rng)
+        self.is_alive = True
+        self.is_paused = False
+        self._waiting = []
+        self._set_listed(True)
+
+    def lose(self) -> None:
+        """Remove process and machine; the membership list follows later."""
+        self.is_alive = False
+        self._waiting = []
+        self._set_listed(False)
+
+    def pause(self, *, stops_clock: bool = False) -> None:
+        self.is_paused = True
+        if stops_clock:
+            self.clock.stop()
+
+    def resume(self) -> None:
+        self.is_paused = False
+        self.clock.resume()
+        waiting, self._waiting = self._waiting, []
+        for order, reply in waiting:
+            self.receive(order, reply)
+
+    def receive(self, order: orders.Order, reply: Callable[[orders.OrderReply], None]) -> None:
+        if not self.is_alive:
+            return
+        if self.is_paused:
+            self._waiting.append((order, reply))
+            return
+        reply(self.process.handle(order, self.clock.read()))
+
+    def is_listed(self, time: float) -> bool:
+        earlier = [listed for at, listed in self.listing_times if at <= time - LIST_LAG_S]
+        return bool(earlier) and earlier[-1]
+
+    def accepted_shards(self) -> set[tuple[ids.ServiceName, ids.ShardId]]:
+        if not self.is_alive or self.is_paused:
+            return set()
+        return self.process.shards(self.clock.read())
+
+    def _set_listed(self, listed: bool) -> None:
+        self.listing_times.append((self.world.scheduler.time, listed))
+
+
+class World:
+    """Hosts, network and table of one run."""
+
+    def __init__(
+        self,
+        seed: int,
+        *,
+        rules: Rules | None = None,
+        vms: int = 4,
+        servers: int = 3,
+        shards: int = 4,
+        loss: float = 0.05,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.rules = rules or Rules()
+        self.scheduler = sim_core.Scheduler()
+        self.network = sim_core.Network(self.scheduler, self.rng, loss=loss)
+        self.table = sim_core.Table(self.scheduler)
+        self.server_ids = [ids.ServerId(f"s{number}") for number in range(servers)]
+        self.servers = {server: SimServer(self, server) for server in self.server_ids}
+        self._vm_incarnations = itertools.count(1)
+        self.vms: dict[ids.EntryVmId, sim_vm.SimVm] = {}
+        for number in range(vms):
+            self.start_vm(ids.EntryVmId(f"vm{number}"))
+        self.shards = range(shards)
+        self.counts: collections.Counter[str] = collections.Counter()
+        self._assign_initially()
+
+    def _assign_initially(self) -> None:
+        """Create rows with lessors and shards, as after an undisturbed start."""
+        change = sim_shards.Change(self.table.snapshot)
+        entries = [vm.entry for vm in self.vms.values()]
+        for server in self.server_ids:
+            change.put_row(
+                model.ServerRow(
+                    server=server,
+                    state=model.ServerState.ACTIVE,
+                    token=ids.Token(1),
+                    incarnation=self.servers[server].process.incarnation,
+                    lessors=stewardship.choose_lessors(server, entries),
+                )
+            )
+        for shard in self.shards:
+            owner = self.server_ids[shard % len(self.server_ids)]
+            change.put_shard(shard, sim_shards.ShardState(owner, 1))
+        self.table.commit(change.transaction())
+
+    def start_vm(self, vm: ids.EntryVmId) -> None:
+        """Start an entry VM process, in place of an earlier one of the same name."""
+        if vm in self.vms:
+            self.vms[vm].is_dead = True
+        incarnation = f"{vm}.{next(self._vm_incarnations)}"
+        self.vms[vm] = sim_vm.SimVm(self, vm, incarnation, ZONE)
+
+    # Services for the entry VMs
+
+    def other_vms(self, vm: ids.EntryVmId) -> list[ids.EntryVmId]:
+        return [other for other in self.vms if other != vm]
+
+    def send_to_vm(
+        self, source: ids.EntryVmId, target: ids.EntryVmId, action: Callable[[sim_vm.SimVm], None]
+    ) -> None:
+        def deliver() -> None:
+            vm = self.vms[target]
+            vm.receive(lambda: action(vm))
+
+        self.network.send(source, target, deliver)
+
+    def send_order(self, vm: sim_vm.SimVm, order: orders.Order) -> None:
+        host = self.servers[order.server]
+
+        def reply(message: orders.OrderReply) -> None:
+            self.network.send(
+                order.server,
+                vm.entry.vm,
+                lambda: vm.receive(lambda: vm.on_order_reply(message)),
+            )
+
+        self.network.send(vm.entry.vm, order.server, lambda: host.receive(order, reply))
+
+    def table_reachable(self, vm: ids.EntryVmId) -> bool:
+        return self.table.is_up and not self.network.is_cut(vm, "table")
+
+    def read_table(self, vm: sim_vm.SimVm) -> None:
+        snapshot = self.table.snapshot
+        self.network.send("table", vm.entry.vm, lambda: vm.receive(lambda: vm.merge(snapshot)))
+
+    def commit(self, vm: sim_vm.SimVm, action: str, transaction: sim_core.Transaction) -> None:
+        """Send a transaction; its result comes back unless a message is lost."""
+
+        def arrive() -> None:
+            if not self.table.commit(transaction):
+                self.counts["conflict or outage"] += 1
+                return
+            self.counts[action] += 1
+            snapshot = self.table.snapshot
+            self.network.send("table", vm.entry.vm, lambda: vm.receive(lambda: done(snapshot)))
+
+        def done(snapshot: sim_core.Snapshot) -> None:
+            vm.merge(snapshot)
+            for other in self.other_vms(vm.entry.vm):
+                self.send_to_vm(vm.entry.vm, other, lambda peer: peer.merge(snapshot))
+
+        self.network.send(vm.entry.vm, "table", arrive)
+
+    def listed_servers(self, vm: ids.EntryVmId) -> list[ids.ServerId]:
+        time = self.scheduler.time
+        return [server for server, host in self.servers.items() if host.is_listed(time)]
+
+    # Checks
+
+    def owners_by_shard(self) -> dict[ids.ShardId, list[ids.ServerId]]:
+        """Return the servers that would accept a request now, by shard."""
+        owners: dict[ids.ShardId, list[ids.ServerId]] = {}
+        for server, host in self.servers.items():
+            for _, shard in host.accepted_shards():
+                owners.setdefault(shard, []).append(server)
+        return owners
+
+    def check_single_owner(self) -> None:
+        for shard, owners in self.owners_by_shard().items():
+            if len(owners) > 1:
+                raise OverlapError(
+                    f"at {self.scheduler.time:.3f} s shard {shard} is accepted by {owners}"
+                )
+
+    def run(self, duration_s: float) -> None:
+        self.scheduler.run_until(self.scheduler.time + duration_s, self.check_single_owner)
--- /dev/null
+++ b/tests/lease/test_simulation.py
@@ -0,0 +1,181 @@
+"""Randomized runs of entry VMs, servers and table with fixed seeds.
+
+Every run checks after each event that no two servers accept requests for the same shard.
+"""
+
+from __future__ import annotations
+
+import collections
+
+import testtools
+
+from tests.lease import sim_faults, sim_variants, sim_world
+
+RECOVERY_S = 5.0
+
+
+class SingleOwnerTest(testtools.TestCase):
+    def test_mixed_faults(self) -> None:
+        """Guards against two owners under all faults, and against keys that stay without one."""
+        counts: collections.Counter[str] = collections.Counter()
+        for seed in range(24):
+            world = sim_faults.run_with_faults(seed, recovery_s=RECOVERY_S)
+            owned = set(world.owners_by_shard())
+            self.assertEqual(set(world.shards), owned, f"seed {seed}: shards without an owner")
+            counts += world.counts
+        # A run in which nothing happens would pass without proving anything.
+        for action in (
+            "takeover by promises",
+            "takeover by evidence",
+            "ReplaceLessors",
+            "ClearPrevious",
+            "Revive",
+            "finish move",
+            "deputy",
+        ):
+            self.assertGreater(counts[action], 10, f"{action}: {counts}")
+
+    def test_faults_aimed_at_single_rules(self) -> None:
+        """Guards against two owners under the faults that reveal the broken rules below."""
+        for variant in sim_variants.VARIANTS_BY_NAME.values():
+            if variant.scenario is not sim_faults.MIXED:
+                for seed in range(5):
+                    sim_faults.run_with_faults(seed, scenario=variant.scenario)
+
+
+class BrokenRuleTest(testtools.TestCase):
+    """The driver must find a violation when one rule is broken."""
+
+    def assert_violated(self, name: str) -> None:
+        variant = sim_variants.VARIANTS_BY_NAME[name]
+        for seed in range(40):
+            try:
+                sim_faults.run_with_faults(seed, scenario=variant.scenario, rules=variant.rules)
+            except sim_world.OverlapError:
+                return
+        self.fail(f"no violation found with the broken rule: {name}")
+
+    def test_renewal_timed_from_receipt(self) -> None:
+        """Guards against a check that does not see a lease which a delayed order extended."""
+        self.assert_violated("renewal timed from receipt")
+
+    def test_majority(self) -> None:
+        """Guards against a check that does not see a lessor which was not asked."""
+        self.assert_violated("majority of promises")
+
+    def test_previous_lessors_ignored(self) -> None:
+        """Guards against a check that does not see a replaced lessor which still renews."""
+        self.assert_violated("previous lessors ignored")
+
+    def test_previous_lessors_cleared_early(self) -> None:
+        """Guards against a check that does not need the acknowledgement of the new token."""
+        self.assert_violated("previous lessors cleared early")
+
+    def test_deputies_ignored(self) -> None:
+        """Guards against a check that does not see a deputy which still renews."""
+        self.assert_violated("deputies ignored")
+
+    def test_deputies_of_older_tokens_not_named(self) -> None:
+        """Guards against a check that does not see a deputy which missed the newest token."""
+        self.assert_violated("deputies of older tokens not named")
+
+    def test_promise_not_sticky(self) -> None:
+        """Guards against a check that does not see a lessor which renews after its promise."""
+        self.assert_violated("promise not sticky")
+
+    def test_grant_to_any_process(self) -> None:
+        """Guards against a check that does not see an old list on a restarted server."""
+        self.assert_violated("grant to any process")
+
+
+class LivenessTest(testtools.TestCase):
+    TARGET_S = 2.0
+
+    def measure(self, seed: int, *, freeze: bool) -> float:
+        """Return the simulated time until the shards of a lost server have an owner again."""
+        world = sim_world.World(seed, loss=0.02)
+        world.run(2.0 + world.rng.random())
+        host = world.servers[world.server_ids[seed % 3]]
+        if freeze:
+            host.pause()
+        else:
+            host.lose()
+        start = world.scheduler.time
+        while set(world.owners_by_shard()) != set(world.shards):
+            if world.scheduler.time - start >= self.TARGET_S:
+                self.fail(f"seed {seed}: no owner after {self.TARGET_S} s")
+            world.run(0.01)
+        return world.scheduler.time - start
+
+    def test_frozen_server_is_taken_over(self) -> None:
+        """Guards against a takeover that needs evidence although all lessors answer."""
+        for seed in range(20):
+            self.assertGreater(self.measure(seed, freeze=True), 0.0)
+
+    def test_lost_server_is_taken_over(self) -> None:
+        """Guards against a takeover that takes longer than the target of 2 s."""
+        for seed in range(20):
+            self.assertGreater(self.measure(seed, freeze=False), 0.0)
+
+
+class OutageTest(testtools.TestCase):
+    def test_rolling_replacement_of_all_entry_vms(self) -> None:
+        """Guards against leases that end because all lessors were replaced in an outage."""
+        for seed in range(4):
+            world = sim_world.World(seed, loss=0.02)
+            world.run(2.0)
+            world.table.start_outage(20.0)
+            for vm in list(world.vms):
+                world.run(2.5)
+                world.start_vm(vm)
+            for _ in range(20):
+                world.run(0.1)
+                self.assertEqual(set(world.shards), set(world.owners_by_shard()), f"seed {seed}")
+
+    def test_all_entry_vms_replaced_at_once(self) -> None:
+        """Guards against keys that stay without an owner after all lessors were lost."""
+        for seed in range(4):
+            world = sim_world.World(seed, loss=0.02)
+            world.run(2.0)
+            for vm in list(world.vms):
+                world.start_vm(vm)
+            world.run(3.0)
+            self.assertEqual(set(world.shards), set(world.owners_by_shard()), f"seed {seed}")
+
+    def test_restarted_server_waits_for_the_table(self) -> None:
+        """Guards against a grant to a process that the row does not name, even in an outage."""
+        world = sim_world.World(1, loss=0.02)
+        world.run(2.0)
+        world.table.start_outage(4.0)
+        host = world.servers[world.server_ids[0]]
+        host.start()
+        world.run(3.5)
+        self.assertEqual(set(), host.accepted_shards())
+        world.run(2.0)
+        self.assertEqual(set(world.shards), set(world.owners_by_shard()))
+
+
+class StoppedClockTest(testtools.TestCase):
+    """What cannot be guaranteed: a lease is as good as the clock of its holder."""
+
+    def freeze_server(self, *, stops_clock: bool) -> None:
+        world = sim_world.World(3, loss=0.0)
+        world.run(2.0)
+        host = world.servers[world.server_ids[0]]
+        host.pause(stops_clock=stops_clock)
+        world.run(3.0)
+        self.assertEqual(set(world.shards), set(world.owners_by_shard()))
+        host.resume()
+        world.run(2.0)
+
+    def test_clock_runs_during_the_pause(self) -> None:
+        """Guards against a frozen server that accepts requests after it was taken over."""
+        self.freeze_server(stops_clock=False)
+
+    def test_clock_stops_during_the_pause(self) -> None:
+        """Guards against a driver in which a server's clock has no influence.
+
+        A server whose monotonic clock stops while its VM is paused accepts requests for what is
+        left of its lease after it resumes. Servers need a clock that counts suspended time.
+        """
+        self.assertRaises(sim_world.OverlapError, self.freeze_server, stops_clock=True)
