--- a/src/celerystack/lease/lessor.py
+++ b/src/celerystack/lease/lessor.py
@@ -60,7 +60,7 @@
 
         The steward of a server whose lessors are all gone learns in this way that it answers.
         """
-        for server in servers:
+        for server in sorted(servers):
             self._record(server)
         for server, record in self._records_by_server.items():
             record.watched = server in servers
