Show the cause when a cluster does not serve

Change: Cluster.internal_errors lists log lines of entry VMs with a traceback; wait_served raises with the last answer and the first of these lines; the cluster test fails if there are any.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import http.client
 import json
 import pathlib
@@ -22,6 +21,8 @@
 PLATFORM_IP = "127.0.9.1"
 PEER_SECRET = "cluster-of-stand-ins-secret"
 READY_TIMEOUT_S = 20.0
+WARM_KEYS = 32
+ERRORS_SHOWN_MAX = 3
 ENTRY_VM_HOST_MIN = 10
 BACKEND_HOST_MIN = 100
 
@@ -305,29 +306,44 @@
 
         return finish
 
+    def internal_errors(self) -> list[str]:
+        """Return the log lines of entry VMs that carry a traceback."""
+        return [
+            f"{name}: {line}"
+            for name in self.entry_vms_by_name
+            for line in self.processes.log(name).splitlines()
+            if "Traceback" in line
+        ]
+
     def wait_served(self, *, timeout_s: float = READY_TIMEOUT_S) -> float:
-        """Wait until every entry VM serves all shards of all services; returns the seconds."""
-        keys = tuple(f"warm-{number}" for number in range(32))
-        services = tuple(
-            load.LoadService(spec.name, spec.prefix, keys)
-            for spec in self.services_by_name.values()
-        )
+        """Wait until every entry VM has answered requests for many keys of all services.
+
+        Returns the seconds it took; raises RuntimeError with the last answer and the first
+        internal errors of the entry VMs.
+        """
         pending = [
-            (target, service, key)
+            (target.address, f"{spec.prefix}warm-{number}/warm")
             for target in self.targets()
-            for service in services
-            for key in service.keys
+            for spec in self.services_by_name.values()
+            for number in range(WARM_KEYS)
         ]
+        last: object = None
 
         def served() -> bool:
+            nonlocal last
             while pending:
-                target, service, key = pending[-1]
-                with contextlib.suppress(OSError, http.client.HTTPException):
-                    path = f"{service.prefix}{key}/warm"
-                    if layout.call(target.address, "GET", path)[0] == http.client.OK:
-                        pending.pop()
-                        continue
-                return False
+                address, path = pending[-1]
+                try:
+                    last = layout.call(address, "GET", path)
+                except (OSError, http.client.HTTPException) as error:
+                    last = error
+                if not isinstance(last, tuple) or last[0] != http.client.OK:
+                    return False
+                pending.pop()
             return True
 
-        return layout.wait_until(served, what="service of all keys", timeout_s=timeout_s)
+        try:
+            return layout.wait_until(served, what="service of all keys", timeout_s=timeout_s)
+        except TimeoutError as error:
+            found = "\n".join(self.internal_errors()[:ERRORS_SHOWN_MAX])
+            raise RuntimeError(f"{error}; last: {pending[-1]} {last!r}\n{found}") from error
--- a/tests/standins/test_cluster.py
+++ b/tests/standins/test_cluster.py
@@ -44,6 +44,7 @@
             )
             found = running.start_load(plan)()
             runs = running.runs()
+            self.assertEqual([], running.internal_errors())
         self.assertEqual({"vm-1", "vm-2"}, {record.entry_vm for record in found})
         self.assertGreater(len(found), 50)
         self.assertEqual([], checks.check_answers(runs, found))
