Tie shard lists to tokens; share suspects of crashed servers; refuse early promises

Cause: a lessor that had a server's new row but not yet the new map would grant the old shards under the new token, and the server would report the release of a shard that it still owned. A re-read after a conflict fetched single rows, which made this likely. Ruled out: relying on the order in which rows arrive. Change: server rows carry a digest of their shards, and lessors act only on a matching map; conflicts re-read the change feed; completions clear suspects; leases go only to the process recorded in the row; a promise is refused for 0.5 s after a reply.

--- a/src/celerystack/control/changes.py
+++ b/src/celerystack/control/changes.py
@@ -8,7 +8,7 @@
 from celerystack.control import view as cluster_view
 from celerystack.observe import audit
 from celerystack.platform import ports
-from celerystack.state import codec, keys, shardmap
+from celerystack.state import codec, grants, keys, shardmap
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -75,13 +75,32 @@
         self.expect(key)
         self._plain_by_key[key] = value
 
+    def _rows_with_digests(self) -> dict[ids.ServerId, model.ServerRow]:
+        """Return the edited rows, each with the digest of its shards after the transaction."""
+        if not self._chunks_by_key:
+            return self._rows_by_server
+        services = {shardmap.service_of(key) for key in self._chunks_by_key}
+        shards_by_server: dict[ids.ServerId, list[model.ShardGrant]] = {}
+        for service in services:
+            chunks = dict(self._view.chunks(service)) | self._chunks_by_key
+            for key, chunk in chunks.items():
+                if shardmap.service_of(key) == service:
+                    for owner, grant in shardmap.owned(service, chunk):
+                        shards_by_server.setdefault(owner, []).append(grant)
+        result = {}
+        for server, row in self._rows_by_server.items():
+            others = [g for g in self._view.mapped(server) if g.service not in services]
+            shards = [*others, *shards_by_server.get(server, [])]
+            result[server] = dataclasses.replace(row, shards_digest=grants.digest(shards))
+        return result
+
     def build(
         self, *, action: audit.Action, subject: str, reason: str, before: str = "", after: str = ""
     ) -> Change:
         """Return the transaction."""
         writes = [
             ports.Write(keys.server(server), codec.encode_server(row))
-            for server, row in self._rows_by_server.items()
+            for server, row in self._rows_with_digests().items()
         ]
         writes += [ports.Write(key, chunk.encode()) for key, chunk in self._chunks_by_key.items()]
         writes += [ports.Write(key, value) for key, value in self._plain_by_key.items()]
--- a/src/celerystack/control/committer.py
+++ b/src/celerystack/control/committer.py
@@ -61,7 +61,7 @@
                 deadline=self._clock.seconds() + COMMIT_TIMEOUT_S,
             )
         except errors.TransactionConflictError:
-            await self._tables.refresh(list(change.expected_versions_by_key))
+            await self._tables.refresh()
             return False
         except errors.PlatformError as error:
             self._tables.note_failure(error)
--- a/src/celerystack/control/entry_vm.py
+++ b/src/celerystack/control/entry_vm.py
@@ -16,6 +16,7 @@
     committer,
     defaults,
     lessor_task,
+    losses_task,
     membership_task,
     placer_task,
     routes,
@@ -94,6 +95,7 @@
             membership=membership.HttpMembership(
                 self._reactor, address=chosen.membership_address, timeout_s=chosen.store_timeout_s
             ),
+            view=self.view,
             mesh=self.mesh,
         )
         self.commits = committer.Committer(
@@ -142,6 +144,7 @@
             mesh=self.mesh,
             lessor=self.lessor_task.lessor,
             commits=self.commits,
+            tables=self.table_sync,
             membership=self.membership,
             planner=self.placer,
             views=self.views,
@@ -154,12 +157,13 @@
             usable=self.placer.is_usable,
             on_route=self.traffic.count,
         )
+        self.losses = losses_task.LossesTask(self._clock, view=self.view, mesh=self.mesh)
         needs = forwarder.Ports(
             routes=self.routes,
             claims=claims_task.ClaimsTask(
                 self._clock, table=claims.ClaimTable(), view=self.view, mesh=self.mesh
             ),
-            losses=defaults.NoLosses(),
+            losses=self.losses,
             chooser=defaults.RoundRobin(),
             budget=defaults.UnlimitedRetries(),
         )
--- a/src/celerystack/control/lessor_task.py
+++ b/src/celerystack/control/lessor_task.py
@@ -86,7 +86,7 @@
             servers |= set(self._view.server_rows_by_id)
         for server in sorted(servers):
             row = self._view.server_rows_by_id.get(server)
-            if row is not None:
+            if row is not None and self._view.is_consistent(row):
                 self.send(self.lessor.update(row, self._view.granted(server), now))
 
     def _handle(self, sender: model.EntryVm, message: messages.Message) -> None:
--- a/src/celerystack/control/membership_task.py
+++ b/src/celerystack/control/membership_task.py
@@ -7,6 +7,7 @@
 from twisted.internet import defer, interfaces
 
 from celerystack import errors, ids, periodic
+from celerystack.control import view as cluster_view
 from celerystack.lease import evidence
 from celerystack.peers import mesh as peer_mesh
 from celerystack.platform import ports
@@ -31,9 +32,11 @@
         clock: interfaces.IReactorTime,
         *,
         membership: ports.MembershipPort,
+        view: cluster_view.ClusterView,
         mesh: peer_mesh.Mesh,
     ) -> None:
         self._membership = membership
+        self._view = view
         self._mesh = mesh
         self._loop = periodic.Periodic(clock, self._poll, interval_s=POLL_S)
         self.history = evidence.ListingHistory()
@@ -61,7 +64,12 @@
             return
         self.reachable = True
         servers = [member for member in members if member.role is ports.VmRole.BACKEND]
-        self.history.observe(ids.ServerId(member.vm) for member in servers)
+        self.history.observe(
+            (ids.ServerId(member.vm) for member in servers),
+            incarnations_by_server={
+                server: row.incarnation for server, row in self._view.server_rows_by_id.items()
+            },
+        )
         self.leaving_servers = frozenset(
             ids.ServerId(m.vm) for m in servers if m.state is ports.VmState.LEAVING
         )
--- a/src/celerystack/control/steward_task.py
+++ b/src/celerystack/control/steward_task.py
@@ -8,7 +8,7 @@
 from twisted.internet import defer, interfaces
 
 from celerystack import ids, model, periodic
-from celerystack.control import changes, committer, membership_task
+from celerystack.control import changes, committer, membership_task, table_sync
 from celerystack.control import view as cluster_view
 from celerystack.lease import evidence, stewardship, takeover
 from celerystack.lease import lessor as lessors
@@ -52,6 +52,7 @@
         mesh: peer_mesh.Mesh,
         lessor: lessors.Lessor,
         commits: committer.Committer,
+        tables: table_sync.TableSync,
         membership: membership_task.MembershipTask,
         planner: ReceiverPlanner,
         views: ViewTracker,
@@ -61,6 +62,7 @@
         self._mesh = mesh
         self._lessor = lessor
         self._commits = commits
+        self._tables = tables
         self._membership = membership
         self._planner = planner
         self._views = views
@@ -173,7 +175,8 @@
             acknowledged_token=self._lessor.acknowledged_token(server),
             acknowledged_at=self._lessor.acknowledged_at(server),
             promised=promised,
-            has_deputies=bool(self._lessor.deputies(server, now)),
+            table_reachable=self._tables.reachable,
+            has_deputies=bool(self._lessor.deputies(server)),
         )
 
     def _advance_takeover(self, server: ids.ServerId, row: model.ServerRow, now: float) -> None:
@@ -181,7 +184,7 @@
         if current is None or current.is_void(row):
             _log.info("server %s does not reply; asking its lessors", server)
             current = self._takeovers_by_server[server] = takeover.Takeover(row, now=now)
-        found = self._find_evidence(server)
+        found = self._find_evidence(server, row)
         if found is not None:
             current.on_evidence(found)
         for lessor, request in current.requests().items():
@@ -210,14 +213,16 @@
         )
         self._run(server, change)
 
-    def _find_evidence(self, server: ids.ServerId) -> evidence.Evidence | None:
+    def _find_evidence(
+        self, server: ids.ServerId, row: model.ServerRow
+    ) -> evidence.Evidence | None:
         if self._view.release_row(server).value:
             return evidence.Evidence.RELEASED_BY_OPERATOR
         service = self._view.service_of(server)
         zones = frozenset(entry_vm.zone for entry_vm in self._mesh.live_entry_vms())
         return evidence.from_delisting(
             self._membership.history,
-            server=server,
+            row=row,
             zone=self._zone(server),
             connected_zones=zones,
             zone_loss=service.zone_loss if service else model.ZoneLossPolicy.WAIT,
--- a/src/celerystack/control/table_sync.py
+++ b/src/celerystack/control/table_sync.py
@@ -7,7 +7,7 @@
 
 from twisted.internet import defer, interfaces
 
-from celerystack import errors, ids, periodic, timing
+from celerystack import errors, periodic, timing
 from celerystack.lease import rendezvous
 from celerystack.peers import mesh as peer_mesh
 from celerystack.peers import sync
@@ -96,12 +96,10 @@
         self.reachable = False
         self._on_error()
 
-    async def refresh(self, keys: list[ids.RowKey]) -> None:
-        """Read rows again, for example after a conflict, and spread what is newer."""
-        try:
-            rows = await self._table.get(keys)
-        except errors.PlatformError as error:
-            self.note_failure(error)
-            return
-        self.reachable = True
-        self._rows.push([row for row in rows if row.version])
+    async def refresh(self) -> None:
+        """Read what has changed, for example after a conflict, and spread it.
+
+        The change feed is used, because single rows could be newer than the rows that were written
+        together with them.
+        """
+        await self._poll()
--- a/src/celerystack/control/view.py
+++ b/src/celerystack/control/view.py
@@ -10,7 +10,7 @@
 from celerystack.config import derive
 from celerystack.platform import ports
 from celerystack.state import cache as row_cache
-from celerystack.state import codec, keys, shardmap
+from celerystack.state import codec, grants, keys, shardmap
 
 UNDIVIDED_SHARD = ids.ShardId(0)
 UNDIVIDED_EPOCH = ids.Epoch(1)
@@ -96,10 +96,18 @@
         found = [(k, c) for k, c in self._chunks_by_key.items() if k.startswith(prefix)]
         return sorted(found, key=lambda pair: pair[0])
 
-    def granted(self, server: ids.ServerId) -> tuple[model.ShardGrant, ...]:
-        """Return the shards that a server owns according to the newest known rows."""
+    def mapped(self, server: ids.ServerId) -> list[model.ShardGrant]:
+        """Return the shards that the known maps give to a server."""
         grants = [g.get(server, []) for g in self._grants_by_service.values()]
-        shards = [grant for service_grants in grants for grant in service_grants]
+        return [grant for service_grants in grants for grant in service_grants]
+
+    def is_consistent(self, row: model.ServerRow) -> bool:
+        """Return whether the known maps are those that belong to the row's token."""
+        return grants.digest(self.mapped(row.server)) == row.shards_digest
+
+    def granted(self, server: ids.ServerId) -> tuple[model.ShardGrant, ...]:
+        """Return the shards to grant to a server according to the newest known rows."""
+        shards = self.mapped(server)
         service = self.service_of(server)
         if service is not None and not service.divided:
             shards.append(model.ShardGrant(service.name, UNDIVIDED_SHARD, UNDIVIDED_EPOCH))
@@ -139,7 +147,7 @@
         return {server}
 
     def _load_chunk(self, row: ports.Row) -> set[ids.ServiceName]:
-        service = ids.ServiceName(row.key.removeprefix(keys.MAP_PREFIX).rpartition("/")[0])
+        service = shardmap.service_of(row.key)
         if row.value is None:
             self._chunks_by_key.pop(row.key, None)
             return {service}
@@ -163,12 +171,9 @@
 
     def _regroup_grants(self, service: ids.ServiceName) -> set[ids.ServerId]:
         before = self._grants_by_service.get(service, {})
-        grants: dict[ids.ServerId, list[model.ShardGrant]] = {}
+        after: dict[ids.ServerId, list[model.ShardGrant]] = {}
         for _, chunk in self.chunks(service):
-            for shard in chunk.shards():
-                owner = chunk.owner(shard)
-                if owner is not None:
-                    grant = model.ShardGrant(service, shard, chunk.epoch(shard))
-                    grants.setdefault(owner, []).append(grant)
-        self._grants_by_service[service] = grants
-        return {s for s in {*before, *grants} if before.get(s) != grants.get(s)}
+            for owner, grant in shardmap.owned(service, chunk):
+                after.setdefault(owner, []).append(grant)
+        self._grants_by_service[service] = after
+        return {s for s in {*before, *after} if before.get(s) != after.get(s)}
--- a/src/celerystack/model.py
+++ b/src/celerystack/model.py
@@ -114,6 +114,8 @@
         Last known incarnation of the server's process; empty if none was seen.
     previous_lessors : tuple of LessorRef
         Lessors that may still act, until the server has acknowledged ``token``.
+    shards_digest : int
+        `state.grants.digest` of the shards that the maps give the server under ``token``.
     """
 
     server: ids.ServerId
@@ -122,6 +124,7 @@
     incarnation: ids.Incarnation = ids.Incarnation("")
     lessors: tuple[LessorRef, ...] = ()
     previous_lessors: tuple[LessorRef, ...] = ()
+    shards_digest: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/celerystack/requests/forwarder.py
+++ b/src/celerystack/requests/forwarder.py
@@ -114,6 +114,9 @@
         finally:
             if progress.claimed:
                 self._ports.claims.finish(call.request_id, progress.home_zone, state)
+        # The end of a streamed answer is not known here.
+        if isinstance(reply, replies.Answered) and isinstance(reply.response, http.HttpResponse):
+            self._ports.losses.completed(fingerprint)
         return reply
 
     async def _run(
--- a/src/celerystack/requests/ports.py
+++ b/src/celerystack/requests/ports.py
@@ -70,6 +70,9 @@
     ) -> None:
         """Record that every exchange in flight at a server broke at the same time."""
 
+    def completed(self, fingerprint: ids.Fingerprint) -> None:
+        """Record that a request ran to its end and its whole answer arrived."""
+
     def is_quarantined(self, fingerprint: ids.Fingerprint) -> bool:
         """Return whether requests with a fingerprint are rejected."""
 
--- a/src/celerystack/state/codec.py
+++ b/src/celerystack/state/codec.py
@@ -84,6 +84,7 @@
             row.incarnation,
             [[lessor.vm, lessor.incarnation] for lessor in row.lessors],
             [[lessor.vm, lessor.incarnation] for lessor in row.previous_lessors],
+            row.shards_digest,
         ]
     )
 
@@ -92,7 +93,7 @@
     """Decode a ``server/<id>`` row."""
     fields = unpack(data, key=key)
     try:
-        server, state, token, incarnation, lessors, previous = fields
+        server, state, token, incarnation, lessors, previous, shards_digest = fields
         return model.ServerRow(
             server=server,
             state=model.ServerState(state),
@@ -100,6 +101,7 @@
             incarnation=incarnation,
             lessors=tuple(model.LessorRef(*pair) for pair in lessors),
             previous_lessors=tuple(model.LessorRef(*pair) for pair in previous),
+            shards_digest=int(shards_digest),
         )
     except (TypeError, ValueError) as error:
         raise errors.CorruptRowError(
--- a/src/celerystack/state/shardmap.py
+++ b/src/celerystack/state/shardmap.py
@@ -10,11 +10,12 @@
 import copy
 import dataclasses
 import hashlib
+from collections.abc import Iterator
 
 import msgpack
 
 from celerystack import errors, ids, model
-from celerystack.state import codec
+from celerystack.state import codec, keys
 
 CHUNK_SHARDS = 4096
 NO_OWNER = 0xFFFF_FFFF
@@ -207,6 +208,21 @@
         return chunk
 
 
+def service_of(key: ids.RowKey) -> ids.ServiceName:
+    """Return the service of a chunk's row key."""
+    return ids.ServiceName(key.removeprefix(keys.MAP_PREFIX).rpartition("/")[0])
+
+
+def owned(
+    service: ids.ServiceName, chunk: ShardMapChunk
+) -> Iterator[tuple[ids.ServerId, model.ShardGrant]]:
+    """Yield each shard that has an owner, with its owner."""
+    for shard in chunk.shards():
+        owner = chunk.owner(shard)
+        if owner is not None:
+            yield owner, model.ShardGrant(service, shard, chunk.epoch(shard))
+
+
 def new_chunks(shards: int) -> list[ShardMapChunk]:
     """Return empty chunks for a service with ``shards`` base shards."""
     starts = range(0, shards, CHUNK_SHARDS)
--- a/src/celerystack/timing.py
+++ b/src/celerystack/timing.py
@@ -4,7 +4,7 @@
 
 LEASE_S = 1.0
 RENEW_S = 0.2
-REACHABLE_S = 0.3
+REACHABLE_S = 0.5
 SUSPECT_S = 0.5
 CLOCK_DRIFT = 0.01
 """Largest relative difference between the rates of two clocks."""
--- a/tests/control/test_changes.py
+++ b/tests/control/test_changes.py
@@ -140,3 +140,19 @@
         row = dataclasses.replace(self.world.cache.get(keys.server(B1)), version=ids.RowVersion(1))
         self.world.cache.merge([ports.Row(row.key, row.version, b"\xc1")])
         self.assertEqual(2, self.world.row(B1).token)
+
+    def test_server_row_without_its_map_is_not_consistent(self):
+        """Guards against granting the old shards under a new token when rows arrive one by one.
+
+        The server would then report the release of a shard that it still owns.
+        """
+        self.world.assign_all()
+        change = changes.start_moves(
+            self.world.view, BROWSE, {ids.ShardId(1): B2}, reason="balance"
+        )
+        writes = {write.key: write.value for write in change.writes}
+        self.assertTrue(self.world.view.is_consistent(self.world.row(B1)))
+        self.world.write(keys.server(B1), writes[keys.server(B1)])
+        self.assertFalse(self.world.view.is_consistent(self.world.row(B1)))
+        self.world.write(keys.shard_map(BROWSE, 0), writes[keys.shard_map(BROWSE, 0)])
+        self.assertTrue(self.world.view.is_consistent(self.world.row(B1)))
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -100,10 +100,14 @@
     def __init__(self):
         self.lost = []
         self.quarantined = set()
+        self.cleared = []
 
     def server_lost(self, server_id, fingerprints_in_flight):
         self.lost.append((server_id, fingerprints_in_flight))
 
+    def completed(self, fingerprint):
+        self.cleared.append(fingerprint)
+
     def is_quarantined(self, fingerprint):
         return fingerprint in self.quarantined
 
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -44,8 +44,8 @@
         before = version_at(scenario, names[0])
         apply_change(scenario, 1)
         wait_version(scenario, names, before + 1)
-        scenario.running.processes.freeze("vm-1a")
         scenario.running.cut_zone(3)
+        scenario.running.processes.freeze("vm-1a")
         apply_change(scenario, 2)
         wait_version(scenario, ["vm-1b", "vm-2a", "vm-2b"], before + 2)
         assert version_at(scenario, "vm-3a") == before + 1
