Write whole answers to callers at once

Writing an answer through twisted.web's header map took 0.93 s of 6.3 s profiled CPU, because each name is normalized and each value checked again. Whole answers are now written in one piece; their headers were checked by h11 on the way in. Streams keep the former path.

CPU per request in the router, least 0.25 s window, old and new running at the same time on a shared machine, three runs (16 caller connections, 6 s): before 617, 419, 414 us; after 586, 394, 383 us.

--- a/src/celerystack/requests/callerhttp.py
+++ b/src/celerystack/requests/callerhttp.py
@@ -110,6 +110,27 @@
         """Close the caller's connection at once, so that a partial answer is seen as such."""
         self.channel.transport.abortConnection()
 
+    def answer(
+        self, status: int, reason: bytes, headers: backend_http.HeaderList, body: bytes
+    ) -> None:
+        """Write a whole answer and end it.
+
+        Bypasses the header map of twisted.web, which normalizes each name and value again. The
+        headers must be free of line breaks and say the length of the body.
+        """
+        if self.factory.draining:
+            self.close_after_answer()
+        self.startedWriting = 1
+        parts = [b"%s %d %s" % (self.clientproto, status, reason)]
+        parts += [b"%s: %s" % header for header in headers]
+        for name, values in self.responseHeaders.getAllRawHeaders():
+            parts += [b"%s: %s" % (name, value) for value in values]
+        parts.append(b"")
+        bodyless = self.method == b"HEAD" or status in http.NO_BODY_CODES
+        parts.append(b"" if bodyless else body)
+        self.channel.write(b"\r\n".join(parts))
+        self.finish()
+
     def write(self, data: bytes) -> None:
         """Write body bytes; adds ``Connection: close`` to the head while draining."""
         if not self.startedWriting and self.factory.draining:
--- a/src/celerystack/requests/frontend.py
+++ b/src/celerystack/requests/frontend.py
@@ -10,6 +10,7 @@
 
 from twisted.internet import defer
 from twisted.python import failure
+from twisted.web import http as twisted_http
 
 from celerystack import ids, model
 from celerystack.backend import exchange, http
@@ -24,6 +25,7 @@
 _CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 OUTCOME_HEADER = b"X-Celerystack-Outcome"
 CLAIM_HEADER = b"X-Celerystack-Claim"
+_ANSWERED = (OUTCOME_HEADER, b"answered")
 
 
 class RequestError(Exception):
@@ -155,12 +157,12 @@
             case replies.Unknown(reason=reason, status=status):
                 _write_text(request, status, model.Outcome.UNKNOWN, reason)
             case replies.AlreadyClaimed(state=state):
-                request.responseHeaders.setRawHeaders(CLAIM_HEADER, [state.value.encode()])
                 _write_text(
                     request,
                     409,
                     model.Outcome.UNKNOWN,
                     f"this request id was claimed before; state: {state.value}",
+                    (CLAIM_HEADER, state.value.encode()),
                 )
 
     def _write_answer(
@@ -168,20 +170,18 @@
         request: callerhttp.CallerRequest,
         response: http.HttpResponse | exchange.StreamedResponse,
     ) -> None:
-        request.setResponseCode(response.status, response.reason or None)
-        for name, value in encoding.answer_headers(response.headers):
-            request.responseHeaders.addRawHeader(name, value)
-        request.responseHeaders.setRawHeaders(OUTCOME_HEADER, [b"answered"])
-        if isinstance(response, exchange.StreamedResponse):
-            done = response.deliver(request)
-            done.addCallbacks(lambda _: request.finish(), self._truncated, errbackArgs=(request,))
+        headers = (*encoding.answer_headers(response.headers), _ANSWERED)
+        if isinstance(response, http.HttpResponse):
+            if request.method != b"HEAD" and response.status not in (204, 304):
+                length = (b"Content-Length", b"%d" % len(response.body))
+                headers = (*(h for h in headers if h[0] != b"content-length"), length)
+            request.answer(response.status, response.reason, headers, response.body)
             return
-        if request.method != b"HEAD" and response.status not in (204, 304):
-            length = b"%d" % len(response.body)
-            request.responseHeaders.setRawHeaders(b"Content-Length", [length])
-        if response.body:
-            request.write(response.body)
-        request.finish()
+        request.setResponseCode(response.status, response.reason)
+        for name, value in headers:
+            request.responseHeaders.addRawHeader(name, value)
+        done = response.deliver(request)
+        done.addCallbacks(lambda _: request.finish(), self._truncated, errbackArgs=(request,))
 
     def _truncated(self, problem: failure.Failure, request: callerhttp.CallerRequest) -> None:
         if request.is_disconnected():
@@ -195,16 +195,20 @@
 
 
 def _write_text(
-    request: callerhttp.CallerRequest, status: int, outcome: model.Outcome, reason: str
+    request: callerhttp.CallerRequest,
+    status: int,
+    outcome: model.Outcome,
+    reason: str,
+    *more: tuple[bytes, bytes],
 ) -> None:
     body = reason.encode("utf-8", "replace") + b"\n"
-    request.setResponseCode(status)
-    headers = request.responseHeaders
-    headers.setRawHeaders(OUTCOME_HEADER, [outcome.value.encode()])
-    headers.setRawHeaders(b"Content-Type", [b"text/plain; charset=utf-8"])
-    headers.setRawHeaders(b"Content-Length", [b"%d" % len(body)])
-    request.write(body)
-    request.finish()
+    headers = (
+        (OUTCOME_HEADER, outcome.value.encode()),
+        (b"Content-Type", b"text/plain; charset=utf-8"),
+        (b"Content-Length", b"%d" % len(body)),
+        *more,
+    )
+    request.answer(status, twisted_http.RESPONSES[status], headers, body)
 
 
 def _deadline_ms(headers: http.HeaderList, service: model.Service) -> int:
