Compute a server's shards on demand instead of keeping an object per shard

Cause: the cluster view kept one object per shard for all services, about 100 bytes each, which does not fit an entry VM at a million shards. Ruled out: keeping the lists of all servers in arrays; only lessors need them. Change: the view scans the owner arrays when a server's row changes; entry VMs keep shard lists of servers in their own zone only.

--- a/src/celerystack/control/changes.py
+++ b/src/celerystack/control/changes.py
@@ -79,18 +79,9 @@
         """Return the edited rows, each with the digest of its shards after the transaction."""
         if not self._chunks_by_key:
             return self._rows_by_server
-        services = {shardmap.service_of(key) for key in self._chunks_by_key}
-        shards_by_server: dict[ids.ServerId, list[model.ShardGrant]] = {}
-        for service in services:
-            chunks = dict(self._view.chunks(service)) | self._chunks_by_key
-            for key, chunk in chunks.items():
-                if shardmap.service_of(key) == service:
-                    for owner, grant in shardmap.owned(service, chunk):
-                        shards_by_server.setdefault(owner, []).append(grant)
         result = {}
         for server, row in self._rows_by_server.items():
-            others = [g for g in self._view.mapped(server) if g.service not in services]
-            shards = [*others, *shards_by_server.get(server, [])]
+            shards = self._view.mapped(server, changed=self._chunks_by_key)
             result[server] = dataclasses.replace(row, shards_digest=grants.digest(shards))
         return result
 
--- a/src/celerystack/control/lessor_task.py
+++ b/src/celerystack/control/lessor_task.py
@@ -44,6 +44,7 @@
         self._mesh = mesh
         self._loop = periodic.Periodic(clock, self._tick, interval_s=TICK_S)
         self.lessor = lessor
+        self._incomplete: set[ids.ServerId] = set()
         self.store_reachable = True
         view.add_listener(self._view_changed)
         mesh.add_handler(self._handle)
@@ -81,13 +82,26 @@
 
     def _view_changed(self, change: cluster_view.ViewChange) -> None:
         now = self._clock.seconds()
-        servers = set(change.servers)
+        servers = self._incomplete | change.servers
         if change.configuration:
             servers |= set(self._view.server_rows_by_id)
+        self._incomplete = set()
         for server in sorted(servers):
             row = self._view.server_rows_by_id.get(server)
-            if row is not None and self._view.is_consistent(row):
+            if row is None:
+                continue
+            if not self._may_grant(row):
+                self.send(self.lessor.update(row, (), now))
+            elif self._view.is_consistent(row):
                 self.send(self.lessor.update(row, self._view.granted(server), now))
+            else:
+                self._incomplete.add(server)
+
+    def _may_grant(self, row: model.ServerRow) -> bool:
+        """Return whether this entry VM is a lessor of a server or may become its deputy."""
+        declared = self._view.declared(row.server)
+        in_zone = declared is not None and declared.zone == self._mesh.me.zone
+        return in_zone or self.lessor.me in row.lessors
 
     def _handle(self, sender: model.EntryVm, message: messages.Message) -> None:
         now = self._clock.seconds()
--- a/src/celerystack/control/view.py
+++ b/src/celerystack/control/view.py
@@ -4,7 +4,8 @@
 
 import dataclasses
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 
 from celerystack import errors, ids, model
 from celerystack.config import derive
@@ -21,7 +22,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class ViewChange:
-    """What a merge of rows changed; ``services`` have new maps, ``servers`` new rows or grants."""
+    """What a merge of rows changed; ``services`` have new maps, ``servers`` new rows.
+
+    A change of the map always comes with new rows of the servers whose shards it changes.
+    """
 
     servers: frozenset[ids.ServerId]
     services: frozenset[ids.ServiceName]
@@ -35,9 +39,6 @@
         self._cache = cache
         self._listeners: list[Callable[[ViewChange], None]] = []
         self._chunks_by_key: dict[ids.RowKey, shardmap.ShardMapChunk] = {}
-        self._grants_by_service: dict[
-            ids.ServiceName, dict[ids.ServerId, list[model.ShardGrant]]
-        ] = {}
         self.configuration = model.Configuration()
         self.server_rows_by_id: dict[ids.ServerId, model.ServerRow] = {}
         cache.add_listener(self._rows_changed)
@@ -96,10 +97,23 @@
         found = [(k, c) for k, c in self._chunks_by_key.items() if k.startswith(prefix)]
         return sorted(found, key=lambda pair: pair[0])
 
-    def mapped(self, server: ids.ServerId) -> list[model.ShardGrant]:
-        """Return the shards that the known maps give to a server."""
-        grants = [g.get(server, []) for g in self._grants_by_service.values()]
-        return [grant for service_grants in grants for grant in service_grants]
+    def mapped(
+        self,
+        server: ids.ServerId,
+        *,
+        changed: Mapping[ids.RowKey, shardmap.ShardMapChunk] = MappingProxyType({}),
+    ) -> list[model.ShardGrant]:
+        """Return the shards that the known maps, replaced by ``changed``, give to a server.
+
+        Computed on demand: one object per shard and service would not fit the memory of an entry VM
+        at a million shards.
+        """
+        chunks = {**self._chunks_by_key, **changed}
+        return [
+            grant
+            for key in sorted(chunks)
+            for grant in shardmap.grants_in(key, chunks[key], server)
+        ]
 
     def is_consistent(self, row: model.ServerRow) -> bool:
         """Return whether the known maps are those that belong to the row's token."""
@@ -128,8 +142,6 @@
                 configuration = True
         if configuration:
             configuration = self._load_configuration()
-        for service in services:
-            servers |= self._regroup_grants(service)
         change = ViewChange(frozenset(servers), frozenset(services), configuration)
         for listener in self._listeners:
             listener(change)
@@ -168,12 +180,3 @@
             return False
         self.configuration = configuration
         return True
-
-    def _regroup_grants(self, service: ids.ServiceName) -> set[ids.ServerId]:
-        before = self._grants_by_service.get(service, {})
-        after: dict[ids.ServerId, list[model.ShardGrant]] = {}
-        for _, chunk in self.chunks(service):
-            for owner, grant in shardmap.owned(service, chunk):
-                after.setdefault(owner, []).append(grant)
-        self._grants_by_service[service] = after
-        return {s for s in {*before, *after} if before.get(s) != after.get(s)}
--- a/src/celerystack/state/shardmap.py
+++ b/src/celerystack/state/shardmap.py
@@ -10,7 +10,6 @@
 import copy
 import dataclasses
 import hashlib
-from collections.abc import Iterator
 
 import msgpack
 
@@ -101,6 +100,16 @@
         index = self._owners[shard - self.first_shard]
         return None if index == NO_OWNER else self._servers[index]
 
+    def owned_by(self, server: ids.ServerId) -> list[ids.ShardId]:
+        """Return the shards of one server, in a scan of the owner array."""
+        index = self._index_by_server.get(server)
+        hot = [shard for shard, entry in self.hot_by_shard.items() if entry.owner == server]
+        if index is None:
+            return hot
+        first = self.first_shard
+        base = [ids.ShardId(first + i) for i, o in enumerate(self._owners) if o == index]
+        return base + hot
+
     def epoch(self, shard: ids.ShardId) -> ids.Epoch:
         """Return the epoch that requests for the shard must carry."""
         if shard >= model.HOT_SHARD_BASE:
@@ -213,14 +222,14 @@
     return ids.ServiceName(key.removeprefix(keys.MAP_PREFIX).rpartition("/")[0])
 
 
-def owned(
-    service: ids.ServiceName, chunk: ShardMapChunk
-) -> Iterator[tuple[ids.ServerId, model.ShardGrant]]:
-    """Yield each shard that has an owner, with its owner."""
-    for shard in chunk.shards():
-        owner = chunk.owner(shard)
-        if owner is not None:
-            yield owner, model.ShardGrant(service, shard, chunk.epoch(shard))
+def grants_in(
+    key: ids.RowKey, chunk: ShardMapChunk, server: ids.ServerId
+) -> list[model.ShardGrant]:
+    """Return the shards that one chunk gives to a server."""
+    service = service_of(key)
+    return [
+        model.ShardGrant(service, shard, chunk.epoch(shard)) for shard in chunk.owned_by(server)
+    ]
 
 
 def new_chunks(shards: int) -> list[ShardMapChunk]:
