Send waiting requests on when their server is undeclared; survive a failing check

Requests that waited for a server whose address changed ended as not-run although the new address could serve them; they now look up their server again. An exception in the check before the write left the connection neither idle nor closed; it now counts as a refusal. After eight attempts without a delay a call waits before each further one.

--- a/src/celerystack/backend/connection.py
+++ b/src/celerystack/backend/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import logging
 import socket
 from collections.abc import Callable
 
@@ -15,6 +16,8 @@
 from celerystack.backend import exchange as exchanges
 from celerystack.backend import http, wire
 
+_log = logging.getLogger(__name__)
+
 WRITE_CHUNK = 65536
 HEADER_MAX = 64 * 1024
 _BODYLESS_STATUS = (204, 304)
@@ -27,6 +30,17 @@
     return h11.Request(method=method, target=b"/", headers=((b"Host", b"x"),))
 
 
+def _is_permitted(watcher: exchanges.Watcher | None) -> bool:
+    if watcher is None:
+        return True
+    try:
+        return watcher.may_write()
+    except Exception:
+        # The connection must return to the pool and the caller must get its answer.
+        _log.exception("the check before the write failed; the request is not sent")
+        return False
+
+
 @implementer(interfaces.IPullProducer)
 class _Remainder:
     """Writes the part of a request that the socket buffer did not take at once."""
@@ -104,7 +118,7 @@
 
     def start(self, exchange: exchanges.Exchange) -> None:
         """Write the request of an exchange; the connection must be quiet."""
-        if exchange.watcher is not None and not exchange.watcher.may_write():
+        if not _is_permitted(exchange.watcher):
             self._on_idle(self)
             exchange.fail(self._not_run("the send was not permitted"))
             return
--- a/src/celerystack/requests/forwarder.py
+++ b/src/celerystack/requests/forwarder.py
@@ -90,6 +90,17 @@
         """Return the attempts that are unanswered on open connections to a server."""
         return tuple(flight for lane in self._lanes_of(server_id) for flight in lane.flights)
 
+    def forget(self, server_id: ids.ServerId) -> None:
+        """Drop a server that left the configuration or changed its address.
+
+        Requests in flight there finish; those that wait for it look for another server.
+        """
+        lane = self._lanes_by_server.pop(server_id, None)
+        self._retired = [old for old in self._retired if old.flights]
+        if lane is not None:
+            self._retired.append(lane)
+            lane.retire()
+
     def close(self) -> None:
         """Close all connections to servers."""
         for lane in (*self._lanes_by_server.values(), *self._retired):
@@ -163,8 +174,8 @@
         progress.attempts += 1
         try:
             waiting = lane.admit(call.deadline)
-            if waiting is not None:
-                await waiting
+            if waiting is not None and not await waiting:
+                return replies.Outdated()
         except errors.NotRunError as error:
             return replies.Shed(error.reason)
         shard = None if target.route is None else target.route.shard
@@ -214,7 +225,7 @@
             return self._give_up(call, progress, f"{reason}; the retry budget is exhausted")
         if rule.avoid_server:
             progress.avoid.add(target.server.server)
-        if rule.wait:
+        if rule.wait or progress.attempts > retries.ATTEMPTS_AT_ONCE:
             delay_s = min(retries.delay_s(progress.attempts), call.deadline - now)
             await targets.change_or_delay(self._reactor, self._ports.routes, call.service, delay_s)
         return None
@@ -230,11 +241,7 @@
         if lane is not None and lane.server.address == server.address:
             lane.server = server
             return lane
-        if lane is not None:
-            # Requests in flight at the old address finish there.
-            lane.retire()
-            self._retired = [old for old in self._retired if old.flights]
-            self._retired.append(lane)
+        self.forget(server.server)
         lane = lanes.Lane(
             self._reactor,
             server,
--- a/src/celerystack/requests/lanes.py
+++ b/src/celerystack/requests/lanes.py
@@ -113,7 +113,7 @@
         self._pumping = False
         self._timer: Any = None
         share = shares.equal_share(connections=service.connections, entry_vms=entry_vms)
-        self._queue: deadline_queue.DeadlineQueue[defer.Deferred[None]] = (
+        self._queue: deadline_queue.DeadlineQueue[defer.Deferred[bool]] = (
             deadline_queue.DeadlineQueue()
         )
         self._limit = concurrency.ConcurrencyLimit(
@@ -128,16 +128,17 @@
         self.pool.set_limit(share)
         self._pump()
 
-    def admit(self, deadline: float) -> defer.Deferred[None] | None:
+    def admit(self, deadline: float) -> defer.Deferred[bool] | None:
         """Take a place for one attempt; None if it is granted at once.
 
-        The place is given back by the end of the flight that is passed to `exchange`, which must
-        be called in the same reactor turn. The Deferred fails with `errors.NotRunError` if the
-        attempt cannot start before its deadline.
+        The Deferred fires with True when the place is granted, with False if the lane is retired,
+        and fails with `errors.NotRunError` if the attempt cannot start before its deadline. A
+        granted place is given back by the end of the flight that is passed to `exchange`, which
+        must be called in the same reactor turn.
         """
         if not self._queue and self._limit.try_start():
             return None
-        waiting: defer.Deferred[None] = defer.Deferred(self._queue.remove)
+        waiting: defer.Deferred[bool] = defer.Deferred(self._queue.remove)
         shed = self._queue.push(
             waiting, deadline=deadline, now=self._now(), concurrency=self._limit.limit
         )
@@ -145,7 +146,7 @@
         self._arm()
         return waiting
 
-    def _fail(self, waiting: list[defer.Deferred[None]], reason: str) -> None:
+    def _fail(self, waiting: list[defer.Deferred[bool]], reason: str) -> None:
         for item in waiting:
             item.errback(errors.NotRunError(reason, step="requests.queue", peer=self.server.server))
 
@@ -170,7 +171,7 @@
         try:
             self._fail(self._queue.expire(self._now()), "the deadline passed in the queue")
             while self._queue and self._limit.try_start():
-                self._queue.pop().callback(None)
+                self._queue.pop().callback(True)
         finally:
             self._pumping = False
 
@@ -221,9 +222,10 @@
         self.pool.close_connections(reason)
 
     def retire(self) -> None:
-        """Close the connections as they become idle; attempts in the queue fail."""
-        self._fail(self._queue.expire(float("inf")), "the server's address changed")
+        """Close the connections as they become idle and send the waiting attempts away."""
         self.pool.set_limit(0)
+        for item in self._queue.expire(float("inf")):
+            item.callback(False)
 
     def close(self) -> None:
         """Close the pool; nothing can be sent afterwards."""
--- a/src/celerystack/requests/retries.py
+++ b/src/celerystack/requests/retries.py
@@ -8,6 +8,8 @@
 
 DELAY_FIRST_S = 0.02
 DELAY_MAX_S = 0.2
+ATTEMPTS_AT_ONCE = 8
+"""Further attempts of a call wait first, so that a fault in the routes cannot cause a busy loop."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/backend/test_client.py
+++ b/tests/backend/test_client.py
@@ -217,6 +217,17 @@
         await pool.exchange(GET, deadline=soon())
         self.assertEqual(server.accepted, 1)
 
+    async def test_check_before_the_write_fails(self):
+        """Guards against a lost connection and an unanswered exchange when the check raises."""
+        server = self.server()
+        pool = self.pool(server)
+        watcher = Watcher()
+        watcher.may_write = lambda: 1 / 0
+        await self.fails_not_run(pool.exchange(post(b"x"), deadline=soon(), watcher=watcher))
+        self.assertEqual(watcher.endings, ["intact"])
+        await pool.exchange(GET, deadline=soon())
+        self.assertEqual((server.accepted, len(server.requests)), (1, 1))
+
     async def test_unencodable_request(self):
         """Guards against header injection reaching the server."""
         server = self.server()
--- a/tests/requests/test_forwarder.py
+++ b/tests/requests/test_forwarder.py
@@ -496,6 +496,25 @@
             self.assert_outcome(await d, 200, b"answered")
         self.assertEqual((len(old.requests), len(new.requests)), (2, 1))
 
+    async def test_forgotten_server(self):
+        """Guards against interrupting or stranding requests at a server that was undeclared."""
+        rig, (old, _) = await self.rig(servers=2, service=fakes.DESK)
+        rig.budget.retries = 0
+        old.handler = lambda r: None
+        first = [rig.call(DESK, method="POST") for _ in range(2)]
+        await backend_fakes.settle(until=lambda: len(old.requests) == 2)
+        waiting = rig.call(DESK, method="POST")
+        await backend_fakes.sleep(0.05)
+        del rig.routes.servers_by_id["a0"]
+        rig.forwarder.forget("a0")
+        self.assert_outcome(await waiting, 200, b"answered")
+        self.assertEqual(len(rig.forwarder.in_flight("a0")), 2)
+        for request in old.requests:
+            request.connection.send(backend_fakes.answer())
+        for d in first:
+            self.assert_outcome(await d, 200, b"answered")
+        await backend_fakes.settle(until=lambda: not old.connections)
+
     async def test_earlier_deadline_goes_first(self):
         """Guards against first come, first served when deadlines differ."""
         rig, (server,) = await self.rig()
--- a/tests/requests/test_frontend.py
+++ b/tests/requests/test_frontend.py
@@ -254,6 +254,21 @@
         self.assertEqual(rig.forwarder.in_flight("a0"), ())
         self.assertEqual(rig.chooser.running, 0)
 
+    async def test_incomplete_request(self):
+        """Guards against forwarding a request whose body was cut off."""
+        rig, (server,) = await self.rig()
+        for framing in (
+            b"Content-Length: 9\r\n\r\nabc",
+            b"Transfer-Encoding: chunked\r\n\r\n3\r\nab",
+        ):
+            head = b"POST /atlas/browse/k1 HTTP/1.1\r\nHost: h\r\n"
+            caller = await self.raw(rig, head + framing, until_closed=False)
+            await backend_fakes.sleep(0.05)
+            caller.transport.loseConnection()
+            await backend_fakes.settle(until=lambda caller=caller: caller.closed)
+        await backend_fakes.sleep(0.05)
+        self.assertEqual((server.requests, rig.budget.requests), ([], 0))
+
     async def test_disconnect_during_a_stream(self):
         """Guards against reading a large answer for a caller that has gone."""
         rig, (server,) = await self.rig()
