Merge the fields of a configuration table only when it changed

Cause: a change of one file still merged the fields of all 17,000 tables. Ruled out: none. Change: tables keep references to their parsed sources and merge them on first use. Result: 336,031 calls per repeated merge before, 199,983 after (cProfile, trial); 0.18 to 0.33 s of CPU after, 0.25 to 0.41 s before, on a busy machine.

--- a/src/celerystack/config/loader.py
+++ b/src/celerystack/config/loader.py
@@ -137,10 +137,14 @@
         if not isinstance(tables, dict):
             found.append(problems.Problem(file, kind, f"must be tables [{kind}.<name>]"))
             continue
+        merged_by_name = tables_by_kind[kind]
         for name, table in tables.items():
             if not isinstance(table, dict):
                 reason = f"must be a table [{kind}.<name>]"
                 found.append(problems.Problem(file, f"{kind}.{name}", reason))
                 continue
-            merged = tables_by_kind[kind].setdefault(name, validation.MergedTable(file))
-            merged.override(file, table)
+            merged = merged_by_name.get(name)
+            if merged is None:
+                merged_by_name[name] = validation.MergedTable(file, table)
+            else:
+                merged.sources.append((file, table))
--- a/src/celerystack/config/validation.py
+++ b/src/celerystack/config/validation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 from collections.abc import Mapping
 from typing import Any
 
@@ -12,34 +13,48 @@
 from celerystack.config import problems, schema
 
 
-@dataclasses.dataclass
 class MergedTable:
-    """One table after merging, with the file that set each field last."""
+    """One table after merging, with the file that set each field last.
 
-    first_file: str
-    values_by_field: dict[str, Any] = dataclasses.field(default_factory=dict)
-    files_by_field: dict[str, str] = dataclasses.field(default_factory=dict)
-    sources: list[tuple[str, Mapping[str, Any]]] = dataclasses.field(default_factory=list)
+    The fields are merged on first use, because most tables are unchanged and never looked into.
 
-    def override(self, file: str, values_by_field: Mapping[str, Any]) -> None:
-        """Replace the fields that ``file`` declares."""
-        self.sources.append((file, values_by_field))
-        self.values_by_field.update(values_by_field)
-        self.files_by_field.update(dict.fromkeys(values_by_field, file))
+    Attributes
+    ----------
+    sources : list
+        Pairs of a file and its parsed table, in the order of merging.
+    """
+
+    def __init__(self, file: str, values_by_field: Mapping[str, Any]) -> None:
+        self.sources = [(file, values_by_field)]
+
+    @property
+    def first_file(self) -> str:
+        """The file that declared the table first."""
+        return self.sources[0][0]
+
+    @functools.cached_property
+    def values_by_field(self) -> dict[str, Any]:
+        """Value of each field; later files override earlier ones."""
+        return {name: value for _, table in self.sources for name, value in table.items()}
 
     def same_sources(self, other: MergedTable) -> bool:
         """Return whether both were merged from the same parsed tables.
 
         Compares identity, because equal values can have other types: 1 equals true in Python.
         """
-        return len(self.sources) == len(other.sources) and all(
-            mine[0] == theirs[0] and mine[1] is theirs[1]
-            for mine, theirs in zip(self.sources, other.sources, strict=True)
-        )
+        if len(self.sources) != len(other.sources):
+            return False
+        for mine, theirs in zip(self.sources, other.sources, strict=True):
+            if mine[1] is not theirs[1] or mine[0] != theirs[0]:
+                return False
+        return True
 
     def file_of(self, field: str) -> str:
         """Return the file that set a field, or the one that declared the table first."""
-        return self.files_by_field.get(field, self.first_file)
+        for file, table in reversed(self.sources):
+            if field in table:
+                return file
+        return self.first_file
 
 
 class TableCache:
