Add the choice of server for services without keys

Cause: servers of such services may be slow, fail fast or report a wrong load, and each entry VM sees a part of the traffic only.

Change: requests.choice.ServerChooser scores by observed latency times own outstanding requests, uses at most the declared slots per server, prefers the own zone, counts failures as slow, and lets a request wait for a fast server if the length of the queue is given.

--- /dev/null
+++ b/tests/requests/test_choice.py
@@ -0,0 +1,162 @@
+"""Choice of server: slots, zones, slow, recovering and failing servers."""
+
+from __future__ import annotations
+
+import collections
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from celerystack import model
+from celerystack.requests import choice
+from measurements import choice as comparison
+
+SERVICE = model.Service(name="s", prefixes=("/",), divided=False, slots=2)
+OK, LOST = model.Outcome.ANSWERED, model.Outcome.UNKNOWN
+
+
+def servers_in(*zones: str) -> list[model.BackendServer]:
+    return [
+        model.BackendServer(server=f"b{index}", service="s", zone=zone, address="")
+        for index, zone in enumerate(zones)
+    ]
+
+
+def chooser_in(zone: str) -> choice.ServerChooser:
+    return choice.ServerChooser(zone=zone, seed=1)
+
+
+def feed(chooser: choice.ServerChooser, server: str, latency_s: float, now: float, outcome=OK):
+    for _ in range(30):
+        chooser.started(server, now)
+        chooser.finished(server, latency_s, outcome, now)
+
+
+def test_requests_are_spread_evenly_at_first():
+    servers = servers_in("z", "z", "z")
+    chooser = chooser_in("z")
+    counts = collections.Counter()
+    for _ in range(6):
+        chosen = chooser.choose(SERVICE, servers, 0.0)
+        chooser.started(chosen.server, 0.0)
+        counts[chosen.server] += 1
+    assert set(counts.values()) == {2}
+
+
+def test_no_server_when_all_slots_are_used():
+    servers = servers_in("z", "z")
+    chooser = chooser_in("z")
+    for _ in range(4):
+        chooser.started(chooser.choose(SERVICE, servers, 0.0).server, 0.0)
+    assert chooser.choose(SERVICE, servers, 0.0) is None
+    chooser.finished("b1", 0.01, OK, 0.0)
+    assert chooser.choose(SERVICE, servers, 0.0).server == "b1"
+
+
+def test_no_server_without_candidates():
+    assert chooser_in("z").choose(SERVICE, [], 0.0) is None
+
+
+def test_own_zone_is_preferred_until_it_is_loaded():
+    servers = servers_in("far", "near", "far")
+    chooser = chooser_in("near")
+    assert chooser.choose(SERVICE, servers, 0.0).server == "b1"
+    chooser.started("b1", 0.0)
+    assert chooser.choose(SERVICE, servers, 0.0).server != "b1"
+
+
+def test_slow_server_is_avoided_and_tried_again_later():
+    """Guards against a server that was slow once being avoided for ever."""
+    servers = servers_in("z", "z", "z")
+    chooser = chooser_in("z")
+    feed(chooser, "b0", 0.2, 0.0)
+    feed(chooser, "b1", 0.02, 0.0)
+    feed(chooser, "b2", 0.02, 0.0)
+    assert {chooser.choose(SERVICE, servers, 0.1).server for _ in range(20)} <= {"b1", "b2"}
+    late = 0.1 + 10 * choice.FORGET_S
+    chooser.started("b1", late)
+    chooser.started("b2", late)
+    assert chooser.choose(SERVICE, servers, late).server == "b0"
+
+
+def test_fast_failures_do_not_attract_requests():
+    """Guards against a server that refuses at once looking like the fastest one."""
+    servers = servers_in("z", "z", "z")
+    chooser = chooser_in("z")
+    feed(chooser, "b1", 0.02, 0.0)
+    feed(chooser, "b2", 0.02, 0.0)
+    feed(chooser, "b0", 0.001, 0.0, LOST)
+    assert {chooser.choose(SERVICE, servers, 0.1).server for _ in range(20)} <= {"b1", "b2"}
+
+
+def test_request_waits_for_a_fast_server_only_if_the_queue_is_known_to_be_short():
+    servers = servers_in("z", "z")
+    chooser = chooser_in("z")
+    feed(chooser, "b0", 0.2, 0.0)
+    feed(chooser, "b1", 0.02, 0.0)
+    chooser.started("b1", 0.0)
+    chooser.started("b1", 0.0)
+    assert chooser.choose(SERVICE, servers, 0.0, waiting=0) is None
+    assert chooser.choose(SERVICE, servers, 0.0, waiting=100).server == "b0"
+    assert chooser.choose(SERVICE, servers, 0.0).server == "b0"
+
+
+def test_heavier_server_gets_more_requests():
+    light, heavy = servers_in("z", "z")
+    heavy = model.BackendServer(server="b1", service="s", zone="z", address="", weight=3.0)
+    chooser = chooser_in("z")
+    chosen = [chooser.choose(SERVICE, [light, heavy], 0.0).server for _ in range(5)]
+    assert chosen == ["b1"] * 5
+
+
+def test_forgotten_server_starts_without_history():
+    servers = servers_in("z", "z")
+    chooser = chooser_in("z")
+    feed(chooser, "b0", 0.2, 0.0)
+    feed(chooser, "b1", 0.02, 0.0)
+    chooser.forget("b0")
+    chooser.started("b1", 0.0)
+    assert chooser.choose(SERVICE, servers, 0.0).server == "b0"
+
+
+@hypothesis.given(
+    steps=strategies.lists(
+        strategies.tuples(strategies.integers(0, 2), strategies.floats(0.0, 5.0)), max_size=60
+    )
+)
+@hypothesis.settings(max_examples=100, deadline=None)
+def test_own_requests_never_exceed_the_slots(steps: list):
+    servers = servers_in("a", "b", "a")
+    chooser = chooser_in("a")
+    running: list[str] = []
+    now = 0.0
+    for kind, value in steps:
+        now += value
+        if kind == 0 and running:
+            chooser.finished(running.pop(0), value, OK if value < 4.0 else LOST, now)
+            continue
+        chosen = chooser.choose(SERVICE, servers, now)
+        if chosen is None:
+            assert len(running) == 6
+            continue
+        chooser.started(chosen.server, now)
+        running.append(chosen.server)
+        assert running.count(chosen.server) <= SERVICE.slots
+
+
+@pytest.mark.parametrize("name", ["slow_server", "half_slow", "nine_routers_half_slow"])
+def test_no_worse_than_least_outstanding(name: str):
+    """Guards the reason for which the rule is shipped."""
+    scenario = comparison.SCENARIOS[name]
+    shipped = comparison.simulate("shipped", scenario, seed=8)
+    least = comparison.simulate("least_outstanding", scenario, seed=8)
+    assert shipped.p99_ms() <= least.p99_ms()
+
+
+def test_equal_servers_are_not_made_worse():
+    """The latency score must cost nothing where there is nothing to learn from it."""
+    scenario = comparison.SCENARIOS["all_equal"]
+    shipped = comparison.simulate("shipped", scenario, seed=8)
+    robin = comparison.simulate("round_robin", scenario, seed=8)
+    assert shipped.p99_ms() <= 1.1 * robin.p99_ms()
