--- /dev/null
+++ b/tests/requests/test_crash_simulation.py
@@ -0,0 +1,18 @@
+"""Crashing requests in the simulation of measurements.crash, cut to 40 s."""
+
+from __future__ import annotations
+
+import pytest
+
+from measurements import crash
+
+
+@pytest.mark.parametrize("seed", [21, 22, 23])
+def test_few_servers_are_lost_and_few_innocents_refused(seed: int, monkeypatch):
+    """Two losses are the limit of the rule, plus the loss that is not yet known to all peers."""
+    monkeypatch.setattr(crash, "SEED", seed)
+    simulation = crash.Simulation(protected=True, duration_s=40.0)
+    simulation.run()
+    assert simulation.losses_per_request(0.0, 20.0) <= 2.0
+    refused = set(simulation.refused_s_by_request) | set(simulation._first_refused)
+    assert len(refused) <= simulation.innocent / 1000
