Use the measured choice of server and the retry budget

Cause: the entry VM used round robin and unlimited retries as placeholders. Ruled out: waiting in one queue per service: the forwarder queues per server in deadline order already.

--- a/src/celerystack/control/entry_vm.py
+++ b/src/celerystack/control/entry_vm.py
@@ -12,9 +12,9 @@
 from celerystack import clock, ids, model, periodic, settings
 from celerystack.backend import orders as order_senders
 from celerystack.control import (
+    chooser,
     claims_task,
     committer,
-    defaults,
     lessor_task,
     losses_task,
     membership_task,
@@ -27,11 +27,11 @@
 )
 from celerystack.control import view as cluster_view
 from celerystack.lease import lessor as lessors
-from celerystack.limits import shares
+from celerystack.limits import retry_budget, shares
 from celerystack.peers import mesh as peer_mesh
 from celerystack.peers import messages, sync
 from celerystack.platform import membership, table, transactor
-from celerystack.requests import claims, forwarder, frontend
+from celerystack.requests import choice, claims, forwarder, frontend
 from celerystack.state import cache as row_cache
 
 DRAIN_NOTICE_S = 1.0
@@ -164,8 +164,8 @@
                 self._clock, table=claims.ClaimTable(), view=self.view, mesh=self.mesh
             ),
             losses=self.losses,
-            chooser=defaults.RoundRobin(),
-            budget=defaults.UnlimitedRetries(),
+            chooser=chooser.QueueingChooser(choice.ServerChooser(zone=self.me.zone)),
+            budget=retry_budget.RetryBudget(),
         )
         self.forwarder = forwarder.Forwarder(self._reactor, needs)
         self.front_end = frontend.FrontEnd(self._reactor, self.routes, self.forwarder)
