--- a/src/celerystack/requests/lanes.py
+++ b/src/celerystack/requests/dispatch.py
@@ -22,7 +22,7 @@
 
 
 @dataclasses.dataclass(slots=True, eq=False)
-class Flight:
+class PendingAttempt:
     """One attempt at a server, from the write to the end of its answer.
 
     Implements `exchange.Watcher`.
@@ -41,7 +41,7 @@
         How the attempt ended.
     """
 
-    lane: Lane
+    dispatcher: Dispatcher
     shard: ids.ShardId | None
     fingerprint: ids.Fingerprint
     is_current: Callable[[], bool]
@@ -51,31 +51,31 @@
     ending: exchange.Ending = exchange.Ending.INTACT
 
     def may_write(self) -> bool:
-        """Check the permission to send and enter the set of flights."""
+        """Check the permission to send and join the pending attempts."""
         if not self.is_current():
             self.outdated = True
             return False
-        if not self.permitted(self.lane.server):
+        if not self.permitted(self.dispatcher.server):
             return False
         self.sent = True
-        self.lane.flights.add(self)
+        self.dispatcher.pending.add(self)
         return True
 
     def ended(self, ending: exchange.Ending) -> None:
-        """Leave the set of flights and give back the place in the lane."""
+        """Leave the pending attempts and give back the place."""
         self.ending = ending
-        self.lane.ended(self)
+        self.dispatcher.ended(self)
 
 
 @dataclasses.dataclass(slots=True)
 class _Break:
     """Flights when a connection broke, and those of them that broke since."""
 
-    expected: set[Flight]
-    broken: set[Flight]
+    expected: set[PendingAttempt]
+    broken: set[PendingAttempt]
 
 
-class Lane:
+class Dispatcher:
     """All requests of this entry VM to one server.
 
     Parameters
@@ -88,7 +88,7 @@
 
     Attributes
     ----------
-    flights : set of Flight
+    pending : set of PendingAttempt
         Attempts that are unanswered on an open connection.
     """
 
@@ -103,7 +103,7 @@
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self.server = server
-        self.flights: set[Flight] = set()
+        self.pending: set[PendingAttempt] = set()
         self._service = service
         self._reactor = reactor
         self._on_loss = on_loss
@@ -112,6 +112,7 @@
         self._break_timer: Any = None
         self._pumping = False
         self._timer: Any = None
+        self._timer_at = 0.0
         share = shares.equal_share(connections=service.connections, entry_vms=entry_vms)
         self._queue: deadline_queue.DeadlineQueue[defer.Deferred[bool]] = (
             deadline_queue.DeadlineQueue()
@@ -131,10 +132,10 @@
     def admit(self, deadline: float) -> defer.Deferred[bool] | None:
         """Take a place for one attempt; None if it is granted at once.
 
-        The Deferred fires with True when the place is granted, with False if the lane is retired,
-        and fails with `errors.NotRunError` if the attempt cannot start before its deadline. A
-        granted place is given back by the end of the flight that is passed to `exchange`, which
-        must be called in the same reactor turn.
+        The Deferred fires with True when the place is granted, with False if the dispatcher was
+        retired, and fails with `errors.NotRunError` if the attempt cannot start before its
+        deadline. A granted place is given back by the end of the attempt that is passed to
+        `exchange`, which must be called in the same reactor turn.
         """
         if not self._queue and self._limit.try_start():
             return None
@@ -153,9 +154,15 @@
     def _arm(self) -> None:
         """Wake up at the earliest deadline in the queue."""
         earliest = self._queue.next_deadline()
-        if earliest is not None and self._timer is None:
-            delay_s = max(0.0, earliest - self._now())
-            self._timer = self._reactor.callLater(delay_s, self._expire)
+        if earliest is None:
+            return
+        if self._timer is not None:
+            if self._timer_at <= earliest:
+                return
+            self._timer.cancel()
+        self._timer_at = earliest
+        delay_s = max(0.0, earliest - self._now())
+        self._timer = self._reactor.callLater(delay_s, self._expire)
 
     def _expire(self) -> None:
         self._timer = None
@@ -184,19 +191,19 @@
             self._queue.observe(latency_s)
 
     def exchange(
-        self, request: http.HttpRequest, flight: Flight, deadline: float
+        self, request: http.HttpRequest, attempt: PendingAttempt, deadline: float
     ) -> defer.Deferred[Answer]:
         """Send a request; fails as `client.ServerPool.exchange_streaming` does."""
-        return self.pool.exchange_streaming(request, deadline=deadline, watcher=flight)
+        return self.pool.exchange_streaming(request, deadline=deadline, watcher=attempt)
 
-    def ended(self, flight: Flight) -> None:
-        """Remove a flight, note whether its connection broke, and start waiting attempts."""
-        if flight.ending is not exchange.Ending.INTACT:
+    def ended(self, attempt: PendingAttempt) -> None:
+        """Remove an attempt, note whether its connection broke, and start waiting attempts."""
+        if attempt.ending is not exchange.Ending.INTACT:
             if self._break is None:
-                self._break = _Break(set(self.flights), set())
+                self._break = _Break(set(self.pending), set())
                 self._break_timer = self._reactor.callLater(LOSS_WINDOW_S, self._judge_break)
-            self._break.broken.add(flight)
-        self.flights.discard(flight)
+            self._break.broken.add(attempt)
+        self.pending.discard(attempt)
         self._limit.release()
         if self._queue:
             self._pump()
@@ -206,8 +213,8 @@
         seen, self._break = self._break, None
         if seen is None or not seen.expected <= seen.broken:
             return
-        fingerprints = tuple({flight.fingerprint for flight in seen.broken})
-        if any(flight.ending is exchange.Ending.BROKEN for flight in seen.broken):
+        fingerprints = tuple({attempt.fingerprint for attempt in seen.broken})
+        if any(attempt.ending is exchange.Ending.BROKEN for attempt in seen.broken):
             self._on_loss(self.server.server, fingerprints)
             return
         self.pool.check_reachable().addCallback(self._report_unless, fingerprints)
@@ -218,7 +225,7 @@
             self._on_loss(self.server.server, fingerprints)
 
     def lose(self, reason: str) -> None:
-        """Close all connections at once; flights end with an unknown outcome."""
+        """Close all connections at once; pending attempts end with an unknown outcome."""
         self.pool.close_connections(reason)
 
     def retire(self) -> None:
--- a/src/celerystack/requests/forwarder.py
+++ b/src/celerystack/requests/forwarder.py
@@ -12,7 +12,7 @@
 from celerystack import errors, ids, model
 from celerystack.backend import http
 from celerystack.peers import messages
-from celerystack.requests import calls, encoding, lanes, ports, replies, retries, targets
+from celerystack.requests import calls, dispatch, encoding, ports, replies, retries, targets
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -38,7 +38,7 @@
 
 
 class Forwarder:
-    """Forwards calls; one lane per server.
+    """Forwards calls; one dispatcher per server.
 
     Parameters
     ----------
@@ -62,8 +62,8 @@
         self._ports = needs
         self._now = now
         self._finder = targets.TargetFinder(reactor, needs.routes, needs.chooser, now=now)
-        self._lanes_by_server: dict[ids.ServerId, lanes.Lane] = {}
-        self._retired: list[lanes.Lane] = []
+        self._dispatchers_by_server: dict[ids.ServerId, dispatch.Dispatcher] = {}
+        self._retired: list[dispatch.Dispatcher] = []
         self._entry_vms = entry_vms
 
     def forward(self, call: calls.Call) -> defer.Deferred[replies.Reply]:
@@ -75,37 +75,41 @@
 
         Every request in flight there has an unknown outcome.
         """
-        for lane in self._lanes_of(server_id):
-            lane.lose("the server was taken over")
+        for dispatcher in self._dispatchers_of(server_id):
+            dispatcher.lose("the server was taken over")
 
     def set_entry_vms(self, entry_vms: int) -> None:
         """Set the number of entry VMs that share the servers, from `shares.EntryVmCount.count`."""
         if entry_vms == self._entry_vms:
             return
         self._entry_vms = entry_vms
-        for lane in self._lanes_by_server.values():
-            lane.set_entry_vms(entry_vms)
+        for dispatcher in self._dispatchers_by_server.values():
+            dispatcher.set_entry_vms(entry_vms)
 
-    def in_flight(self, server_id: ids.ServerId) -> tuple[lanes.Flight, ...]:
+    def in_flight(self, server_id: ids.ServerId) -> tuple[dispatch.PendingAttempt, ...]:
         """Return the attempts that are unanswered on open connections to a server."""
-        return tuple(flight for lane in self._lanes_of(server_id) for flight in lane.flights)
+        return tuple(
+            attempt
+            for dispatcher in self._dispatchers_of(server_id)
+            for attempt in dispatcher.pending
+        )
 
     def forget(self, server_id: ids.ServerId) -> None:
         """Drop a server that left the configuration or changed its address.
 
         Requests in flight there finish; those that wait for it look for another server.
         """
-        lane = self._lanes_by_server.pop(server_id, None)
-        self._retired = [old for old in self._retired if old.flights]
-        if lane is not None:
-            self._retired.append(lane)
-            lane.retire()
+        dispatcher = self._dispatchers_by_server.pop(server_id, None)
+        self._retired = [old for old in self._retired if old.pending]
+        if dispatcher is not None:
+            self._retired.append(dispatcher)
+            dispatcher.retire()
 
     def close(self) -> None:
         """Close all connections to servers."""
-        for lane in (*self._lanes_by_server.values(), *self._retired):
-            lane.close()
-        self._lanes_by_server.clear()
+        for dispatcher in (*self._dispatchers_by_server.values(), *self._retired):
+            dispatcher.close()
+        self._dispatchers_by_server.clear()
         self._retired.clear()
 
     async def _forward(self, call: calls.Call) -> replies.Reply:
@@ -170,18 +174,17 @@
         target: targets.Target,
         progress: _Progress,
     ) -> replies.Attempt:
-        lane = self._lane(target.server, call.service)
+        dispatcher = self._dispatcher(target.server, call.service)
         progress.attempts += 1
         try:
-            waiting = lane.admit(call.deadline)
+            waiting = dispatcher.admit(call.deadline)
             if waiting is not None and not await waiting:
                 return replies.Outdated()
         except errors.NotRunError as error:
             return replies.Shed(error.reason)
-        shard = None if target.route is None else target.route.shard
-        flight = lanes.Flight(
-            lane,
-            shard,
+        pending = dispatch.PendingAttempt(
+            dispatcher,
+            None if target.route is None else target.route.shard,
             fingerprint,
             is_current=lambda: self._finder.is_current(call, target),
             permitted=self._ports.routes.may_send,
@@ -190,17 +193,17 @@
         self._ports.chooser.started(target.server, now)
         outcome = model.Outcome.UNKNOWN
         try:
-            sent = lane.exchange(encoding.encode(call, target, now), flight, call.deadline)
+            sent = dispatcher.exchange(encoding.encode(call, target, now), pending, call.deadline)
             attempt = replies.read_answer(await sent)
             outcome = _attempt_outcome(attempt)
-            _observe(lane, attempt, self._now() - now)
+            _observe(dispatcher, attempt, self._now() - now)
         except errors.NotRunError as error:
             outcome = model.Outcome.NOT_RUN
-            attempt = replies.Outdated() if flight.outdated else replies.NotSent(error.reason)
+            attempt = replies.Outdated() if pending.outdated else replies.NotSent(error.reason)
         except errors.OutcomeUnknownError as error:
             attempt = replies.Lost(error.reason)
         except defer.CancelledError:
-            progress.may_have_run |= flight.sent
+            progress.may_have_run |= pending.sent
             raise
         finally:
             ended = self._now()
@@ -236,13 +239,15 @@
         late = self._now() >= call.deadline
         return replies.Unknown(reason, 504 if late else 502)
 
-    def _lane(self, server: model.BackendServer, service: model.Service) -> lanes.Lane:
-        lane = self._lanes_by_server.get(server.server)
-        if lane is not None and lane.server.address == server.address:
-            lane.server = server
-            return lane
+    def _dispatcher(
+        self, server: model.BackendServer, service: model.Service
+    ) -> dispatch.Dispatcher:
+        dispatcher = self._dispatchers_by_server.get(server.server)
+        if dispatcher is not None and dispatcher.server.address == server.address:
+            dispatcher.server = server
+            return dispatcher
         self.forget(server.server)
-        lane = lanes.Lane(
+        dispatcher = dispatch.Dispatcher(
             self._reactor,
             server,
             service,
@@ -250,21 +255,23 @@
             on_loss=self._ports.losses.server_lost,
             now=self._now,
         )
-        self._lanes_by_server[server.server] = lane
-        return lane
-
-    def _lanes_of(self, server_id: ids.ServerId) -> list[lanes.Lane]:
-        found = [lane for lane in self._retired if lane.server.server == server_id]
-        current = self._lanes_by_server.get(server_id)
+        self._dispatchers_by_server[server.server] = dispatcher
+        return dispatcher
+
+    def _dispatchers_of(self, server_id: ids.ServerId) -> list[dispatch.Dispatcher]:
+        found = [
+            dispatcher for dispatcher in self._retired if dispatcher.server.server == server_id
+        ]
+        current = self._dispatchers_by_server.get(server_id)
         return found if current is None else [*found, current]
 
 
-def _observe(lane: lanes.Lane, attempt: replies.Attempt, latency_s: float) -> None:
+def _observe(dispatcher: dispatch.Dispatcher, attempt: replies.Attempt, latency_s: float) -> None:
     match attempt:
         case replies.Answered(response=http.HttpResponse()):
-            lane.observe(latency_s, shed=False)
+            dispatcher.observe(latency_s, shed=False)
         case replies.Refused(kind=replies.RefusalKind.SHEDDING):
-            lane.observe(latency_s, shed=True)
+            dispatcher.observe(latency_s, shed=True)
 
 
 def _attempt_outcome(attempt: replies.Attempt) -> model.Outcome:
--- a/tests/limits/test_deadline_queue.py
+++ b/tests/limits/test_deadline_queue.py
@@ -20,7 +20,7 @@
         return queue.push(item, deadline=deadline, now=now, concurrency=concurrency)
 
     def test_deadline_order_and_arrival_order_within_it(self):
-        """Guards against urgent requests that wait behind patient ones."""
+        """Guards against urgent requests that wait behind less urgent ones."""
         queue = self.queue()
         for item, deadline in (("c", 3.0), ("a", 1.0), ("b1", 2.0), ("b2", 2.0)):
             self.assertEqual(self.push(queue, item, deadline), [])
@@ -31,10 +31,10 @@
         queue = self.queue(1.0)
         self.assertEqual(self.push(queue, "in time", 1.5), [])
         self.assertEqual(self.push(queue, "too late", 1.9), ["too late"])
-        self.assertEqual(self.push(queue, "patient", 2.5), [])
+        self.assertEqual(self.push(queue, "later", 2.5), [])
 
     def test_urgent_request_displaces_one_that_becomes_late(self):
-        """Guards against keeping a request that an earlier deadline has made hopeless."""
+        """Guards against keeping a request that an earlier deadline has made late."""
         queue = self.queue(1.0)
         self.assertEqual(self.push(queue, "later", 1.9), [])
         self.assertEqual(self.push(queue, "urgent", 1.5), ["later"])
--- a/tests/requests/bench.py
+++ b/tests/requests/bench.py
@@ -104,10 +104,10 @@
 def route(options):
     address = f"127.0.0.1:{options.server_port}"
     servers = [fakes.server(f"a{index}", address) for index in range(SERVERS)]
-    rig = fakes.Rig(*servers, routes=SpreadRoutes(*servers), port=options.router_port)
-    rig.chooser.outcomes = _Discard()
+    harness = fakes.Harness(*servers, routes=SpreadRoutes(*servers), port=options.router_port)
+    harness.chooser.outcomes = _Discard()
 
-    _sample_cpu("router", lambda: rig.budget.requests)
+    _sample_cpu("router", lambda: harness.budget.requests)
 
 
 def _sample_cpu(role, count):
--- a/tests/requests/cases.py
+++ b/tests/requests/cases.py
@@ -9,26 +9,26 @@
 from tests.requests import fakes
 
 
-class RigTestCase(unittest.TestCase):
+class HarnessTestCase(unittest.TestCase):
     timeout = 20
 
-    async def rig(
+    async def harness(
         self, *, servers: int = 1, service: model.Service = fakes.ATLAS, **options
-    ) -> tuple[fakes.Rig, list[backend_fakes.FakeServer]]:
-        """Return a rig and its fake servers, named ``a0``, ``a1`` and so on."""
+    ) -> tuple[fakes.Harness, list[backend_fakes.FakeServer]]:
+        """Return a harness and its fake servers, named ``a0``, ``a1`` and so on."""
         backends = [backend_fakes.FakeServer() for _ in range(servers)]
         declared = [
             fakes.server(f"a{index}", backend.address, service)
             for index, backend in enumerate(backends)
         ]
-        rig = fakes.Rig(*declared, **options)
-        self.addCleanup(self._stop, rig, backends)
-        return rig, backends
+        harness = fakes.Harness(*declared, **options)
+        self.addCleanup(self._stop, harness, backends)
+        return harness, backends
 
-    async def _stop(self, rig, backends):
+    async def _stop(self, harness, backends):
         for backend in backends:
             await backend.stop()
-        await rig.stop()
+        await harness.stop()
 
     def assert_outcome(self, response, status, outcome):
         self.assertEqual(
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -139,7 +139,7 @@
         return self.retries >= 0
 
 
-class Rig:
+class Harness:
     """A front end and a forwarder before fake servers."""
 
     def __init__(self, *servers, routes=None, port=0, **options):
--- a/tests/requests/test_frontend.py
+++ b/tests/requests/test_frontend.py
@@ -13,9 +13,9 @@
 GOOD = b"GET /atlas/browse/k1 HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
-class FrontEndTestCase(cases.RigTestCase):
-    async def raw(self, rig, data, *, until_closed=True, name=""):
-        caller = await backend_fakes.connect_raw(rig.port)
+class FrontEndTestCase(cases.HarnessTestCase):
+    async def raw(self, harness, data, *, until_closed=True, name=""):
+        caller = await backend_fakes.connect_raw(harness.port)
         self.addCleanup(caller.transport.abortConnection)
         caller.transport.write(data)
         if until_closed:
@@ -26,7 +26,7 @@
 class SmugglingTest(FrontEndTestCase):
     async def test_refused(self):
         """Guards against requests that this router and a server could delimit differently."""
-        rig, (server,) = await self.rig()
+        harness, (server,) = await self.harness()
         post = b"POST /atlas/browse/k1 HTTP/1.1\r\nHost: h\r\n"
         inner = b"GET /atlas/browse/evil HTTP/1.1\r\nHost: h\r\n\r\n"
         refused = {
@@ -58,7 +58,7 @@
             "no colon": b"Nonsense\r\nContent-Length: 0\r\n\r\n",
         }
         for name, data in refused.items():
-            caller = await self.raw(rig, post + data + inner, name=name)
+            caller = await self.raw(harness, post + data + inner, name=name)
             first = caller.received.split(b"\r\n", 1)[0]
             self.assertTrue(first.startswith(b"HTTP/1.1 400 "), (name, caller.received))
             self.assertIn(b"X-Celerystack-Outcome: not-run", caller.received, name)
@@ -67,7 +67,7 @@
 
     async def test_request_lines_refused(self):
         """Guards against targets and methods that a server could read differently."""
-        rig, (server,) = await self.rig()
+        harness, (server,) = await self.harness()
         lines = (
             b"GET http://h/atlas/browse/k1 HTTP/1.1",
             b"GET * HTTP/1.1",
@@ -78,19 +78,19 @@
         )
         for line in lines:
             head = line + b"\r\nHost: h\r\nConnection: close\r\n\r\n"
-            caller = await self.raw(rig, head)
+            caller = await self.raw(harness, head)
             self.assertTrue(caller.received.startswith(b"HTTP/1.1 400 "), (line, caller.received))
             self.assertIn(b"X-Celerystack-Outcome: not-run", caller.received)
         for line in (b"GET /atlas/browse/k1 HTTP/3.0", b"GET /atlas/browse/k1", b"nonsense"):
-            caller = await self.raw(rig, line + b"\r\nHost: h\r\n\r\n")
+            caller = await self.raw(harness, line + b"\r\nHost: h\r\n\r\n")
             self.assertTrue(caller.received.startswith(b"HTTP/1.1 400 "), (line, caller.received))
         self.assertEqual(server.requests, [])
 
     async def test_repeated_host(self):
         """Guards against a server that selects by another Host value than this router."""
-        rig, (server,) = await self.rig()
+        harness, (server,) = await self.harness()
         caller = await self.raw(
-            rig,
+            harness,
             b"GET /atlas/browse/k1 HTTP/1.1\r\nHost: a\r\nHost: b\r\nConnection: close\r\n\r\n",
         )
         self.assertTrue(caller.received.startswith(b"HTTP/1.1 400 "))
@@ -98,9 +98,9 @@
 
     async def test_chunked_body_is_forwarded_with_a_length(self):
         """Guards against a chunked body that is lost or framed twice."""
-        rig, (server,) = await self.rig()
+        harness, (server,) = await self.harness()
         await self.raw(
-            rig,
+            harness,
             b"POST /atlas/browse/k1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
             b"Connection: close\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nTrailer: t\r\n\r\n",
         )
@@ -112,31 +112,31 @@
 class LimitsTest(FrontEndTestCase):
     async def test_declared_body_above_the_limit(self):
         """Guards against reading a body that is too large, and against a lost 413 answer."""
-        rig, (server,) = await self.rig(limits=callerhttp.Limits(body_max=1000))
+        harness, (server,) = await self.harness(limits=callerhttp.Limits(body_max=1000))
         head = b"POST /atlas/browse/k1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2000000\r\n\r\n"
-        caller = await self.raw(rig, head + b"x" * 2_000_000)
+        caller = await self.raw(harness, head + b"x" * 2_000_000)
         self.assertTrue(caller.received.startswith(b"HTTP/1.1 413 "))
         self.assertIn(b"X-Celerystack-Outcome: not-run", caller.received)
         self.assertEqual(server.requests, [])
 
     async def test_chunked_body_above_the_limit(self):
         """Guards against unbounded memory for a body without a declared length."""
-        rig, (server,) = await self.rig(limits=callerhttp.Limits(body_max=1000))
+        harness, (server,) = await self.harness(limits=callerhttp.Limits(body_max=1000))
         head = b"POST /atlas/browse/k1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
-        caller = await self.raw(rig, head + (b"3e8\r\n" + b"x" * 1000 + b"\r\n") * 2000)
+        caller = await self.raw(harness, head + (b"3e8\r\n" + b"x" * 1000 + b"\r\n") * 2000)
         self.assertTrue(caller.received.startswith(b"HTTP/1.1 413 "))
         self.assertEqual(server.requests, [])
 
     async def test_body_at_the_limit(self):
         """Guards against refusing the largest permitted body."""
-        rig, (server,) = await self.rig(limits=callerhttp.Limits(body_max=200_000))
-        response = await rig.call(method="POST", body=b"x" * 200_000)
+        harness, (server,) = await self.harness(limits=callerhttp.Limits(body_max=200_000))
+        response = await harness.call(method="POST", body=b"x" * 200_000)
         self.assertEqual(response.status, 200)
         self.assertEqual(len(server.requests[0].body), 200_000)
 
     async def test_headers_above_the_limits(self):
         """Guards against unbounded memory for headers."""
-        rig, (server,) = await self.rig()
+        harness, (server,) = await self.harness()
         large = (
             b"X: " + b"a" * 40_000 + b"\r\n",
             b"X: 1\r\n" * 200,
@@ -144,24 +144,24 @@
         )
         for headers in large:
             data = b"GET /atlas/browse/k1 HTTP/1.1\r\nHost: h\r\n" + headers + b"\r\n"
-            caller = await self.raw(rig, data)
+            caller = await self.raw(harness, data)
             self.assertTrue(caller.received.startswith(b"HTTP/1.1 400 "), caller.received[:60])
-        caller = await self.raw(rig, b"GET /" + b"a" * 40_000 + b" HTTP/1.1\r\n\r\n")
+        caller = await self.raw(harness, b"GET /" + b"a" * 40_000 + b" HTTP/1.1\r\n\r\n")
         self.assertFalse(caller.received.startswith(b"HTTP/1.1 2"))
         self.assertEqual(server.requests, [])
 
     async def test_endless_header_line(self):
         """Guards against unbounded memory for a line that never ends."""
-        rig, _ = await self.rig()
-        await self.raw(rig, b"GET /atlas/browse/k1 HTTP/1.1\r\nX: " + b"a" * 1_000_000)
+        harness, _ = await self.harness()
+        await self.raw(harness, b"GET /atlas/browse/k1 HTTP/1.1\r\nX: " + b"a" * 1_000_000)
 
 
 class HeaderTest(FrontEndTestCase):
     async def test_own_and_hop_by_hop_headers_are_removed(self):
         """Guards against a caller that forges an epoch or a key."""
-        rig, (server,) = await self.rig()
+        harness, (server,) = await self.harness()
         await self.raw(
-            rig,
+            harness,
             b"GET /atlas/browse/k1 HTTP/1.1\r\nHost: h\r\nX-Celerystack-Epoch: 99\r\n"
             b"x-celerystack-key: other\r\nX-CELERYSTACK-Anything: 1\r\nKeep-Alive: 5\r\n"
             b"Connection: close, X-Private\r\nX-Private: 1\r\nTE: trailers\r\nUpgrade: h2c\r\n"
@@ -188,7 +188,7 @@
 
     async def test_answer_headers(self):
         """Guards against lost repeated headers, and against a server that sets the outcome."""
-        rig, (server,) = await self.rig()
+        harness, (server,) = await self.harness()
         server.answers(
             backend_fakes.answer(
                 b"x",
@@ -197,7 +197,7 @@
                 b"Keep-Alive: 5\r\n",
             )
         )
-        response = await rig.call()
+        response = await harness.call()
         self.assert_outcome(response, 404, b"answered")
         cookies = [value for name, value in response.headers if name == b"set-cookie"]
         self.assertEqual(cookies, [b"a=1", b"b=2"])
@@ -205,22 +205,22 @@
 
     async def test_head_and_bodyless_answers(self):
         """Guards against a body, or a wrong length, where the caller expects none."""
-        rig, (server,) = await self.rig()
+        harness, (server,) = await self.harness()
         server.answers(
             b"HTTP/1.1 200 OK\r\nContent-Length: 123\r\n\r\n",
             b"HTTP/1.1 204 No Content\r\n\r\n",
             b"HTTP/1.1 304 Not Modified\r\nContent-Length: 55\r\nETag: x\r\n\r\n",
             backend_fakes.answer(b"last"),
         )
-        response = await rig.call(method="HEAD")
+        response = await harness.call(method="HEAD")
         self.assertEqual(response.header(b"content-length"), b"123")
-        self.assert_outcome(await rig.call(), 204, b"answered")
-        self.assert_outcome(await rig.call(), 304, b"answered")
-        self.assertEqual((await rig.call()).body, b"last")
+        self.assert_outcome(await harness.call(), 204, b"answered")
+        self.assert_outcome(await harness.call(), 304, b"answered")
+        self.assertEqual((await harness.call()).body, b"last")
 
     async def test_bad_values(self):
         """Guards against deadlines and request ids that are read in two ways."""
-        rig, (server,) = await self.rig()
+        harness, (server,) = await self.harness()
         bad = (
             ((b"X-Deadline-Ms", b"abc"),),
             ((b"X-Deadline-Ms", b"0"),),
@@ -231,57 +231,57 @@
             ((b"X-Request-Id", b"a" * 500),),
         )
         for headers in bad:
-            self.assert_outcome(await rig.call(headers=headers), 400, b"not-run")
+            self.assert_outcome(await harness.call(headers=headers), 400, b"not-run")
         self.assertEqual(server.requests, [])
 
     async def test_unknown_service_and_missing_key(self):
         """Guards against a missing outcome header on requests that are not forwarded."""
-        rig, (server,) = await self.rig()
-        self.assert_outcome(await rig.call("/nowhere/x"), 404, b"not-run")
-        self.assert_outcome(await rig.call("/atlas/browse/"), 400, b"not-run")
+        harness, (server,) = await self.harness()
+        self.assert_outcome(await harness.call("/nowhere/x"), 404, b"not-run")
+        self.assert_outcome(await harness.call("/atlas/browse/"), 400, b"not-run")
         self.assertEqual(server.requests, [])
 
 
 class DisconnectTest(FrontEndTestCase):
     async def test_caller_disconnect_cancels_the_exchange(self):
         """Guards against a server that works on for a caller that has gone."""
-        rig, (server,) = await self.rig()
+        harness, (server,) = await self.harness()
         server.handler = lambda request: None
-        caller = await self.raw(rig, GOOD, until_closed=False)
+        caller = await self.raw(harness, GOOD, until_closed=False)
         await backend_fakes.settle(until=lambda: server.requests)
         caller.transport.abortConnection()
         await backend_fakes.settle(until=lambda: not server.connections)
-        self.assertEqual(rig.forwarder.in_flight("a0"), ())
-        self.assertEqual(rig.chooser.running, 0)
+        self.assertEqual(harness.forwarder.in_flight("a0"), ())
+        self.assertEqual(harness.chooser.running, 0)
 
     async def test_incomplete_request(self):
         """Guards against forwarding a request whose body was cut off."""
-        rig, (server,) = await self.rig()
+        harness, (server,) = await self.harness()
         for framing in (
             b"Content-Length: 9\r\n\r\nabc",
             b"Transfer-Encoding: chunked\r\n\r\n3\r\nab",
         ):
             head = b"POST /atlas/browse/k1 HTTP/1.1\r\nHost: h\r\n"
-            caller = await self.raw(rig, head + framing, until_closed=False)
+            caller = await self.raw(harness, head + framing, until_closed=False)
             await backend_fakes.sleep(0.05)
             caller.transport.loseConnection()
             await backend_fakes.settle(until=lambda caller=caller: caller.closed)
         await backend_fakes.sleep(0.05)
-        self.assertEqual((server.requests, rig.budget.requests), ([], 0))
+        self.assertEqual((server.requests, harness.budget.requests), ([], 0))
 
     async def test_disconnect_during_a_stream(self):
         """Guards against reading a large answer for a caller that has gone."""
-        rig, (server,) = await self.rig()
+        harness, (server,) = await self.harness()
         server.answers(backend_fakes.answer(b"x" * 50_000_000))
-        caller = await self.raw(rig, GOOD, until_closed=False)
+        caller = await self.raw(harness, GOOD, until_closed=False)
         await backend_fakes.settle(until=lambda: caller.received)
         caller.transport.abortConnection()
         await backend_fakes.settle(until=lambda: not server.connections)
-        self.assertEqual(rig.forwarder.in_flight("a0"), ())
+        self.assertEqual(harness.forwarder.in_flight("a0"), ())
 
     async def test_truncated_stream_aborts_the_caller(self):
         """Guards against a partial answer that the caller takes for complete."""
-        rig, (server,) = await self.rig()
+        harness, (server,) = await self.harness()
         framings = (
             b"Content-Length: 300000\r\n\r\n" + b"x" * 200_000,
             b"Transfer-Encoding: chunked\r\n\r\n30d40\r\n" + b"x" * 200_000 + b"\r\n",
@@ -293,17 +293,17 @@
                     r.connection.close(),
                 )
             )
-            caller = await self.raw(rig, GOOD)
+            caller = await self.raw(harness, GOOD)
             self.assertFalse(caller.clean)
             self.assertFalse(caller.received.endswith(b"0\r\n\r\n"))
             self.assertIn(b"x" * 1000, caller.received)
 
     async def test_slow_caller_holds_back_the_server(self):
         """Guards against buffering a large answer for a caller that does not read."""
-        rig, (server,) = await self.rig()
+        harness, (server,) = await self.harness()
         total = 30_000_000
         server.answers(backend_fakes.answer(b"x" * total))
-        caller = await self.raw(rig, b"", until_closed=False)
+        caller = await self.raw(harness, b"", until_closed=False)
         caller.transport.pauseProducing()
         caller.transport.write(GOOD[:-2] + b"X-Deadline-Ms: 20000\r\n\r\n")
         await backend_fakes.settle(until=lambda: server.requests)
@@ -317,7 +317,7 @@
 
     async def test_pipelined_requests_are_answered_in_order(self):
         """Guards against crossed answers on one caller connection."""
-        rig, (server,) = await self.rig()
+        harness, (server,) = await self.harness()
 
         def handle(request):
             delay_s = 0.05 if b"/slow" in request.line else 0.0
@@ -325,7 +325,7 @@
 
         server.handler = handle
         caller = await self.raw(
-            rig,
+            harness,
             b"GET /atlas/browse/k1/slow HTTP/1.1\r\nHost: h\r\n\r\n"
             b"GET /atlas/browse/k1/fast HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
         )
@@ -335,13 +335,13 @@
 class DrainTest(FrontEndTestCase):
     async def test_in_flight_requests_finish(self):
         """Guards against a shutdown that interrupts a request."""
-        rig, (server,) = await self.rig()
+        harness, (server,) = await self.harness()
         held = []
         server.handler = held.append
-        caller = await self.raw(rig, GOOD, until_closed=False)
+        caller = await self.raw(harness, GOOD, until_closed=False)
         await backend_fakes.settle(until=lambda: held)
-        await rig.front.stop_accepting()
-        drained = rig.front.drained()
+        await harness.front.stop_accepting()
+        drained = harness.front.drained()
         await backend_fakes.sleep(0.1)
         self.assertFalse(drained.called)
         held[0].connection.send(backend_fakes.answer(b"finished"))
@@ -352,21 +352,21 @@
 
     async def test_new_connections_are_refused(self):
         """Guards against accepting work while draining."""
-        rig, _ = await self.rig()
-        await rig.front.stop_accepting()
+        harness, _ = await self.harness()
+        await harness.front.stop_accepting()
         try:
-            await backend_fakes.connect_raw(rig.port)
+            await backend_fakes.connect_raw(harness.port)
         except Exception:
             return
         self.fail("the connection was accepted")
 
     async def test_request_on_an_idle_connection_is_answered(self):
         """Guards against dropping a request that was on its way when the drain began."""
-        rig, _ = await self.rig()
-        caller = await self.raw(rig, GOOD, until_closed=False)
+        harness, _ = await self.harness()
+        caller = await self.raw(harness, GOOD, until_closed=False)
         await backend_fakes.settle(until=lambda: caller.received.endswith(b"ok"))
-        await rig.front.stop_accepting()
-        drained = rig.front.drained()
+        await harness.front.stop_accepting()
+        drained = harness.front.drained()
         caller.transport.write(GOOD)
         await backend_fakes.settle(until=lambda: caller.closed)
         self.assertEqual(caller.received.count(b"HTTP/1.1 200"), 2)
@@ -374,12 +374,12 @@
 
     async def test_half_received_request_is_finished(self):
         """Guards against a drain that ends while a request is being received."""
-        rig, _ = await self.rig()
+        harness, _ = await self.harness()
         head = b"POST /atlas/browse/k1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab"
-        caller = await self.raw(rig, head, until_closed=False)
+        caller = await self.raw(harness, head, until_closed=False)
         await backend_fakes.sleep(0.05)
-        await rig.front.stop_accepting()
-        drained = rig.front.drained()
+        await harness.front.stop_accepting()
+        drained = harness.front.drained()
         await backend_fakes.sleep(callerhttp.DRAIN_IDLE_S + 0.2)
         self.assertFalse(drained.called)
         caller.transport.write(b"cd")
@@ -389,11 +389,11 @@
 
     async def test_idle_connections_do_not_block(self):
         """Guards against a shutdown that waits for callers to close idle connections."""
-        rig, _ = await self.rig()
-        caller = await self.raw(rig, GOOD, until_closed=False)
+        harness, _ = await self.harness()
+        caller = await self.raw(harness, GOOD, until_closed=False)
         await backend_fakes.settle(until=lambda: caller.received.endswith(b"ok"))
-        await rig.front.stop_accepting()
+        await harness.front.stop_accepting()
         started = time.monotonic()
-        await rig.front.drained()
+        await harness.front.drained()
         self.assertLess(time.monotonic() - started, 2.0)
         await backend_fakes.settle(until=lambda: caller.closed)
--- a/tests/requests/test_outcomes.py
+++ b/tests/requests/test_outcomes.py
@@ -65,21 +65,21 @@
         reactor.callLater(delay_s, send)
 
 
-class OutcomeTest(cases.RigTestCase):
+class OutcomeTest(cases.HarnessTestCase):
     timeout = 60
 
     async def run_seed(self, seed, service, path):
         source = random.Random(seed)
-        rig, backends = await self.rig(servers=3, service=service)
-        rig.pool.set_limit(100)
+        harness, backends = await self.harness(servers=3, service=service)
+        harness.pool.set_limit(100)
         servers = [UnreliableServer(source, backend) for backend in backends]
-        rig.chooser.choose = lambda _, usable, now: source.choice(usable)
-        self._disturb(source, rig, 60)
+        harness.chooser.choose = lambda _, usable, now: source.choice(usable)
+        self._disturb(source, harness, 60)
         calls = []
         for number in range(120):
             method = source.choice(("POST", "POST", "GET"))
             name = b"r%d" % number
-            sent = rig.call(
+            sent = harness.call(
                 f"{path}/{name.decode()}",
                 method=method,
                 headers=((b"X-Deadline-Ms", b"500"), (b"X-Request-Id", name)),
@@ -97,30 +97,30 @@
         for name, method, _, _ in calls:
             if method == "POST":
                 self.assertLessEqual(sum(s.runs[name] for s in servers), 1, (seed, name))
-        self.assertEqual(sum(len(rig.forwarder.in_flight(f"a{n}")) for n in range(3)), 0)
-        self.assertEqual(rig.chooser.running, 0)
+        self.assertEqual(sum(len(harness.forwarder.in_flight(f"a{n}")) for n in range(3)), 0)
+        self.assertEqual(harness.chooser.running, 0)
         return collections.Counter(self.outcomes)
 
-    def _disturb(self, source, rig, count):
+    def _disturb(self, source, harness, count):
         """Move the routes about, withdraw the permission to send, and take servers over."""
         if not count:
-            rig.routes.permitted = True
-            rig.routes.change(rig.routes.to("a0"))
+            harness.routes.permitted = True
+            harness.routes.change(harness.routes.to("a0"))
             return
         event = source.randrange(8)
         if event == 0:
-            rig.routes.change(model.Moving(ids.ShardId(3)))
+            harness.routes.change(model.Moving(ids.ShardId(3)))
         elif event == 1:
-            rig.routes.change(model.NoOwner(ids.ShardId(3)))
+            harness.routes.change(model.NoOwner(ids.ShardId(3)))
         elif event == 2:
-            rig.forwarder.server_lost(ids.ServerId(f"a{source.randrange(3)}"))
+            harness.forwarder.server_lost(ids.ServerId(f"a{source.randrange(3)}"))
         elif event == 3:
-            rig.routes.permitted = not rig.routes.permitted
+            harness.routes.permitted = not harness.routes.permitted
         elif event == 4:
-            rig.forwarder.set_entry_vms(source.randint(0, 12))
+            harness.forwarder.set_entry_vms(source.randint(0, 12))
         else:
-            rig.routes.change(rig.routes.to(f"a{source.randrange(3)}"))
-        reactor.callLater(0.01, self._disturb, source, rig, count - 1)
+            harness.routes.change(harness.routes.to(f"a{source.randrange(3)}"))
+        reactor.callLater(0.01, self._disturb, source, harness, count - 1)
 
     async def _check(self, name, method, sent, cancelled, servers):
         try:
