--- a/tests/config/test_loader.py
+++ b/tests/config/test_loader.py
@@ -112,6 +112,12 @@
         for folder in folders:
             self.assertEqual(loader.examine(folder), merger.examine(folder))
 
+    def test_equal_values_of_another_type_are_validated_again(self) -> None:
+        """Guards against reusing the result of 1 for true, which are equal in Python."""
+        merger = loader.Merger()
+        self.assertEqual([], merger.examine({"a.toml": SERVICE + "slots = 1\n"})[1])
+        self.assertEqual(1, len(merger.examine({"a.toml": SERVICE + "slots = true\n"})[1]))
+
 
 class ProblemsTest(testtools.TestCase):
     def assert_problem(self, expected: str, **text_by_stem: str) -> None:
--- a/tests/platform/test_transactor.py
+++ b/tests/platform/test_transactor.py
@@ -113,6 +113,27 @@
         rows = self.platform.wait(running)
         self.assertEqual([ports.Row(KEY, ids.RowVersion(1), b"new")], rows)
 
+    def test_transaction_that_changes_no_condition_commits_once(self) -> None:
+        """Guards against a second commit where only the audit row's condition can prevent it."""
+        self.table.transact_faults.append(fakes.Fault.LOST_THEN_COMMITS)
+        self.table.late_commit_s = 0.02
+        entry = audit.row(
+            transaction=ids.TransactionId("t1"),
+            operator="op",
+            time_ms=7,
+            action=audit.Action.DRAIN,
+            subject="server/a",
+        )
+        running = transactor.Transactor(self.platform.clock, self.table).transact(
+            expected_versions_by_key={OTHER: ids.RowVersion(0)},
+            writes=(ports.Write(KEY, b"new"),),
+            audit=entry,
+            deadline=5.0,
+        )
+        rows = self.platform.wait(running)
+        self.platform.clock.advance(1.0)
+        self.assert_committed_once(rows)
+
     def test_unconditional_rows_are_read_back(self) -> None:
         """Guards against an invented version of a row that had no condition."""
         self.table.put(OTHER, b"old")
