Show shards without a map row; scan only the audit rows of a time range

Cause: status showed 0 unowned shards before any shard had an owner, seen in a run of the built file against the platform stand-in; audit read the whole log for any time range. Ruled out: counting missing map rows as unowned, because placers report them apart. Change: status has its own figure for them; audit scans the shared key prefix. Result: tests/queries pass.

--- a/src/celerystack/queries/show_audit.py
+++ b/src/celerystack/queries/show_audit.py
@@ -5,9 +5,10 @@
 import dataclasses
 import datetime
 import functools
+import itertools
 import json as json_module
 
-from celerystack import errors
+from celerystack import errors, ids
 from celerystack.commands import job
 from celerystack.state import codec, keys
 
@@ -28,6 +29,17 @@
     service: str
     action: str
 
+    def prefix(self) -> str:
+        """Return the longest key prefix that all rows of the time range share."""
+        if self.since_ms is None or self.until_ms is None or self.since_ms >= self.until_ms:
+            return keys.AUDIT_PREFIX
+        first, last = (
+            keys.audit(time_ms, ids.TransactionId(""))
+            for time_ms in (max(self.since_ms, 0), max(self.until_ms - 1, 0))
+        )
+        pairs = zip(first, last, strict=True)
+        return "".join(a for a, b in itertools.takewhile(lambda pair: pair[0] == pair[1], pairs))
+
     def accepts(self, entry: codec.AuditRow) -> bool:
         """Return whether an audit row fulfils all conditions."""
         if self.since_ms is not None and entry.time_ms < self.since_ms:
@@ -91,7 +103,7 @@
 
 async def _run(remote: job.Remote, *, wanted: Filter, as_json: bool) -> int:
     corrupt: list[errors.CorruptRowError] = []
-    for row in await remote.table.scan(keys.AUDIT_PREFIX):
+    for row in await remote.table.scan(wanted.prefix()):
         try:
             entry = codec.decode_flat(codec.AuditRow, row.value, key=row.key)
         except errors.CorruptRowError as error:
--- a/src/celerystack/queries/status.py
+++ b/src/celerystack/queries/status.py
@@ -59,7 +59,14 @@
     current: model.Configuration, rows: list[ports.Row]
 ) -> tuple[dict[str, Any], collections.Counter[ids.ServerId]]:
     services: dict[str, Any] = {
-        name: {"shards": service.shards, "recorded": 0, "unowned": 0, "moving": 0, "hot": 0}
+        name: {
+            "divided": service.divided,
+            "shards": service.shards,
+            "unrecorded": service.shards,
+            "unowned": 0,
+            "moving": 0,
+            "hot": 0,
+        }
         for name, service in current.services_by_name.items()
     }
     shards_by_server: collections.Counter[ids.ServerId] = collections.Counter()
@@ -71,7 +78,7 @@
             continue
         owners = [chunk.owner(shard) for shard in chunk.shards()]
         shards_by_server.update(owner for owner in owners if owner is not None)
-        entry["recorded"] += len(owners)
+        entry["unrecorded"] -= chunk.shard_count
         entry["moving"] += len(chunk.moves_by_shard)
         entry["unowned"] += owners.count(None) - len(chunk.moves_by_shard)
         entry["hot"] += len(chunk.hot_by_shard)
@@ -109,9 +116,12 @@
 def _text(report: dict[str, Any]) -> str:
     lines = [f"configuration version: {report['config_version']}"]
     for name, entry in report["services"].items():
+        if not entry["divided"]:
+            lines.append(f"service {name}: not divided by key")
+            continue
         lines.append(
-            f"service {name}: {entry['shards']} shards, {entry['unowned']} unowned, "
-            f"{entry['moving']} moving, {entry['hot']} hot"
+            f"service {name}: {entry['shards']} shards, {entry['unrecorded']} without a map row, "
+            f"{entry['unowned']} unowned, {entry['moving']} moving, {entry['hot']} hot"
         )
     for name, entry in report["servers"].items():
         parts = [
--- a/tests/queries/test_table_queries.py
+++ b/tests/queries/test_table_queries.py
@@ -3,6 +3,8 @@
 import json
 
 import testtools
+from hypothesis import given
+from hypothesis import strategies as st
 
 from celerystack import errors, ids, model
 from celerystack.commands import drain
@@ -81,7 +83,14 @@
         report = json.loads(self.platform.run(status.status(json=True))[1])
         self.assertEqual(1, report["config_version"])
         self.assertEqual(
-            {"shards": 64, "recorded": 64, "unowned": 62, "moving": 1, "hot": 0},
+            {
+                "divided": True,
+                "shards": 64,
+                "unrecorded": 0,
+                "unowned": 62,
+                "moving": 1,
+                "hot": 0,
+            },
             report["services"]["rota-view"],
         )
         server = report["servers"]["rv-01"]
@@ -100,6 +109,11 @@
         self.assertIn("server rv-01: active", text)
         self.assertIn("drain requested by op", text)
 
+    def test_shards_without_a_map_row_are_shown(self) -> None:
+        """Guards against a status that looks healthy before any shard has an owner."""
+        text = self.platform.run(status.status())[1]
+        self.assertIn("rota-view: 64 shards, 64 without a map row, 0 unowned", text)
+
     def test_status_of_an_empty_table(self) -> None:
         """Guards against a failure before the first apply."""
         self.table.rows_by_key.clear()
@@ -141,6 +155,27 @@
         self.assertEqual(["map/rota-view"], self.subjects(since=since, until=until))
         self.assertEqual([], self.subjects(action="apply"))
 
+    @given(st.integers(0, 10**13), st.integers(1, 10**5), st.integers(0, 10**5))
+    def test_scanned_prefix_covers_the_time_range(self, since, duration, offset) -> None:
+        """Guards against entries of the range that are not read."""
+        wanted = show_audit.Filter(
+            since_ms=since, until_ms=since + duration, operator="", service="", action=""
+        )
+        key = keys.audit(since + offset % duration, ids.TransactionId("t"))
+        self.assertTrue(key.startswith(wanted.prefix()))
+        self.assertTrue(wanted.prefix().startswith(keys.AUDIT_PREFIX))
+
+    def test_narrow_range_reads_few_rows(self) -> None:
+        """Guards against reading the whole audit log for a minute of it."""
+        wanted = show_audit.Filter(
+            since_ms=1_700_000_000_000,
+            until_ms=1_700_000_060_000,
+            operator="",
+            service="",
+            action="",
+        )
+        self.assertEqual("audit/0017000000", wanted.prefix()[:16])
+
     def test_line_has_time_operator_reason_and_change(self) -> None:
         """Guards against entries without who, when or why."""
         out = self.platform.run(show_audit.audit(operator="bob"))[1]
