Do not count shards of unreachable servers in the mean fill

Cause: the scale of shard costs included shards on servers that keep them but receive nothing. The other servers then all seemed less filled than the mean, so the plan balanced between them although their loads differed by 4% only, and spent the churn budget during a disturbance.

Ruled out: raising the trigger, which would hide the fault for few unreachable servers only.

Change: placement.assign.shard_costs leaves these shards out of the scale.

Conclusion: unreachable servers cause no balancing between the others.

--- a/src/celerystack/placement/assign.py
+++ b/src/celerystack/placement/assign.py
@@ -203,14 +203,18 @@
     """Return the cost per shard, scaled so that the mean fill of the receiving servers is 1.
 
     A hot shard holds one key and is charged for its load only. Without any known load, shards
-    cost the same.
+    cost the same. Shards that stay on servers that receive nothing do not count for the scale;
+    otherwise the others would all seem less filled than the mean, and would be balanced without
+    need.
     """
-    shards = state.shards
-    hot = [p for p, shard in enumerate(shards) if balance.is_hot(shard)]
     capacity = sum(server.weight for server in state.servers if server.receives())
-    total_load = math.fsum(state.loads)
+    staying = _staying_positions(state)
+    hot = [p for p, shard in enumerate(state.shards) if balance.is_hot(shard)]
+    total_load = math.fsum(load for p, load in enumerate(state.loads) if p not in staying)
+    base_count = len(state.shards) - len(hot)
+    base_count -= sum(not balance.is_hot(state.shards[p]) for p in staying)
     key_part = KEY_SHARE if total_load > 0.0 else 1.0
-    per_shard = capacity * key_part / max(1, len(shards) - len(hot))
+    per_shard = capacity * key_part / max(1, base_count)
     per_load = capacity * (1.0 - key_part) / total_load if total_load > 0.0 else 0.0
     costs = array.array("d", (per_shard + per_load * load for load in state.loads))
     for position in hot:
@@ -218,6 +222,14 @@
     return costs
 
 
+def _staying_positions(state: PlacementState) -> set[int]:
+    """Return the positions of shards on servers that neither receive nor give up shards."""
+    stays = [not (s.receives() or s.draining or s.lost) for s in state.servers]
+    if not any(stays):
+        return set()
+    return {p for p, owner in enumerate(state.owners) if owner != NO_OWNER and stays[owner]}
+
+
 def churn_cost(moves: Iterable[MoveShard]) -> float:
     """Return what the moves take from the churn budget, in base shards."""
     return math.fsum(balance.churn_cost(move.shard) for move in moves)
--- a/tests/placement/test_assign.py
+++ b/tests/placement/test_assign.py
@@ -333,3 +333,13 @@
     assert {move.shard for move in plan.moves} <= set(hot)
     assert len(plan.moves) >= 2
     assert assign.churn_cost(plan.moves) <= 1.0
+
+
+def test_unreachable_servers_cause_no_balancing_between_the_others():
+    """Guards against shards on servers that keep them being counted in the mean."""
+    servers = servers_named(10)
+    owners = placed(servers, 1000)
+    loads = {s: 1.0 + 0.04 * (owner == servers[0].server) for s, owner in owners.items()}
+    for index in (7, 8, 9):
+        servers[index] = dataclasses.replace(servers[index], usable=False)
+    assert assign.plan(state_of(servers, owners, loads, budget=1000), WARM).moves == ()
