Fill the metrics from requests, control and the platform

Cause: /metrics of a running router was empty. Change: requests by outcome with latency, lease states, moves, unowned shards, store errors and the configuration version; connections to undeclared servers are closed.

--- a/src/celerystack/control/changes.py
+++ b/src/celerystack/control/changes.py
@@ -13,7 +13,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Change:
-    """A transaction to commit, with the texts of its audit row."""
+    """A transaction to commit, with the texts of its audit row.
+
+    Attributes
+    ----------
+    shards : int
+        Number of shards whose owner changes.
+    """
 
     expected_versions_by_key: dict[ids.RowKey, ids.RowVersion]
     writes: tuple[ports.Write, ...]
@@ -22,6 +28,7 @@
     reason: str
     before: str
     after: str
+    shards: int = 0
 
 
 class ChangeBuilder:
@@ -86,7 +93,14 @@
         return result
 
     def build(
-        self, *, action: audit.Action, subject: str, reason: str, before: str = "", after: str = ""
+        self,
+        *,
+        action: audit.Action,
+        subject: str,
+        reason: str,
+        before: str = "",
+        after: str = "",
+        shards: int = 0,
     ) -> Change:
         """Return the transaction."""
         writes = [
@@ -103,6 +117,7 @@
             reason=reason,
             before=before,
             after=after,
+            shards=shards,
         )
 
 
@@ -224,6 +239,7 @@
         reason=reason,
         before=f"token {row.token}, {len(targets_by_shard)} shards",
         after=_count_text(targets_by_shard),
+        shards=len(targets_by_shard),
     )
 
 
@@ -278,6 +294,7 @@
         reason="shards without owner",
         before=f"{len(targets_by_shard)} shards",
         after=_count_text(qualified),
+        shards=len(targets_by_shard),
     )
 
 
@@ -302,6 +319,7 @@
         reason=reason,
         before=f"{len(targets_by_shard)} shards",
         after=_count_text(qualified),
+        shards=len(targets_by_shard),
     )
 
 
@@ -323,6 +341,7 @@
         subject=f"map/{service}",
         reason="hot keys",
         after=f"{len(base_by_key)} keys with shards of their own",
+        shards=len(base_by_key),
     )
 
 
--- a/src/celerystack/control/committer.py
+++ b/src/celerystack/control/committer.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from collections.abc import Callable
 
 from twisted.internet import interfaces
 
@@ -30,12 +31,16 @@
         tables: table_sync.TableSync,
         rows: sync.RowSync,
         operator: str,
+        on_commit: Callable[[changes.Change], None],
+        on_failure: Callable[[errors.PlatformError], None],
     ) -> None:
         self._clock = clock
         self._transactor = transactor
         self._tables = tables
         self._rows = rows
         self._operator = operator
+        self._on_commit = on_commit
+        self._on_failure = on_failure
 
     async def commit(self, change: changes.Change) -> bool:
         """Commit a change; returns whether it took effect.
@@ -60,13 +65,16 @@
                 audit=entry,
                 deadline=self._clock.seconds() + COMMIT_TIMEOUT_S,
             )
-        except errors.TransactionConflictError:
+        except errors.TransactionConflictError as error:
+            self._on_failure(error)
             await self._tables.refresh()
             return False
         except errors.PlatformError as error:
+            self._on_failure(error)
             self._tables.note_failure(error)
             return False
         self._rows.push(rows)
+        self._on_commit(change)
         _log.info(
             "%s %s: %s -> %s (%s)",
             change.action.value,
--- a/src/celerystack/control/entry_vm.py
+++ b/src/celerystack/control/entry_vm.py
@@ -18,6 +18,7 @@
     lessor_task,
     losses_task,
     membership_task,
+    metrics_task,
     placer_task,
     routes,
     steward_task,
@@ -28,6 +29,7 @@
 from celerystack.control import view as cluster_view
 from celerystack.lease import lessor as lessors
 from celerystack.limits import retry_budget, shares
+from celerystack.observe import audit, metrics
 from celerystack.peers import mesh as peer_mesh
 from celerystack.peers import messages, sync
 from celerystack.platform import membership, table, transactor
@@ -88,7 +90,11 @@
             self._reactor, address=chosen.table_address, timeout_s=chosen.store_timeout_s
         )
         self.table_sync = table_sync.TableSync(
-            self._clock, table=self.table, rows=self.rows, mesh=self.mesh
+            self._clock,
+            table=self.table,
+            rows=self.rows,
+            mesh=self.mesh,
+            on_failure=lambda error: self.metrics.store_failed(error),
         )
         self.membership = membership_task.MembershipTask(
             self._clock,
@@ -103,7 +109,9 @@
             transactor=transactor.Transactor(self._clock, self.table),
             tables=self.table_sync,
             rows=self.rows,
-            operator=f"router:{self.me.vm}",
+            operator=audit.router_operator(self.me.vm),
+            on_commit=lambda change: self.metrics.committed(change),
+            on_failure=lambda error: self.metrics.store_failed(error),
         )
 
     def _build_control(self) -> None:
@@ -168,12 +176,30 @@
             budget=retry_budget.RetryBudget(),
         )
         self.forwarder = forwarder.Forwarder(self._reactor, needs)
-        self.front_end = frontend.FrontEnd(self._reactor, self.routes, self.forwarder)
+        counters = metrics.Metrics(self.registry)
+        self.front_end = frontend.FrontEnd(
+            self._reactor, self.routes, self.forwarder, on_finished=counters.request_finished
+        )
+        self.metrics = metrics_task.MetricsTask(
+            self._clock,
+            counters=counters,
+            view=self.view,
+            lessor=self.lessor_task.lessor,
+            placer=self.placer,
+            forwarding=self.forwarder,
+        )
+        self._address_by_server: dict[ids.ServerId, str] = {}
         self.view.add_listener(self._view_changed)
         self.entry_vm_count = shares.EntryVmCount(self.me.vm, started_at=self._clock.seconds())
 
     def _view_changed(self, change: cluster_view.ViewChange) -> None:
         """Break off requests at servers that were taken over; nothing else would end them."""
+        if change.configuration:
+            declared = self.view.configuration.servers_by_id
+            for server, address in list(self._address_by_server.items()):
+                if server not in declared or declared[server].address != address:
+                    self.forwarder.forget(server)
+            self._address_by_server = {s: entry.address for s, entry in declared.items()}
         for server in change.servers:
             row = self.view.server_rows_by_id.get(server)
             if row is not None and row.state is not model.ServerState.ACTIVE:
@@ -211,6 +237,7 @@
         self.steward.start()
         self.placer.start()
         self.traffic.start()
+        self.metrics.start()
         self._upkeep.start()
         host, port = settings.split_address(self._settings.caller_address)
         self.front_end.listen(host, port)
@@ -261,6 +288,7 @@
             self.steward,
             self.placer,
             self.traffic,
+            self.metrics,
             self.lessor_task,
             self.table_sync,
             self.membership,
--- a/src/celerystack/control/placer_task.py
+++ b/src/celerystack/control/placer_task.py
@@ -77,6 +77,13 @@
         """Return the servers whose release this entry VM waits for."""
         return frozenset(self._watched)
 
+    def unowned_shards(self) -> dict[ids.ServiceName, int]:
+        """Return the number of shards without owner, for the services that are placed here."""
+        return {
+            service: sum(1 for owner in self._owners(service).values() if owner is None)
+            for service in self._first_seen_by_service
+        }
+
     def is_usable(self, server: ids.ServerId) -> bool:
         """Return whether a server may receive shards or new requests."""
         row = self._view.server_rows_by_id.get(server)
--- a/src/celerystack/control/table_sync.py
+++ b/src/celerystack/control/table_sync.py
@@ -38,13 +38,13 @@
         table: ports.TablePort,
         rows: sync.RowSync,
         mesh: peer_mesh.Mesh,
-        on_error: Callable[[], None] = lambda: None,
+        on_failure: Callable[[errors.PlatformError], None],
     ) -> None:
         self._clock = clock
         self._table = table
         self._rows = rows
         self._mesh = mesh
-        self._on_error = on_error
+        self._on_failure = on_failure
         self._since = 0
         self._polling = False
         self._next_poll = 0.0
@@ -82,6 +82,7 @@
         try:
             newest, rows = await self._table.changes(self._since)
         except errors.PlatformError as error:
+            self._on_failure(error)
             self.note_failure(error)
             return
         self._since = newest
@@ -94,7 +95,6 @@
         if self.reachable:
             _log.warning("table service failed: %s", error, extra={"step": error.step})
         self.reachable = False
-        self._on_error()
 
     async def refresh(self) -> None:
         """Read what has changed, for example after a conflict, and spread it.
--- a/src/celerystack/requests/frontend.py
+++ b/src/celerystack/requests/frontend.py
@@ -44,6 +44,8 @@
     ----------
     now : callable
         Monotonic clock in seconds.
+    on_finished : callable
+        Called with service, outcome and time since the request arrived (s) when an answer starts.
     """
 
     def __init__(
@@ -54,9 +56,11 @@
         *,
         limits: callerhttp.Limits | None = None,
         now: Callable[[], float] = time.monotonic,
+        on_finished: Callable[[ids.ServiceName, model.Outcome, float], None] | None = None,
     ) -> None:
         self._reactor = reactor
         self._routes = routes
+        self._on_finished = on_finished
         self._forwarder = forwarding
         self._now = now
         self._port: Any = None
@@ -95,9 +99,17 @@
             return
         running = self._forwarder.forward(call)
         request.on_disconnect(running.cancel)
-        running.addCallback(lambda reply: self._answer(request, reply))
+        running.addCallback(lambda reply: self._finished(request, call, reply))
         running.addErrback(self._failed, request)
 
+    def _finished(
+        self, request: callerhttp.CallerRequest, call: calls.Call, reply: replies.Reply
+    ) -> None:
+        if self._on_finished is not None:
+            duration_s = self._now() - request.received_at
+            self._on_finished(call.service.name, replies.outcome_of(reply), duration_s)
+        self._answer(request, reply)
+
     def _read_call(self, request: callerhttp.CallerRequest) -> calls.Call:
         headers = request.header_list()
         target = request.uri
--- a/src/celerystack/requests/replies.py
+++ b/src/celerystack/requests/replies.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 
+from celerystack import model
 from celerystack.backend import exchange, http
 from celerystack.peers import messages
 
@@ -108,3 +109,13 @@
         return Refused(RefusalKind(value.decode("ascii", "replace").strip().lower()))
     except ValueError:
         return Lost(f"the server refused the request for an unknown reason {value!r}")
+
+
+def outcome_of(reply: Reply) -> model.Outcome:
+    """Return what the caller is told."""
+    match reply:
+        case Answered():
+            return model.Outcome.ANSWERED
+        case NotRun():
+            return model.Outcome.NOT_RUN
+    return model.Outcome.UNKNOWN
