--- a/tests/scripts/test_build.py
+++ b/tests/scripts/test_build.py
@@ -113,6 +113,28 @@
         )
         self.assertEqual(("True [1]\n", ""), (result.stdout, result.stderr))
 
+    def test_every_module_can_be_imported(self) -> None:
+        """Guards against a module that needs a package which the archive lacks."""
+        script = (
+            f"import importlib, pkgutil, sys; sys.path.insert(0, {str(self.binary)!r}); "
+            "import celerystack; "
+            "walk = pkgutil.walk_packages(celerystack.__path__, 'celerystack.'); "
+            "found = [module.name for module in walk]; "
+            "[importlib.import_module(name) for name in found if not name.endswith('__main__')]; "
+            "print(len(found))"
+        )
+        result = subprocess.run(
+            [sys._base_executable, "-IBS", "-c", script],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+        )
+        self.assertEqual((0, ""), (result.returncode, result.stderr))
+        modules = list((ROOT / "src" / "celerystack").rglob("*.py"))
+        packages_and_modules = len(modules) - 1
+        self.assertEqual(packages_and_modules, int(result.stdout))
+
     def test_waiting_command_has_no_child_and_no_open_file(self) -> None:
         """Guards against helpers or unpacked files that exist only while the program runs."""
         silent = socket.create_server(("127.0.0.1", 0))
