Parse only changed configuration files; apply the limits from the settings

Cause: every change of the configuration paid for a complete merge, and the limits of callers' bodies and idle time had no effect. Change: the view keeps the merger between changes; ready only with a configuration.

--- a/src/celerystack/control/entry_vm.py
+++ b/src/celerystack/control/entry_vm.py
@@ -33,7 +33,7 @@
 from celerystack.peers import mesh as peer_mesh
 from celerystack.peers import messages, sync
 from celerystack.platform import membership, table, transactor
-from celerystack.requests import choice, claims, forwarder, frontend
+from celerystack.requests import callerhttp, choice, claims, forwarder, frontend
 from celerystack.state import cache as row_cache
 
 DRAIN_NOTICE_S = 1.0
@@ -178,7 +178,13 @@
         self.forwarder = forwarder.Forwarder(self._reactor, needs)
         counters = metrics.Metrics(self.registry)
         self.front_end = frontend.FrontEnd(
-            self._reactor, self.routes, self.forwarder, on_finished=counters.request_finished
+            self._reactor,
+            self.routes,
+            self.forwarder,
+            limits=callerhttp.Limits(
+                body_max=self._settings.body_bytes_max, idle_s=self._settings.caller_idle_s
+            ),
+            on_finished=counters.request_finished,
         )
         self.metrics = metrics_task.MetricsTask(
             self._clock,
@@ -221,14 +227,10 @@
 
     def is_ready(self) -> bool:
         """Return whether the platform's balancer should send callers here."""
-        return not self.draining and self.has_state()
-
-    def has_state(self) -> bool:
-        """Return whether the rows are known, from the table or from a peer."""
-        return self.table_sync.has_state or self.view.configuration.version > 0
+        return not self.draining and self.view.configuration.version > 0
 
     def start(self) -> None:
-        """Open the peer listener and start all tasks; the caller listener opens with the state."""
+        """Open the listeners for peers and callers and start all tasks."""
         self.mesh.start(self._settings.peer_address)
         self.mesh.dial(self._settings.peers)
         self.table_sync.start()
--- a/src/celerystack/control/view.py
+++ b/src/celerystack/control/view.py
@@ -8,7 +8,7 @@
 from types import MappingProxyType
 
 from celerystack import errors, ids, model
-from celerystack.config import derive
+from celerystack.config import derive, loader
 from celerystack.platform import ports
 from celerystack.state import cache as row_cache
 from celerystack.state import codec, grants, keys, shardmap
@@ -38,6 +38,7 @@
     def __init__(self, cache: row_cache.RowCache) -> None:
         self._cache = cache
         self._listeners: list[Callable[[ViewChange], None]] = []
+        self._merger = loader.Merger()
         self._chunks_by_key: dict[ids.RowKey, shardmap.ShardMapChunk] = {}
         self.configuration = model.Configuration()
         self.server_rows_by_id: dict[ids.ServerId, model.ServerRow] = {}
@@ -172,7 +173,7 @@
 
     def _load_configuration(self) -> bool:
         try:
-            configuration = derive.configuration_from_rows(self._cache)
+            configuration = derive.configuration_from_rows(self._cache, merger=self._merger)
         except errors.CelerystackError as error:
             _log.error("ignoring invalid configuration: %s", error, extra={"step": error.step})
             return False
