Count waiting requests for the choice of server

The chooser was told of a request only when it had a place at its server, so a long queue looked like an idle server. It is now told before the request waits; the latency still counts from the end of the wait. The new test fails without the change: 2 instead of 5 requests were counted.

--- a/src/celerystack/requests/forwarder.py
+++ b/src/celerystack/requests/forwarder.py
@@ -34,6 +34,7 @@
     claimed: bool = False
     home_zone: ids.ZoneName | None = None
     attempts: int = 0
+    sent_at: float | None = None
     avoid: set[ids.ServerId] = dataclasses.field(default_factory=set)
 
 
@@ -174,8 +175,29 @@
         target: targets.Target,
         progress: _Progress,
     ) -> replies.Attempt:
-        dispatcher = self._dispatcher(target.server, call.service)
         progress.attempts += 1
+        progress.sent_at = None
+        outcome = model.Outcome.UNKNOWN
+        # Counted before it waits for a place, so that the chooser sees the queues.
+        self._ports.chooser.started(target.server, self._now())
+        try:
+            attempt = await self._send(call, fingerprint, target, progress)
+            outcome = _attempt_outcome(attempt)
+        finally:
+            now = self._now()
+            latency_s = 0.0 if progress.sent_at is None else now - progress.sent_at
+            self._ports.chooser.finished(target.server, latency_s, outcome, now)
+        progress.may_have_run |= isinstance(attempt, replies.Lost)
+        return attempt
+
+    async def _send(
+        self,
+        call: calls.Call,
+        fingerprint: ids.Fingerprint,
+        target: targets.Target,
+        progress: _Progress,
+    ) -> replies.Attempt:
+        dispatcher = self._dispatcher(target.server, call.service)
         try:
             waiting = dispatcher.admit(call.deadline)
             if waiting is not None and not await waiting:
@@ -190,25 +212,18 @@
             permitted=self._ports.routes.may_send,
         )
         now = self._now()
-        self._ports.chooser.started(target.server, now)
-        outcome = model.Outcome.UNKNOWN
+        progress.sent_at = now
         try:
             sent = dispatcher.exchange(encoding.encode(call, target, now), pending, call.deadline)
             attempt = replies.read_answer(await sent)
-            outcome = _attempt_outcome(attempt)
-            _observe(dispatcher, attempt, self._now() - now)
         except errors.NotRunError as error:
-            outcome = model.Outcome.NOT_RUN
-            attempt = replies.Outdated() if pending.outdated else replies.NotSent(error.reason)
+            return replies.Outdated() if pending.outdated else replies.NotSent(error.reason)
         except errors.OutcomeUnknownError as error:
-            attempt = replies.Lost(error.reason)
+            return replies.Lost(error.reason)
         except defer.CancelledError:
             progress.may_have_run |= pending.sent
             raise
-        finally:
-            ended = self._now()
-            self._ports.chooser.finished(target.server, ended - now, outcome, ended)
-        progress.may_have_run |= isinstance(attempt, replies.Lost)
+        _observe(dispatcher, attempt, self._now() - now)
         return attempt
 
     async def _prepare_retry(
@@ -278,10 +293,10 @@
     match attempt:
         case replies.Answered():
             return model.Outcome.ANSWERED
-        case replies.Refused() | replies.NotSent() | replies.Outdated():
-            return model.Outcome.NOT_RUN
-        case _:
+        case replies.Lost():
             return model.Outcome.UNKNOWN
+        case _:
+            return model.Outcome.NOT_RUN
 
 
 def _claim_state(reply: replies.Reply) -> messages.ClaimState:
--- a/src/celerystack/requests/ports.py
+++ b/src/celerystack/requests/ports.py
@@ -83,12 +83,15 @@
         """Return the server for the next request; None if none is suitable."""
 
     def started(self, server: model.BackendServer, now: float) -> None:
-        """Record that a request was started at a server."""
+        """Record that a request was assigned to a server, where it may wait for a place."""
 
     def finished(
         self, server: model.BackendServer, latency_s: float, outcome: model.Outcome, now: float
     ) -> None:
-        """Record the end of a request that was started."""
+        """Record the end of a request that was started.
+
+        ``latency_s`` counts from the end of its wait in this entry VM; 0 if it was not sent.
+        """
 
 
 class RetryBudget(Protocol):
--- a/tests/requests/test_queueing.py
+++ b/tests/requests/test_queueing.py
@@ -95,6 +95,18 @@
         for d in first:
             self.assert_outcome(await d, 200, b"answered")
 
+    async def test_chooser_counts_waiting_requests(self):
+        """Guards against a choice of server that does not see the queues."""
+        harness, (server,) = await self.harness(service=fakes.DESK)
+        server.handler = lambda r: None
+        sent = [harness.call(DESK, method="POST", headers=short(400)) for _ in range(5)]
+        await backend_fakes.settle(until=lambda: len(server.requests) == 2)
+        await backend_fakes.sleep(0.05)
+        self.assertEqual(harness.chooser.running, 5)
+        for d in sent:
+            await d
+        self.assertEqual(harness.chooser.running, 0)
+
     async def test_each_waits_until_its_own_deadline(self):
         """Guards against an early deadline that is noticed at a later one."""
         harness, (server,) = await self.harness()
