Detect ended entry VMs by refused connections; claim in the next zone when one has none left

An idempotent request whose server closed its connection without dying waited for its whole deadline. Ruled out: falling back on silence, because a zone that is only cut off still holds its claims; a refused connection or a missing entry in the membership list proves that the process has ended. Change: refused connections end an entry VM at once; holders go on to the next zone in a fixed order if all entry VMs of a zone have ended; a server is avoided for 1 s instead of for the rest of the request.

--- a/src/celerystack/control/claims_task.py
+++ b/src/celerystack/control/claims_task.py
@@ -7,6 +7,7 @@
 from twisted.internet import defer, interfaces
 
 from celerystack import errors, ids, model
+from celerystack.control import membership_task
 from celerystack.control import view as cluster_view
 from celerystack.lease import rendezvous
 from celerystack.peers import mesh as peer_mesh
@@ -30,8 +31,10 @@
         table: claims.ClaimTable,
         view: cluster_view.ClusterView,
         mesh: peer_mesh.Mesh,
+        membership: membership_task.MembershipTask,
     ) -> None:
         self._clock = clock
+        self._membership = membership
         self._table = table
         self._view = view
         self._mesh = mesh
@@ -81,14 +84,39 @@
     def _holders(
         self, request_id: ids.RequestId, home_zone: ids.ZoneName | None
     ) -> list[ids.EntryVmId]:
-        zone = home_zone or self._zone_for(request_id)
-        live = [e.vm for e in self._mesh.live_entry_vms() if e.zone == zone]
-        holders = claims.holders(request_id, live, recent=self._recent())
-        if not holders:
-            raise errors.PeerError(
-                "no entry VM of the home zone is connected", step="claims.holders", peer=zone
-            )
-        return holders
+        """Return the holders in the home zone.
+
+        Other zones are added in a fixed order while the zones before them have no entry VM that is
+        older than the window of a claim: their entry VMs are gone, or have just replaced others
+        whose claims may be held further down the order.
+        """
+        chosen: list[ids.EntryVmId] = []
+        recent = self._recent()
+        for zone in self._zones_in_order(request_id, home_zone):
+            live = [e.vm for e in self._mesh.live_entry_vms() if e.zone == zone]
+            if not live and not self._is_gone(zone):
+                raise errors.PeerError(
+                    "no entry VM of the home zone is connected", step="claims.holders", peer=zone
+                )
+            chosen += claims.holders(request_id, live, recent=recent)
+            if any(vm not in recent for vm in live):
+                break
+        return chosen
+
+    def _zones_in_order(
+        self, request_id: ids.RequestId, home_zone: ids.ZoneName | None
+    ) -> list[ids.ZoneName]:
+        zones = {server.zone for server in self._view.configuration.servers_by_id.values()}
+        ranked = rendezvous.ranked(request_id, zones | {self._mesh.me.zone})
+        home = home_zone or ids.ZoneName(ranked[0])
+        return [home, *(ids.ZoneName(zone) for zone in ranked if zone != home)]
+
+    def _is_gone(self, zone: ids.ZoneName) -> bool:
+        """Return whether every known entry VM of a zone has certainly ended."""
+        listed = self._membership.entry_addresses_by_zone.get(zone, frozenset())
+        peers = self._mesh.peers_by_vm.values()
+        known = {p.entry_vm.peer_address for p in peers if p.entry_vm.zone == zone}
+        return all(self._mesh.is_refused(address) for address in listed | known)
 
     def _recent(self) -> set[ids.EntryVmId]:
         now = self._clock.seconds()
@@ -99,10 +127,6 @@
         }
         return recent | ({self._mesh.me.vm} if now - self._started_at < claims.RECENT_S else set())
 
-    def _zone_for(self, request_id: ids.RequestId) -> ids.ZoneName:
-        zones = {server.zone for server in self._view.configuration.servers_by_id.values()}
-        return ids.ZoneName(rendezvous.ranked(request_id, zones or {self._mesh.me.zone})[0])
-
     async def _ask(
         self, request_id: ids.RequestId, vm: ids.EntryVmId, deadline: float
     ) -> messages.ClaimState:
--- a/src/celerystack/control/entry_vm.py
+++ b/src/celerystack/control/entry_vm.py
@@ -169,7 +169,11 @@
         needs = forwarder.Ports(
             routes=self.routes,
             claims=claims_task.ClaimsTask(
-                self._clock, table=claims.ClaimTable(), view=self.view, mesh=self.mesh
+                self._clock,
+                table=claims.ClaimTable(),
+                view=self.view,
+                mesh=self.mesh,
+                membership=self.membership,
             ),
             losses=self.losses,
             chooser=chooser.QueueingChooser(choice.ServerChooser(zone=self.me.zone)),
--- a/src/celerystack/control/membership_task.py
+++ b/src/celerystack/control/membership_task.py
@@ -25,6 +25,8 @@
         Backend servers that were listed and those that are listed now.
     leaving_servers : frozenset of ServerId
         Backend servers that the platform marks as leaving.
+    entry_addresses_by_zone : dict
+        Peer addresses of the listed entry VMs.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         self._loop = periodic.Periodic(clock, self._poll, interval_s=POLL_S)
         self.history = evidence.ListingHistory()
         self.leaving_servers: frozenset[ids.ServerId] = frozenset()
+        self.entry_addresses_by_zone: dict[ids.ZoneName, frozenset[str]] = {}
         self.reachable = False
 
     def start(self) -> None:
@@ -73,4 +76,9 @@
         self.leaving_servers = frozenset(
             ids.ServerId(m.vm) for m in servers if m.state is ports.VmState.LEAVING
         )
-        self._mesh.dial(member.address for member in members if member.role is ports.VmRole.ENTRY)
+        entry_vms = [member for member in members if member.role is ports.VmRole.ENTRY]
+        self.entry_addresses_by_zone = {
+            zone: frozenset(m.address for m in entry_vms if m.zone == zone)
+            for zone in {member.zone for member in entry_vms}
+        }
+        self._mesh.dial(member.address for member in entry_vms)
--- a/src/celerystack/peers/mesh.py
+++ b/src/celerystack/peers/mesh.py
@@ -6,7 +6,8 @@
 import logging
 from collections.abc import Callable, Iterable
 
-from twisted.internet import interfaces, protocol
+from twisted.internet import error, interfaces, protocol
+from twisted.python import failure as failures
 
 from celerystack import ids, model, periodic, timing
 from celerystack.peers import messages, stream
@@ -37,13 +38,23 @@
     maxDelay = RECONNECT_MAX_S  # noqa: N815
     noisy = False
 
-    def __init__(self, build: Callable[[], stream.PeerSender]) -> None:
+    def __init__(
+        self, build: Callable[[], stream.PeerSender], on_refused: Callable[[], None]
+    ) -> None:
         self._build = build
+        self._on_refused = on_refused
 
     def buildProtocol(self, addr: object) -> stream.PeerSender:  # noqa: N802
         self.resetDelay()
         return self._build()
 
+    def clientConnectionFailed(  # noqa: N802
+        self, connector: interfaces.IConnector, reason: failures.Failure
+    ) -> None:
+        if reason.check(error.ConnectionRefusedError):
+            self._on_refused()
+        super().clientConnectionFailed(connector, reason)
+
 
 class _ReceiverFactory(protocol.Factory):
     noisy = False
@@ -86,6 +97,7 @@
         self._heartbeat = heartbeat
         self._senders_by_address: dict[str, stream.PeerSender | None] = {}
         self._factories_by_address: dict[str, _SenderFactory] = {}
+        self._refused_addresses: set[str] = set()
         self._handlers: list[MessageHandler] = []
         self._port: interfaces.IListeningPort | None = None
         self._loop = periodic.Periodic(clock, self._beat, interval_s=timing.PEER_HEARTBEAT_S)
@@ -126,13 +138,16 @@
         if address in self._factories_by_address:
             return
         host, _, port = address.rpartition(":")
-        factory = _SenderFactory(lambda: self._build_sender(address))
+        factory = _SenderFactory(
+            lambda: self._build_sender(address), lambda: self._refused(address)
+        )
         self._factories_by_address[address] = factory
         self._senders_by_address[address] = None
         self._reactor.connectTCP(host, int(port), factory, timeout=CONNECT_TIMEOUT_S)
 
     def forget(self, address: str) -> None:
         """Stop dialling an address, for example of a VM that left."""
+        self._refused_addresses.discard(address)
         factory = self._factories_by_address.pop(address, None)
         if factory is not None:
             factory.stopTrying()
@@ -154,8 +169,25 @@
             on_lost=lambda sender: self._sender_lost(address, sender),
         )
 
+    def _refused(self, address: str) -> None:
+        """Count the process at an address as gone: its host answers, but nothing listens there.
+
+        A partition or a frozen process looks different, because nothing answers at all.
+        """
+        self._refused_addresses.add(address)
+        now = self._clock.seconds()
+        for peer in self.peers_by_vm.values():
+            if peer.entry_vm.peer_address == address and peer.live_until > now:
+                peer.live_until = now
+                peer.silent_since = min(peer.silent_since, now - timing.PEER_DOWN_S)
+
+    def is_refused(self, address: str) -> bool:
+        """Return whether the last attempt to connect to an address was refused by its host."""
+        return address in self._refused_addresses
+
     def _sender_ready(self, address: str, sender: stream.PeerSender) -> None:
         self._senders_by_address[address] = sender
+        self._refused_addresses.discard(address)
         self._beat_one(address)
 
     def _sender_lost(self, address: str, sender: stream.PeerSender) -> None:
--- a/src/celerystack/requests/forwarder.py
+++ b/src/celerystack/requests/forwarder.py
@@ -35,7 +35,7 @@
     home_zone: ids.ZoneName | None = None
     attempts: int = 0
     sent_at: float | None = None
-    avoid: set[ids.ServerId] = dataclasses.field(default_factory=set)
+    avoid_until: dict[ids.ServerId, float] = dataclasses.field(default_factory=dict)
 
 
 class Forwarder:
@@ -140,7 +140,7 @@
     ) -> replies.Reply:
         while True:
             try:
-                target = await self._finder.find(call, progress.avoid)
+                target = await self._finder.find(call, progress.avoid_until)
                 if call.needs_claim and not progress.claimed:
                     earlier = await self._claim(call, target, progress)
                     if earlier is not None:
@@ -245,7 +245,7 @@
         if rule.budget and not self._ports.budget.try_retry(now):
             return self._give_up(call, progress, f"{reason}; the retry budget is exhausted")
         if rule.avoid_server:
-            progress.avoid.add(target.server.server)
+            progress.avoid_until[target.server.server] = now + retries.AVOID_S
         if rule.wait or progress.attempts > retries.ATTEMPTS_AT_ONCE:
             delay_s = min(retries.delay_s(progress.attempts), call.deadline - now)
             await targets.change_or_delay(self._reactor, self._ports.routes, call.service, delay_s)
--- a/src/celerystack/requests/retries.py
+++ b/src/celerystack/requests/retries.py
@@ -8,6 +8,9 @@
 
 DELAY_FIRST_S = 0.02
 DELAY_MAX_S = 0.2
+AVOID_S = 1.0
+"""A server that broke off an attempt has been found lost, or has shown that it runs, by then."""
+
 ATTEMPTS_AT_ONCE = 8
 """Further attempts of a call wait first, so that a fault in the routes cannot cause a busy loop."""
 
@@ -23,7 +26,8 @@
     budget : bool
         Whether the attempt must be covered by the retry budget.
     avoid_server : bool
-        Whether the call must not go to the same server again.
+        for `AVOID_S`.
+        Whether the call must not go to the same server again
     wait : bool
         Whether to wait for a change of routes or a short delay first.
     """
--- a/src/celerystack/requests/targets.py
+++ b/src/celerystack/requests/targets.py
@@ -55,11 +55,11 @@
         self._chooser = chooser
         self._now = now
 
-    async def find(self, call: calls.Call, avoid: set[ids.ServerId]) -> Target:
+    async def find(self, call: calls.Call, avoid_until: dict[ids.ServerId, float]) -> Target:
         """Return the server for the next attempt.
 
         Holds the call while its shard is moving, for at most `timing.HOLD_MAX_S`, and until the
-        deadline while it has no owner or its owner is in ``avoid``.
+        deadline while it has no owner or its owner is to be avoided until later.
 
         Raises
         ------
@@ -67,8 +67,8 @@
             There is no server in time.
         """
         if not call.service.divided:
-            return self._choose(call, avoid)
-        return await self._owner(call, avoid)
+            return self._choose(call, avoid_until)
+        return await self._owner(call, avoid_until)
 
     def is_current(self, call: calls.Call, target: Target) -> bool:
         """Return whether a target is still the one to send to.
@@ -81,16 +81,17 @@
             return any(server.server == target.server.server for server in usable)
         return self._source.route(call.service, call.key_hash()) == target.route
 
-    def _choose(self, call: calls.Call, avoid: set[ids.ServerId]) -> Target:
+    def _choose(self, call: calls.Call, avoid_until: dict[ids.ServerId, float]) -> Target:
         servers = self._source.servers(call.service)
-        if avoid:
-            servers = tuple(server for server in servers if server.server not in avoid)
+        if avoid_until:
+            now = self._now()
+            servers = tuple(s for s in servers if avoid_until.get(s.server, now) <= now)
         server = self._chooser.choose(call.service, servers, self._now()) if servers else None
         if server is None:
             raise self._none("no server is usable")
         return Target(server, None)
 
-    async def _owner(self, call: calls.Call, avoid: set[ids.ServerId]) -> Target:
+    async def _owner(self, call: calls.Call, avoid_until: dict[ids.ServerId, float]) -> Target:
         hashed = call.key_hash()
         hold_until = 0.0
         while True:
@@ -99,7 +100,9 @@
                 raise self._none("no server owned the key before the deadline")
             until = call.deadline
             match self._source.route(call.service, hashed):
-                case model.Route(server=owner) as route if owner not in avoid:
+                case model.Route(server=owner) if avoid_until.get(owner, now) > now:
+                    until = min(until, avoid_until[owner])
+                case model.Route(server=owner) as route:
                     server = self._source.server(owner)
                     if server is not None:
                         return Target(server, route)
