Add the choice of server for callers with a queue per server

Cause: a forwarder that queues per server cannot let requests wait for whichever server becomes free first.

Ruled out: the number of own requests alone, which ignores how slow a server is.

Change: choice.ServerChooser.choose_queue applies the score without the limit on slots; the comparison has it as shipped_server_queues.

--- a/measurements/choice.py
+++ b/measurements/choice.py
@@ -29,6 +29,7 @@
     "reported_load": choice_policies.ReportedLoad,
     "temperature": choice_policies.Temperature,
     "shipped": choice_policies.Shipped,
+    "shipped_server_queues": choice_policies.ShippedServerQueues,
 }
 
 
@@ -102,6 +103,11 @@
         shipped = simulate("shipped", scenario)
         base = simulate("least_outstanding", scenario)
         found.append(figures.Figure(f"{name}_p99_ms", shipped.p99_ms(), "ms", base.p99_ms()))
+        if scenario.slow and not scenario.lies:
+            queues = simulate("shipped_server_queues", scenario)
+            found.append(
+                figures.Figure(f"{name}_server_queues_p99_ms", queues.p99_ms(), "ms", base.p99_ms())
+            )
         if scenario.fails:
             found.append(figures.Figure(f"{name}_failed", shipped.failed, "1", base.failed))
         if scenario.zones > 1:
--- a/measurements/choice_policies.py
+++ b/measurements/choice_policies.py
@@ -160,3 +160,12 @@
         """Pass the end on."""
         outcome = model.Outcome.ANSWERED if answered else model.Outcome.UNKNOWN
         self._chooser.finished(ids.ServerId(str(server)), latency_s, outcome, now)
+
+
+class ShippedServerQueues(Shipped):
+    """The shipped chooser with a queue per server, which a request joins at once."""
+
+    def choose(self, now: float, waiting: int) -> int | None:
+        """Return the server whose queue to join."""
+        chosen = self._chooser.choose_queue(self._servers, now)
+        return None if chosen is None else int(chosen.server)
--- a/src/celerystack/requests/choice.py
+++ b/src/celerystack/requests/choice.py
@@ -84,13 +84,7 @@
             (free if is_free else full).append(server)
         if not free:
             return None
-        scores = [
-            self._cost_s(server, median_s, now) * (self._get(server.server).outstanding + 1)
-            for server in free
-        ]
-        least = min(scores)
-        ties = [s for s, score in zip(free, scores, strict=True) if score <= least]
-        chosen = self._random.choice(ties)
+        chosen = self._least(free, median_s, now)
         if full and waiting is not None:
             turns = 1.0 + (1.0 + waiting) / service.slots
             wait_s = turns * min(self._cost_s(server, median_s, now) for server in full)
@@ -98,6 +92,18 @@
                 return None
         return chosen
 
+    def choose_queue(
+        self, servers: Sequence[model.BackendServer], now: float
+    ) -> model.BackendServer | None:
+        """Return the server whose queue the request should join; None without candidates.
+
+        For callers that keep one queue per server instead of one for all. Every request that joins
+        a queue must be reported to `started` at once, so that it counts as outstanding.
+        """
+        if not servers:
+            return None
+        return self._least(servers, self._median_s([self._get(s.server) for s in servers]), now)
+
     def started(self, server: ids.ServerId, now: float) -> None:
         """Record that a request was sent to ``server``."""
         self._get(server).outstanding += 1
@@ -131,6 +137,17 @@
             observed = self._observed_by_server[server] = _Observed()
         return observed
 
+    def _least(
+        self, servers: Sequence[model.BackendServer], median_s: float, now: float
+    ) -> model.BackendServer:
+        scores = [
+            self._cost_s(server, median_s, now) * (self._get(server.server).outstanding + 1)
+            for server in servers
+        ]
+        least = min(scores)
+        ties = [s for s, score in zip(servers, scores, strict=True) if score <= least]
+        return self._random.choice(ties)
+
     def _cost_s(self, server: model.BackendServer, median_s: float, now: float) -> float:
         latency_s = self._latency_s(self._get(server.server), median_s, now)
         factor = 1.0 if server.zone == self._zone else OTHER_ZONE_FACTOR
--- a/tests/requests/test_choice.py
+++ b/tests/requests/test_choice.py
@@ -160,3 +160,30 @@
     shipped = comparison.simulate("shipped", scenario, seed=8)
     robin = comparison.simulate("round_robin", scenario, seed=8)
     assert shipped.p99_ms() <= 1.1 * robin.p99_ms()
+
+
+def test_queue_of_a_fast_server_is_joined_rather_than_a_slow_free_slot():
+    servers = servers_in("z", "z")
+    chooser = chooser_in("z")
+    feed(chooser, "b0", 0.2, 0.0)
+    feed(chooser, "b1", 0.02, 0.0)
+    chosen = []
+    for _ in range(10):
+        server = chooser.choose_queue(servers, 0.0).server
+        chooser.started(server, 0.0)
+        chosen.append(server)
+    assert chosen[:5] == ["b1"] * 5
+    assert "b0" in chosen
+
+
+def test_queues_of_equal_servers_grow_evenly():
+    """Guards against all waiting requests joining the queue of one server."""
+    servers = servers_in("z", "z", "z")
+    chooser = chooser_in("z")
+    counts = collections.Counter()
+    for _ in range(30):
+        server = chooser.choose_queue(servers, 0.0).server
+        chooser.started(server, 0.0)
+        counts[server] += 1
+    assert set(counts.values()) == {10}
+    assert chooser.choose_queue([], 0.0) is None
