Claim request ids in the zones from which a key has moved lately

Cause: claims are held in the zone of the key's owner. After a takeover by a server in another zone, a repeated id was claimed where nobody knew it, and could run a second time. Ruled out: a home zone by hash of the id for all services, because a zone that is cut off could then run only part of its writes.

--- a/src/celerystack/control/changes.py
+++ b/src/celerystack/control/changes.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+import time
 
 from celerystack import errors, ids, model
 from celerystack.control import view as cluster_view
 from celerystack.observe import audit
 from celerystack.platform import ports
+from celerystack.requests import claims
 from celerystack.state import codec, grants, keys, shardmap
 
 
@@ -54,6 +56,26 @@
         self.expect(keys.server(row.server))
         self._rows_by_server[row.server] = row
 
+    def note_former_owner(
+        self,
+        chunk: shardmap.ShardMapChunk,
+        shard: ids.ShardId,
+        *,
+        owner: ids.ServerId,
+        receiver: ids.ServerId | None,
+    ) -> None:
+        """Keep the zone of a former owner while request ids may be claimed there."""
+        zone = self._zone(owner)
+        if zone is None or (receiver is not None and self._zone(receiver) == zone):
+            return
+        now_ms = int(time.time() * 1000)
+        former = shardmap.FormerZone(zone, now_ms + int(claims.RECENT_S * 1000))
+        chunk.note_former_zone(shard, former, now_ms=now_ms)
+
+    def _zone(self, server: ids.ServerId) -> ids.ZoneName | None:
+        declared = self._view.declared(server)
+        return None if declared is None else declared.zone
+
     def raise_token(self, server: ids.ServerId) -> None:
         """Raise a server's token by one; at most once per transaction."""
         if server in self._rows_by_server:
@@ -230,7 +252,9 @@
     if view.release_row(row.server).value:
         builder.put_plain(keys.release(row.server), b"")
     for (service, shard), target in targets_by_shard.items():
-        builder.chunk(service, chunk_number(view, service, shard)).assign(shard, target)
+        chunk = builder.chunk(service, chunk_number(view, service, shard))
+        chunk.assign(shard, target)
+        builder.note_former_owner(chunk, shard, owner=row.server, receiver=target)
         if target is not None:
             builder.raise_token(target)
     return builder.build(
@@ -285,7 +309,11 @@
     """Give shards without an owner to servers."""
     builder = ChangeBuilder(view)
     for shard, target in targets_by_shard.items():
-        builder.chunk(service, chunk_number(view, service, shard)).assign(shard, target)
+        chunk = builder.chunk(service, chunk_number(view, service, shard))
+        move = chunk.moves_by_shard.get(shard)
+        chunk.assign(shard, target)
+        if move is not None:
+            builder.note_former_owner(chunk, shard, owner=move.source, receiver=target)
         builder.raise_token(target)
     qualified = {(service, shard): target for shard, target in targets_by_shard.items()}
     return builder.build(
--- a/src/celerystack/control/claims_task.py
+++ b/src/celerystack/control/claims_task.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
 
 from twisted.internet import defer, interfaces
@@ -40,19 +41,20 @@
         self._mesh = mesh
         self._started_at = clock.seconds()
         self._holders_by_request: dict[ids.RequestId, list[ids.EntryVmId]] = {}
-        self._waiting: dict[tuple[ids.RequestId, ids.EntryVmId], defer.Deferred] = {}
+        self._waiting: dict[tuple[int, ids.EntryVmId], defer.Deferred] = {}
+        self._attempts = itertools.count(1)
         mesh.add_handler(self._handle)
 
     def claim(
-        self, request_id: ids.RequestId, home_zone: ids.ZoneName | None, deadline: float
+        self, request_id: ids.RequestId, home_zones: tuple[ids.ZoneName, ...], deadline: float
     ) -> defer.Deferred[messages.ClaimState]:
         """Claim a request id; fails with `errors.PeerError` if a holder does not answer."""
-        return defer.ensureDeferred(self._claim(request_id, home_zone, deadline))
+        return defer.ensureDeferred(self._claim(request_id, home_zones, deadline))
 
     def finish(
         self,
         request_id: ids.RequestId,
-        home_zone: ids.ZoneName | None,
+        home_zones: tuple[ids.ZoneName, ...],
         state: messages.ClaimState,
     ) -> None:
         """Record the final state at the holders."""
@@ -60,11 +62,11 @@
             self._mesh.send(vm, messages.ClaimResult(request_id, state))
 
     async def _claim(
-        self, request_id: ids.RequestId, home_zone: ids.ZoneName | None, deadline: float
+        self, request_id: ids.RequestId, home_zones: tuple[ids.ZoneName, ...], deadline: float
     ) -> messages.ClaimState:
         if request_id in self._holders_by_request:
             return messages.ClaimState.RUNNING
-        holders = self._holders(request_id, home_zone)
+        holders = self._holders(request_id, home_zones)
         self._holders_by_request[request_id] = holders
         try:
             for position, vm in enumerate(holders):
@@ -72,17 +74,38 @@
                 if state is not messages.ClaimState.ACCEPTED:
                     self._release(request_id, holders[:position])
                     return state
-        except errors.PeerError:
+        except (errors.PeerError, defer.CancelledError):
             self._release(request_id, holders)
             raise
         return messages.ClaimState.ACCEPTED
 
     def _release(self, request_id: ids.RequestId, asked: list[ids.EntryVmId]) -> None:
         self._holders_by_request[request_id] = asked
-        self.finish(request_id, None, messages.ClaimState.NOT_RUN)
+        self.finish(request_id, (), messages.ClaimState.NOT_RUN)
 
     def _holders(
-        self, request_id: ids.RequestId, home_zone: ids.ZoneName | None
+        self, request_id: ids.RequestId, home_zones: tuple[ids.ZoneName, ...]
+    ) -> list[ids.EntryVmId]:
+        """Return the holders in the home zone, and in zones from which the key has moved lately.
+
+        A zone from which the key has moved is left out if none of its entry VMs is connected:
+        the loss of a whole zone would otherwise stop all writes to the keys that were taken over.
+        """
+        live_by_zone: dict[ids.ZoneName, list[ids.EntryVmId]] = {}
+        for entry_vm in self._mesh.live_entry_vms():
+            live_by_zone.setdefault(entry_vm.zone, []).append(entry_vm.vm)
+        recent = self._recent()
+        chosen = self._home_holders(request_id, home_zones[:1], live_by_zone, recent)
+        for zone in home_zones[1:]:
+            chosen += claims.holders(request_id, live_by_zone.get(zone, []), recent=recent)
+        return list(dict.fromkeys(chosen))
+
+    def _home_holders(
+        self,
+        request_id: ids.RequestId,
+        home_zone: tuple[ids.ZoneName, ...],
+        live_by_zone: dict[ids.ZoneName, list[ids.EntryVmId]],
+        recent: set[ids.EntryVmId],
     ) -> list[ids.EntryVmId]:
         """Return the holders in the home zone.
 
@@ -91,9 +114,8 @@
         whose claims may be held further down the order.
         """
         chosen: list[ids.EntryVmId] = []
-        recent = self._recent()
         for zone in self._zones_in_order(request_id, home_zone):
-            live = [e.vm for e in self._mesh.live_entry_vms() if e.zone == zone]
+            live = live_by_zone.get(zone, [])
             if not live and not self._is_gone(zone):
                 raise errors.PeerError(
                     "no entry VM of the home zone is connected", step="claims.holders", peer=zone
@@ -104,11 +126,11 @@
         return chosen
 
     def _zones_in_order(
-        self, request_id: ids.RequestId, home_zone: ids.ZoneName | None
+        self, request_id: ids.RequestId, home_zone: tuple[ids.ZoneName, ...]
     ) -> list[ids.ZoneName]:
         zones = {server.zone for server in self._view.configuration.servers_by_id.values()}
         ranked = rendezvous.ranked(request_id, zones | {self._mesh.me.zone})
-        home = home_zone or ids.ZoneName(ranked[0])
+        home = home_zone[0] if home_zone else ids.ZoneName(ranked[0])
         return [home, *(ids.ZoneName(zone) for zone in ranked if zone != home)]
 
     def _is_gone(self, zone: ids.ZoneName) -> bool:
@@ -132,10 +154,14 @@
     ) -> messages.ClaimState:
         remaining_ms = max(0, int((deadline - self._clock.seconds()) * 1000))
         answer: defer.Deferred[messages.ClaimState] = defer.Deferred()
-        self._waiting[request_id, vm] = answer
+        attempt = next(self._attempts)
+        self._waiting[attempt, vm] = answer
         answer.addTimeout(CLAIM_TIMEOUT_S, self._clock)
         claim = messages.Claim(
-            request=request_id, claimant=self._mesh.me.vm, remaining_ms=remaining_ms
+            request=request_id,
+            claimant=self._mesh.me.vm,
+            remaining_ms=remaining_ms,
+            attempt=attempt,
         )
         try:
             if not self._mesh.send(vm, claim):
@@ -144,17 +170,18 @@
         except defer.TimeoutError as error:
             raise errors.PeerError("no answer to a claim", step="claims.ask", peer=vm) from error
         finally:
-            del self._waiting[request_id, vm]
+            del self._waiting[attempt, vm]
 
     def _handle(self, sender: model.EntryVm, message: messages.Message) -> None:
         now = self._clock.seconds()
         match message:
-            case messages.Claim(request=request, claimant=claimant, remaining_ms=remaining_ms):
-                deadline = now + remaining_ms / 1000
-                state = self._table.claim(request, claimant, deadline, now)
-                self._mesh.send(sender.vm, messages.ClaimReply(request, state))
-            case messages.ClaimReply(request=request, state=state):
-                answer = self._waiting.get((request, sender.vm))
+            case messages.Claim():
+                deadline = now + message.remaining_ms / 1000
+                state = self._table.claim(message.request, message.claimant, deadline, now)
+                reply = messages.ClaimReply(message.request, state, message.attempt)
+                self._mesh.send(sender.vm, reply)
+            case messages.ClaimReply(state=state, attempt=attempt):
+                answer = self._waiting.get((attempt, sender.vm))
                 if answer is not None and not answer.called:
                     answer.callback(state)
             case messages.ClaimResult(request=request, state=state):
--- a/src/celerystack/control/routes.py
+++ b/src/celerystack/control/routes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 
 from twisted.internet import defer
@@ -81,7 +82,7 @@
         if owner is None:
             return model.NoOwner(shard)
         self._on_route(service.name, key_hash, shard)
-        return model.Route(owner, shard, chunk.epoch(shard))
+        return model.Route(owner, shard, chunk.epoch(shard), _former_zones(chunk, shard))
 
     def servers(self, service: model.Service) -> tuple[model.BackendServer, ...]:
         """Return the servers of a service that may get new requests."""
@@ -122,3 +123,11 @@
             self._chunks_by_service[name] = [chunk for _, chunk in self._view.chunks(name)]
         for name in services_by_name if change.configuration else change.services:
             self.wake(name)
+
+
+def _former_zones(chunk: shardmap.ShardMapChunk, shard: ids.ShardId) -> tuple[ids.ZoneName, ...]:
+    former = chunk.former_zones_by_shard.get(shard)
+    if not former:
+        return ()
+    now_ms = time.time() * 1000
+    return tuple(entry.zone for entry in former if entry.until_ms > now_ms)
--- a/src/celerystack/control/service.py
+++ b/src/celerystack/control/service.py
@@ -4,6 +4,7 @@
 
 import logging
 import signal
+import time
 from typing import Any
 
 from celerystack import settings
@@ -19,6 +20,8 @@
     from celerystack.control import entry_vm, status
     from celerystack.observe import admin, logs
 
+    # Timers must not follow steps of the wall clock, which is what the reactor uses by default.
+    reactor.seconds = time.monotonic
     logs.configure(log_format=configured.log_format, log_level=configured.log_level)
     logs.forward_twisted()
     process = entry_vm.EntryVmProcess(reactor, configured)
--- a/src/celerystack/model.py
+++ b/src/celerystack/model.py
@@ -148,11 +148,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Route:
-    """Owner of a key at one moment."""
+    """Owner of a key at one moment.
+
+    Attributes
+    ----------
+    former_zones : tuple of ZoneName
+        Zones of owners before, whose entry VMs may still hold claims of request ids.
+    """
 
     server: ids.ServerId
     shard: ids.ShardId
     epoch: ids.Epoch
+    former_zones: tuple[ids.ZoneName, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/celerystack/peers/messages.py
+++ b/src/celerystack/peers/messages.py
@@ -122,11 +122,20 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Claim:
-    """Claims a request id for one run; ``remaining_ms`` is the time left to its deadline."""
+    """Claims a request id for one run.
+
+    Attributes
+    ----------
+    remaining_ms : int
+        Time left to the request's deadline.
+    attempt : int
+        Number of the claim at its claimant, so that a late reply does not answer a later claim.
+    """
 
     request: ids.RequestId
     claimant: ids.EntryVmId
     remaining_ms: int
+    attempt: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -135,6 +144,7 @@
 
     request: ids.RequestId
     state: ClaimState
+    attempt: int
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/celerystack/requests/forwarder.py
+++ b/src/celerystack/requests/forwarder.py
@@ -32,7 +32,7 @@
 
     may_have_run: bool = False
     claimed: bool = False
-    home_zone: ids.ZoneName | None = None
+    home_zones: tuple[ids.ZoneName, ...] = ()
     attempts: int = 0
     sent_at: float | None = None
     avoid_until: dict[ids.ServerId, float] = dataclasses.field(default_factory=dict)
@@ -129,7 +129,7 @@
             raise
         finally:
             if progress.claimed:
-                self._ports.claims.finish(call.request_id, progress.home_zone, state)
+                self._ports.claims.finish(call.request_id, progress.home_zones, state)
         # The end of a streamed answer is not known here.
         if isinstance(reply, replies.Answered) and isinstance(reply.response, http.HttpResponse):
             self._ports.losses.completed(fingerprint)
@@ -158,9 +158,11 @@
     async def _claim(
         self, call: calls.Call, target: targets.Target, progress: _Progress
     ) -> messages.ClaimState | None:
-        zone = None if target.route is None else target.server.zone
+        zones: tuple[ids.ZoneName, ...] = ()
+        if target.route is not None:
+            zones = (target.server.zone, *target.route.former_zones)
         try:
-            state = await self._ports.claims.claim(call.request_id, zone, call.deadline)
+            state = await self._ports.claims.claim(call.request_id, zones, call.deadline)
         except errors.CelerystackError as error:
             raise errors.NotRunError(
                 f"the request id could not be claimed: {error.reason}", step="requests.claim"
@@ -168,7 +170,7 @@
         if state is not messages.ClaimState.ACCEPTED:
             return state
         progress.claimed = True
-        progress.home_zone = zone
+        progress.home_zones = zones
         return None
 
     async def _attempt(
--- a/src/celerystack/requests/frontend.py
+++ b/src/celerystack/requests/frontend.py
@@ -19,6 +19,8 @@
 _log = logging.getLogger(__name__)
 
 DEADLINE_MAX_MS = 600_000
+CLAIMED_DEADLINE_MAX_MS = 60_000
+"""Claims are kept for a fixed time after the deadline, and entry VMs must remember them."""
 REQUEST_ID_MAX = 200
 _TARGET = re.compile(rb"/[\x21-\x7e]*")
 _METHOD = re.compile(rb"[A-Z]{1,32}")
@@ -140,7 +142,7 @@
             target=target,
             headers=encoding.request_headers(headers),
             body=request.body(),
-            deadline=request.received_at + _deadline_ms(headers, service) / 1000,
+            deadline=request.received_at + _deadline_ms(request.method, headers, service) / 1000,
             key=key,
             request_id=_request_id(headers),
         )
@@ -223,13 +225,15 @@
     request.answer(status, twisted_http.RESPONSES[status], headers, body)
 
 
-def _deadline_ms(headers: http.HeaderList, service: model.Service) -> int:
+def _deadline_ms(method: bytes, headers: http.HeaderList, service: model.Service) -> int:
+    idempotent = method.decode("ascii", "replace") in service.idempotent_methods
+    limit_ms = DEADLINE_MAX_MS if idempotent else CLAIMED_DEADLINE_MAX_MS
     values = [value for name, value in headers if name == b"x-deadline-ms"]
     if not values:
-        return service.deadline_ms
+        return min(service.deadline_ms, limit_ms)
     if len(values) > 1 or not values[0].isdigit() or len(values[0]) > 9 or int(values[0]) == 0:
         raise RequestError(400, "X-Deadline-Ms must be one positive integer")
-    return min(int(values[0]), DEADLINE_MAX_MS)
+    return min(int(values[0]), limit_ms)
 
 
 def _request_id(headers: http.HeaderList) -> ids.RequestId:
--- a/src/celerystack/requests/ports.py
+++ b/src/celerystack/requests/ports.py
@@ -43,20 +43,21 @@
     """Claims of request ids at the holders of a zone."""
 
     def claim(
-        self, request_id: ids.RequestId, home_zone: ids.ZoneName | None, deadline: float
+        self, request_id: ids.RequestId, home_zones: tuple[ids.ZoneName, ...], deadline: float
     ) -> defer.Deferred[messages.ClaimState]:
         """Claim a request id for one run.
 
         Fires with ACCEPTED if every holder accepted, else with the state of the earlier claim;
         fails if a holder did not answer. Cancelling it means that the request was not sent, so what
-        was claimed may be released. ``home_zone`` is None for a service that is not divided
-        by key: the port then takes the zone by rendezvous hash of the id.
+        was claimed may be released. ``home_zones`` has the zone of the key's owner first, then
+        those of its owners before; it is empty for a service that is not divided by key: the port
+        then takes the zone by rendezvous hash of the id.
         """
 
     def finish(
         self,
         request_id: ids.RequestId,
-        home_zone: ids.ZoneName | None,
+        home_zones: tuple[ids.ZoneName, ...],
         state: messages.ClaimState,
     ) -> None:
         """Record the final state of an accepted claim; NOT_RUN releases it."""
--- a/src/celerystack/state/shardmap.py
+++ b/src/celerystack/state/shardmap.py
@@ -46,6 +46,20 @@
     target: ids.ServerId
 
 
+@dataclasses.dataclass(frozen=True)
+class FormerZone:
+    """Zone of an earlier owner, kept until claims of request ids there have expired.
+
+    Attributes
+    ----------
+    until_ms : int
+        Wall clock in milliseconds since 1970, because entry VMs share no other clock.
+    """
+
+    zone: ids.ZoneName
+    until_ms: int
+
+
 @dataclasses.dataclass
 class HotShard:
     """A shard that holds one key only."""
@@ -66,6 +80,8 @@
         Hot shards by id.
     moves_by_shard : dict
         Moves in progress by shard id.
+    former_zones_by_shard : dict
+        Zones of earlier owners by shard id.
     """
 
     def __init__(self, *, first_shard: int, shard_count: int) -> None:
@@ -73,6 +89,7 @@
         self.shard_count = shard_count
         self.hot_by_shard: dict[ids.ShardId, HotShard] = {}
         self.moves_by_shard: dict[ids.ShardId, Move] = {}
+        self.former_zones_by_shard: dict[ids.ShardId, tuple[FormerZone, ...]] = {}
         self._servers: list[ids.ServerId] = []
         self._index_by_server: dict[ids.ServerId, int] = {}
         self._owners = array.array(_OWNER_TYPE, [NO_OWNER]) * shard_count
@@ -128,6 +145,12 @@
         self._owners[position] = NO_OWNER if owner is None else self._server_index(owner)
         self._epochs[position] += 1
 
+    def note_former_zone(self, shard: ids.ShardId, former: FormerZone, *, now_ms: int) -> None:
+        """Keep the zone of an earlier owner, and drop those that have expired."""
+        known = self.former_zones_by_shard.get(shard, ())
+        kept = [f for f in known if f.until_ms > now_ms and f.zone != former.zone]
+        self.former_zones_by_shard[shard] = (*kept, former)
+
     def start_move(self, shard: ids.ShardId, target: ids.ServerId) -> None:
         """Take the shard from its owner and record the move; raises the epoch by one."""
         source = self.owner(shard)
@@ -149,6 +172,8 @@
         self._next_hot += model.BASE_SHARDS_MAX
         self.hot_by_shard[shard] = HotShard(hashed, owner, ids.Epoch(1))
         self._hot_by_hash[hashed] = shard
+        if base in self.former_zones_by_shard:
+            self.former_zones_by_shard[shard] = self.former_zones_by_shard[base]
         return shard
 
     def merge_hot(self, shard: ids.ShardId, base: ids.ShardId) -> None:
@@ -159,6 +184,10 @@
                 step="shardmap.merge_hot",
             )
         self._hot_by_hash.pop(self.hot_by_shard.pop(shard).key_hash)
+        former = self.former_zones_by_shard.pop(shard, ())
+        if former:
+            known = self.former_zones_by_shard.get(base, ())
+            self.former_zones_by_shard[base] = (*known, *former)
         self.assign(base, self.owner(base))
 
     def _server_index(self, server: ids.ServerId) -> int:
@@ -173,6 +202,10 @@
         """Encode as the value of the chunk's row."""
         hot = [[s, h.key_hash, h.owner, h.epoch] for s, h in self.hot_by_shard.items()]
         moves = [[s, m.source, m.target] for s, m in self.moves_by_shard.items()]
+        former = [
+            [shard, [[f.zone, f.until_ms] for f in zones]]
+            for shard, zones in self.former_zones_by_shard.items()
+        ]
         return msgpack.packb(
             [
                 self.first_shard,
@@ -183,6 +216,7 @@
                 hot,
                 moves,
                 self._next_hot,
+                former,
             ]
         )
 
@@ -199,7 +233,7 @@
 
     @classmethod
     def _from_fields(cls, fields: list) -> ShardMapChunk:
-        first, count, servers, owners, epochs, hot, moves, next_hot = fields
+        first, count, servers, owners, epochs, hot, moves, next_hot, former = fields
         chunk = cls(first_shard=first, shard_count=count)
         chunk._servers = list(servers)
         chunk._index_by_server = {server: index for index, server in enumerate(servers)}
@@ -214,6 +248,10 @@
             chunk._hot_by_hash[hashed] = shard
         chunk.moves_by_shard = {shard: Move(source, target) for shard, source, target in moves}
         chunk._next_hot = next_hot
+        chunk.former_zones_by_shard = {
+            shard: tuple(FormerZone(zone, int(until_ms)) for zone, until_ms in zones)
+            for shard, zones in former
+        }
         return chunk
 
 
--- a/tests/control/test_changes.py
+++ b/tests/control/test_changes.py
@@ -156,3 +156,15 @@
         self.assertFalse(self.world.view.is_consistent(self.world.row(B1)))
         self.world.write(keys.shard_map(BROWSE, 0), writes[keys.shard_map(BROWSE, 0)])
         self.assertTrue(self.world.view.is_consistent(self.world.row(B1)))
+
+    def test_former_zone_is_kept_for_claims(self):
+        """Guards against forgetting where request ids were claimed before a key changed zones."""
+        self.world.assign_all()
+        targets = {(BROWSE, ids.ShardId(shard)): B2 for shard in range(4)}
+        self.world.commit(
+            changes.take_over(
+                self.world.view, self.world.row(B1), targets_by_shard=targets, reason="test"
+            )
+        )
+        _, chunk = self.world.view.chunk(BROWSE, 0)
+        self.assertEqual(["z1"], [f.zone for f in chunk.former_zones_by_shard[ids.ShardId(0)]])
--- a/tests/peers/test_stream.py
+++ b/tests/peers/test_stream.py
@@ -129,8 +129,8 @@
                 remaining_s=0.5,
                 deputies=(lessor,),
             ),
-            messages.Claim(request="r", claimant="a", remaining_ms=5),
-            messages.ClaimReply("r", messages.ClaimState.RUNNING),
+            messages.Claim(request="r", claimant="a", remaining_ms=5, attempt=7),
+            messages.ClaimReply("r", messages.ClaimState.RUNNING, 7),
             messages.ClaimResult("r", messages.ClaimState.NOT_RUN),
         ]
         for sample in samples:
--- a/tests/requests/test_claiming.py
+++ b/tests/requests/test_claiming.py
@@ -20,8 +20,8 @@
             r.connection.send(backend_fakes.answer()),
         )
         await harness.call(method="POST", headers=ID)
-        self.assertEqual(harness.claims.claimed, [("r1", "z1")])
-        self.assertEqual(harness.claims.finished, [("r1", "z1", messages.ClaimState.ANSWERED)])
+        self.assertEqual(harness.claims.claimed, [("r1", ("z1",))])
+        self.assertEqual(harness.claims.finished, [("r1", ("z1",), messages.ClaimState.ANSWERED)])
 
     async def test_no_claim_without_need(self):
         """Guards against claims for idempotent requests and for requests without an id."""
@@ -34,7 +34,7 @@
         """Guards against a home zone that depends on the server that was chosen."""
         harness, _ = await self.harness(service=fakes.DESK)
         await harness.call(DESK, method="POST", headers=ID)
-        self.assertEqual(harness.claims.claimed, [("r1", None)])
+        self.assertEqual(harness.claims.claimed, [("r1", ())])
 
     async def test_earlier_claim(self):
         """Guards against a second run of a repeated id."""
