--- a/src/celerystack/control/changes.py
+++ b/src/celerystack/control/changes.py
@@ -219,6 +219,19 @@
     )
 
 
+def end_release(view: cluster_view.ClusterView, server: ids.ServerId) -> Change:
+    """Withdraw an operator's evidence of loss, because the server has answered since."""
+    builder = ChangeBuilder(view)
+    builder.put_plain(keys.release(server), b"")
+    return builder.build(
+        action=audit.Action.RELEASE,
+        subject=f"server/{server}",
+        reason="server answers",
+        before="released",
+        after="withdrawn",
+    )
+
+
 def suspend(view: cluster_view.ClusterView, row: model.ServerRow) -> Change:
     """Stop all entry VMs from sending to a server that does not check tokens."""
     builder = ChangeBuilder(view)
--- a/src/celerystack/control/steward_task.py
+++ b/src/celerystack/control/steward_task.py
@@ -68,6 +68,7 @@
         self._views = views
         self._watched_since_by_server: dict[ids.ServerId, float] = {}
         self._takeovers_by_server: dict[ids.ServerId, takeover.Takeover] = {}
+        self._release_seen_by_server: dict[ids.ServerId, float] = {}
         self._busy: set[ids.ServerId] = set()
         self._last_tick = clock.seconds()
         self._loop = periodic.Periodic(clock, self._tick, interval_s=TICK_S)
@@ -118,6 +119,9 @@
     def _consider(self, server: ids.ServerId, now: float) -> None:
         if server in self._busy:
             return
+        if self._answered_after_release(server, now):
+            self._run(server, changes.end_release(self._view, server))
+            return
         decision = stewardship.decide(self._server_view(server, now), now)
         row = self._view.server_rows_by_id.get(server)
         if not isinstance(decision, stewardship.StartTakeover):
@@ -150,6 +154,18 @@
             case stewardship.StartTakeover() if row is not None:
                 self._advance_takeover(server, row, now)
 
+    def _answered_after_release(self, server: ids.ServerId, now: float) -> bool:
+        """Return whether the server answered after an operator's evidence of its loss.
+
+        Such evidence must not be kept: it would later count for a process that is only frozen.
+        """
+        if not self._view.release_row(server).value:
+            self._release_seen_by_server.pop(server, None)
+            return False
+        seen_at = self._release_seen_by_server.setdefault(server, now)
+        replied_at = self._lessor.last_reply_at(server)
+        return replied_at is not None and replied_at > seen_at
+
     def _server_view(self, server: ids.ServerId, now: float) -> stewardship.ServerView:
         me = stewardship.PeerView(peer=self._mesh.me, last_heard_at=now)
         others = [
--- a/src/celerystack/peers/mesh.py
+++ b/src/celerystack/peers/mesh.py
@@ -188,7 +188,7 @@
     def _sender_ready(self, address: str, sender: stream.PeerSender) -> None:
         self._senders_by_address[address] = sender
         self._refused_addresses.discard(address)
-        self._beat_one(address)
+        self._beat_one(address, self._heartbeat())
 
     def _sender_lost(self, address: str, sender: stream.PeerSender) -> None:
         if self._senders_by_address.get(address) is sender:
@@ -238,18 +238,18 @@
         oldest = self._clock.seconds() - PEER_FORGET_S
         for vm in [v for v, peer in self.peers_by_vm.items() if peer.silent_since < oldest]:
             self.forget(self.peers_by_vm.pop(vm).entry_vm.peer_address)
+        beat = self._heartbeat()
         for address in list(self._senders_by_address):
-            self._beat_one(address)
+            self._beat_one(address, beat)
 
-    def _beat_one(self, address: str) -> None:
+    def _beat_one(self, address: str, beat: messages.Heartbeat) -> None:
         sender = self._senders_by_address.get(address)
         if sender is None:
             return
         echo = next(
             (p.stamp for p in self.peers_by_vm.values() if p.entry_vm.peer_address == address), 0.0
         )
-        beat = dataclasses.replace(self._heartbeat(), stamp=self._clock.seconds(), echo=echo)
-        sender.send(beat)
+        sender.send(dataclasses.replace(beat, stamp=self._clock.seconds(), echo=echo))
 
     def _received(self, receiver: stream.PeerReceiver, message: messages.Message) -> None:
         hello = receiver.hello
