Plan balancing once a second instead of five times

Cause: planning takes 26 ms for 4,096 shards, five times a second for each placer. Change: plans are made at once only for unowned shards, moves in progress and leaving servers; otherwise every second. The fractional churn budget is used.

--- a/src/celerystack/control/placer_task.py
+++ b/src/celerystack/control/placer_task.py
@@ -18,6 +18,9 @@
 FIRST_ASSIGNMENT_WAIT_S = 2.0
 """How long the first assignment of a service waits for servers that have not answered yet."""
 
+BALANCE_S = 1.0
+"""Planning costs milliseconds per thousand shards, and loads change within seconds."""
+
 MOVES_AT_ONCE = 8
 """Moves in progress per service; the requests for a moving shard are held."""
 
@@ -55,6 +58,7 @@
         self._membership = membership
         self._released = released
         self._traffic = traffic
+        self._balance_at_by_service: dict[ids.ServiceName, float] = {}
         self._policies_by_service: dict[ids.ServiceName, hotkeys.HotKeyPolicy] = {}
         self._usable_since_by_server: dict[ids.ServerId, tuple[ids.Incarnation, float]] = {}
         self._first_seen_by_service: dict[ids.ServiceName, float] = {}
@@ -159,7 +163,7 @@
         owners: dict[ids.ShardId, ids.ServerId | None],
         former: dict[ids.ShardId, ids.ZoneName],
         *,
-        budget: int,
+        budget: float,
         fixed: frozenset[ids.ShardId] = frozenset(),
         without: ids.ServerId | None = None,
     ) -> assign.Plan:
@@ -239,9 +243,11 @@
         finished = self._finished_moves(service.name, moves)
         if finished:
             return changes.finish_moves(self._view, service.name, finished)
+        if not self._is_due(service.name, owners, moves):
+            return None
         budget = self._budget(service, len(owners)).available(self._clock.seconds())
         hot = self._hot_plan(service, owners, moves, budget)
-        plan = self._plan(service.name, owners, {}, budget=int(budget), fixed=hot.cooling_shards)
+        plan = self._plan(service.name, owners, {}, budget=budget, fixed=hot.cooling_shards)
         if plan.assigns:
             targets = {a.shard: a.target for a in plan.assigns}
             return changes.assign(self._view, service.name, targets)
@@ -254,6 +260,21 @@
         wanted = (*plan.moves[: plan.drain_moves], *hot.moves, *plan.moves[plan.drain_moves :])
         return self._start_moves(service, wanted, room=MOVES_AT_ONCE - len(moves))
 
+    def _is_due(
+        self,
+        service: ids.ServiceName,
+        owners: dict[ids.ShardId, ids.ServerId | None],
+        moves: dict[ids.ShardId, tuple[str, str]],
+    ) -> bool:
+        """Return whether to plan now; balancing alone is planned every `BALANCE_S`."""
+        now = self._clock.seconds()
+        current = set(owners.values())
+        urgent = moves or None in current or any(self.is_leaving(s) for s in current if s)
+        if not urgent and now < self._balance_at_by_service.get(service, 0.0):
+            return False
+        self._balance_at_by_service[service] = now + BALANCE_S
+        return True
+
     def _hot_plan(
         self,
         service: model.Service,
