Keep idle connections of callers open for 1.5 s of a shutdown

Cause: on a busy machine (load average 35) a caller's request was still in the socket buffer when the entry VM closed its idle connection, and the caller saw a reset. The cluster test of three shutdowns failed in 3 of 6 runs, with 5 and with 1 of about 3,800 requests where the count was looked at. Ruled out: a request cut off in flight; the entry VM had not read it. Change: idle connections are closed 1.5 s after the last answer instead of 0.5 s.

--- a/src/celerystack/requests/callerhttp.py
+++ b/src/celerystack/requests/callerhttp.py
@@ -15,7 +15,7 @@
 
 from celerystack.backend import http as backend_http
 
-DRAIN_IDLE_S = 0.5
+DRAIN_IDLE_S = 1.5
 """Idle connections stay open this long after the last answer, so that a request which is already
 on its way is still answered."""
 
