--- a/tests/system/scenarios.py
+++ b/tests/system/scenarios.py
@@ -8,7 +8,7 @@
 import time
 from collections.abc import Iterator
 
-from standins import checks, cluster, layout, load, records
+from standins import checks, cluster, journal, layout, load, records
 
 ZONES = (1, 2, 3)
 BROWSE = "atlas-browse"
@@ -59,6 +59,7 @@
         lost_at = self.running.lost_at_by_incarnation()
         return [
             *checks.check_epochs(runs),
+            *shared_epochs(runs),
             *checks.check_overlaps(runs, lost_at),
             *checks.check_doubled(runs),
             *checks.check_not_run(runs, found),
@@ -75,6 +76,31 @@
         assert len(answered) > 100, f"only {len(answered)} requests of {service} were answered"
 
 
+@dataclasses.dataclass(frozen=True)
+class SharedEpoch:
+    """Two servers ran requests of one shard under the same epoch."""
+
+    first: journal.Run
+    second: journal.Run
+
+
+def shared_epochs(runs: list[journal.Run]) -> list[SharedEpoch]:
+    """Return the first run of every further server that ran a shard under a used epoch.
+
+    A restarted server may serve on under its epoch; every other owner needs a new one.
+    """
+    first_by_epoch: dict[tuple[str, int, int], journal.Run] = {}
+    found: dict[tuple[str, int, int, str], SharedEpoch] = {}
+    for run in runs:
+        if not run.divided:
+            continue
+        epoch = (run.service, run.shard, run.epoch)
+        first = first_by_epoch.setdefault(epoch, run)
+        if first.server != run.server:
+            found.setdefault((*epoch, run.server), SharedEpoch(first, run))
+    return list(found.values())
+
+
 def last_failure_end(found: list[records.CallerRecord], service: str) -> float:
     """Return when the last request that was not answered ended; 0 if all were answered."""
     return max(
--- a/tests/system/test_ownership.py
+++ b/tests/system/test_ownership.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from standins import records
+from standins import cluster, records
 from tests.system import scenarios
 
 pytestmark = pytest.mark.system
@@ -92,6 +92,36 @@
         assert scenario.violations(found) == []
 
 
+def test_server_that_only_a_cut_off_lessor_reaches(tmp_path: pathlib.Path) -> None:
+    """Guards against a takeover without the promise of a lessor that still renews the lease.
+
+    The lessor is cut off from all peers and the platform, and they are cut off from the server.
+    """
+    with scenarios.started(tmp_path, entry_vms_per_zone=3) as scenario:
+        running = scenario.running
+        server_ip = running.backend_addresses_by_name["ab-1a"].split(":")[0]
+        peers = [name for name in running.entry_vms_by_name if name != "vm-1a"]
+        peer_ips = [running.addresses_by_vm[name].peer.split(":")[0] for name in peers]
+        finish = scenario.start_load(14)
+        scenario.sleep_until(2)
+        running.cut("vm-1a", [*peer_ips, cluster.PLATFORM_IP])
+        for name in peers:
+            running.cut(name, [server_ip])
+        cut_at = time.monotonic()
+        scenario.sleep_until(8)
+        healed_at = time.monotonic()
+        running.heal()
+        found = finish()
+        scenario.check_served(found)
+        assert scenario.violations(found) == []
+        own = {run.request_id for run in running.runs() if run.server == "ab-1a"}
+        assert any(
+            record.request_id in own
+            for record in found
+            if record.entry_vm == "vm-1a" and cut_at + 3 < record.start < healed_at - 1
+        )
+
+
 def test_zone_cut_from_the_others_and_the_platform(tmp_path: pathlib.Path) -> None:
     """Guards against taking over servers that only cannot be reached, and against an idle zone."""
     with scenarios.started(tmp_path) as scenario:
