Count a lessor whose process has ended like one that promised

Cause: if a server and one of its lessors were killed in the same second, the server's keys waited for the membership list or an operator. Ruled out: counting silence, or a lessor's absence from the membership list; both also occur in partitions. A deputy may outlive its lessor, so all entry VMs of the zone must promise instead, and one that is silent but not ended blocks. Change: a refused connection to a lessor's address, or a later process there, ends its part of the takeover after the lease time.

--- a/src/celerystack/control/claims_task.py
+++ b/src/celerystack/control/claims_task.py
@@ -8,7 +8,7 @@
 from twisted.internet import defer, interfaces
 
 from celerystack import errors, ids, model
-from celerystack.control import membership_task
+from celerystack.control import ended_vms, membership_task
 from celerystack.control import view as cluster_view
 from celerystack.lease import rendezvous
 from celerystack.peers import mesh as peer_mesh
@@ -35,7 +35,7 @@
         membership: membership_task.MembershipTask,
     ) -> None:
         self._clock = clock
-        self._membership = membership
+        self._ended = ended_vms.EndedEntryVms(mesh=mesh, membership=membership)
         self._table = table
         self._view = view
         self._mesh = mesh
@@ -116,7 +116,7 @@
         chosen: list[ids.EntryVmId] = []
         for zone in self._zones_in_order(request_id, home_zone):
             live = live_by_zone.get(zone, [])
-            if not live and not self._is_gone(zone):
+            if not live and not self._ended.zone_has_ended(zone):
                 raise errors.PeerError(
                     "no entry VM of the home zone is connected", step="claims.holders", peer=zone
                 )
@@ -133,13 +133,6 @@
         home = home_zone[0] if home_zone else ids.ZoneName(ranked[0])
         return [home, *(ids.ZoneName(zone) for zone in ranked if zone != home)]
 
-    def _is_gone(self, zone: ids.ZoneName) -> bool:
-        """Return whether every known entry VM of a zone has certainly ended."""
-        listed = self._membership.entry_addresses_by_zone.get(zone, frozenset())
-        peers = self._mesh.peers_by_vm.values()
-        known = {p.entry_vm.peer_address for p in peers if p.entry_vm.zone == zone}
-        return all(self._mesh.is_refused(address) for address in listed | known)
-
     def _recent(self) -> set[ids.EntryVmId]:
         now = self._clock.seconds()
         recent = {
--- a/src/celerystack/control/steward_task.py
+++ b/src/celerystack/control/steward_task.py
@@ -8,7 +8,7 @@
 from twisted.internet import defer, interfaces
 
 from celerystack import ids, model, periodic
-from celerystack.control import changes, committer, membership_task, table_sync
+from celerystack.control import changes, committer, ended_vms, membership_task, table_sync
 from celerystack.control import view as cluster_view
 from celerystack.lease import evidence, stewardship, takeover
 from celerystack.lease import lessor as lessors
@@ -64,6 +64,7 @@
         self._commits = commits
         self._tables = tables
         self._membership = membership
+        self._ended = ended_vms.EndedEntryVms(mesh=mesh, membership=membership)
         self._planner = planner
         self._views = views
         self._watched_since_by_server: dict[ids.ServerId, float] = {}
@@ -203,6 +204,7 @@
         found = self._find_evidence(server, row)
         if found is not None:
             current.on_evidence(found)
+        self._record_ended_lessors(current, self._zone(server), now)
         for lessor, request in current.requests().items():
             self._mesh.send(lessor.vm, request)
         match current.state(now):
@@ -212,6 +214,21 @@
                 names = ",".join(sorted(lessor.vm for lessor in silent))
                 _log.debug("takeover of %s waits for lessors %s", server, names)
 
+    def _record_ended_lessors(
+        self, current: takeover.Takeover, zone: ids.ZoneName, now: float
+    ) -> None:
+        """Count lessors whose processes have ended, if every entry VM of the zone is accounted for.
+
+        An entry VM that is silent but not ended may be a deputy, so it blocks the takeover.
+        """
+        ended = [ref for ref in current.missing() if self._ended.has_ended(ref)]
+        if not ended:
+            return
+        running = self._ended.running_in(zone)
+        if running is not None:
+            for lessor in ended:
+                current.on_ended(lessor, running, now)
+
     def _commit_takeover(
         self, server: ids.ServerId, row: model.ServerRow, proof: evidence.Evidence | None
     ) -> None:
--- a/src/celerystack/lease/takeover.py
+++ b/src/celerystack/lease/takeover.py
@@ -7,9 +7,11 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Iterable
 
 from celerystack import model, timing
 from celerystack.lease import evidence as evidence_module
+from celerystack.lease import records
 from celerystack.peers import messages
 
 ANSWER_S = timing.PEER_DOWN_S
@@ -108,6 +110,28 @@
             self._refused.add(reply.lessor)
             self._silent_at_by_lessor[reply.lessor] = now + ANSWER_S
 
+    def on_ended(
+        self, lessor: model.LessorRef, zone_entry_vms: Iterable[model.LessorRef], now: float
+    ) -> None:
+        """Record that a lessor's process has ended, which is as good as its promise.
+
+        Its orders that are still on their way echo stamps from before its end. It may have
+        appointed any entry VM of its zone as deputy, so these must promise instead.
+
+        Parameters
+        ----------
+        zone_entry_vms : iterable of LessorRef
+            All entry VMs of the zone whose processes have not ended.
+        """
+        if lessor in self._silent_at_by_lessor and self._lacks(lessor):
+            self._expires_at_by_lessor[lessor] = now + records.LEASE_BOUND_S
+            self._refused.discard(lessor)
+            self._require(tuple(zone_entry_vms), now)
+
+    def missing(self) -> frozenset[model.LessorRef]:
+        """Return the lessors and deputies without a promise."""
+        return frozenset(self.requests())
+
     def on_evidence(self, evidence: evidence_module.Evidence) -> None:
         """Record that the server's process is gone."""
         self.evidence = evidence
--- a/src/celerystack/peers/mesh.py
+++ b/src/celerystack/peers/mesh.py
@@ -98,6 +98,7 @@
         self._senders_by_address: dict[str, stream.PeerSender | None] = {}
         self._factories_by_address: dict[str, _SenderFactory] = {}
         self._refused_addresses: set[str] = set()
+        self._addresses_by_process: dict[model.LessorRef, str] = {}
         self._handlers: list[MessageHandler] = []
         self._port: interfaces.IListeningPort | None = None
         self._loop = periodic.Periodic(clock, self._beat, interval_s=timing.PEER_HEARTBEAT_S)
@@ -181,6 +182,10 @@
                 peer.live_until = now
                 peer.silent_since = min(peer.silent_since, now - timing.PEER_DOWN_S)
 
+    def address_of(self, ref: model.LessorRef) -> str | None:
+        """Return the address that a process announced; None if it is not remembered."""
+        return self._addresses_by_process.get(ref)
+
     def is_refused(self, address: str) -> bool:
         """Return whether the last attempt to connect to an address was refused by its host."""
         return address in self._refused_addresses
@@ -238,6 +243,8 @@
         oldest = self._clock.seconds() - PEER_FORGET_S
         for vm in [v for v, peer in self.peers_by_vm.items() if peer.silent_since < oldest]:
             self.forget(self.peers_by_vm.pop(vm).entry_vm.peer_address)
+            for ref in [ref for ref in self._addresses_by_process if ref.vm == vm]:
+                del self._addresses_by_process[ref]
         beat = self._heartbeat()
         for address in list(self._senders_by_address):
             self._beat_one(address, beat)
@@ -272,6 +279,7 @@
         known = self.peers_by_vm.get(hello.vm)
         if known is not None and known.entry_vm == entry_vm:
             return known
+        self._addresses_by_process[model.LessorRef(hello.vm, hello.incarnation)] = hello.address
         now = self._clock.seconds()
         if known is not None and known.live_until > now and known.heartbeat is not None:
             _log.info("entry VM %s has a new incarnation", hello.vm, extra={"peer": hello.address})
--- a/tests/lease/test_takeover.py
+++ b/tests/lease/test_takeover.py
@@ -5,7 +5,8 @@
 import testtools
 
 from celerystack import ids, model
-from celerystack.lease import evidence, takeover
+from celerystack.lease import evidence, records, takeover
+from celerystack.peers import messages
 from tests.lease import builders
 
 A, B, C, D, E = builders.A, builders.B, builders.C, builders.D, builders.E
@@ -138,3 +139,46 @@
         self.assertTrue(it.is_void(builders.row(previous_lessors=(D,))))
         lost = dataclasses.replace(builders.row(), state=model.ServerState.LOST)
         self.assertTrue(it.is_void(lost))
+
+
+class EndedLessorTest(testtools.TestCase):
+    """A lessor whose process has ended counts like one that promised."""
+
+    def setUp(self):
+        super().setUp()
+        self.row = builders.row()
+        self.it = takeover.Takeover(self.row, now=10.0)
+
+    def promise(self, lessor, now):
+        self.it.on_promise(
+            messages.PromiseReply(
+                server=self.row.server, token=self.row.token, lessor=lessor, promised=True
+            ),
+            now,
+        )
+
+    def test_lease_of_an_ended_lessor_is_waited_for(self):
+        """Guards against a takeover while the last order of an ended lessor may still count."""
+        first, *others = self.row.lessors
+        for lessor in others:
+            self.promise(lessor, 10.0)
+        self.it.on_ended(first, others, 10.0)
+        self.assertIsInstance(self.it.state(10.5), takeover.Waiting)
+        self.assertIsInstance(self.it.state(10.0 + records.LEASE_BOUND_S), takeover.Ready)
+
+    def test_entry_vms_of_the_zone_must_promise(self):
+        """Guards against an unknown deputy of an ended lessor that renews on."""
+        first, *others = self.row.lessors
+        deputy = model.LessorRef("deputy", "1")
+        for lessor in others:
+            self.promise(lessor, 10.0)
+        self.it.on_ended(first, (*others, deputy), 10.0)
+        self.assertIn(deputy, self.it.requests())
+        self.assertNotIsInstance(self.it.state(12.0), takeover.Ready)
+        self.promise(deputy, 12.0)
+        self.assertIsInstance(self.it.state(12.1), takeover.Ready)
+
+    def test_end_of_a_stranger_changes_nothing(self):
+        """Guards against counting a process that never was a lessor."""
+        self.it.on_ended(model.LessorRef("stranger", "1"), (), 10.0)
+        self.assertEqual(frozenset(self.row.lessors), self.it.missing())
--- a/tests/system/test_evidence.py
+++ b/tests/system/test_evidence.py
@@ -84,7 +84,7 @@
         keys = keys_of(scenario, "ab-1a")
         finish = scenario.start_load(18)
         scenario.sleep_until(2)
-        scenario.running.kill("vm-1a")
+        scenario.running.processes.freeze("vm-1a")
         killed_at = scenario.running.kill("ab-1a")
         time.sleep(BLOCKED_S)
         assert ran_elsewhere(scenario, keys, killed_at) == []
@@ -108,7 +108,7 @@
         keys = keys_of(scenario, "ab-1a")
         finish = scenario.start_load(18)
         scenario.sleep_until(2)
-        scenario.running.kill("vm-1a")
+        scenario.running.processes.freeze("vm-1a")
         killed_at = scenario.running.kill("ab-1a")
         time.sleep(BLOCKED_S)
         assert ran_elsewhere(scenario, keys, killed_at) == []
--- a/tests/system/test_ownership.py
+++ b/tests/system/test_ownership.py
@@ -179,3 +179,17 @@
         found = finish()
         scenario.check_served(found)
         assert scenario.violations(found) == []
+
+
+def test_server_and_lessor_killed_together(tmp_path: pathlib.Path) -> None:
+    """Guards against keys that wait for an operator because a lessor ended with their server."""
+    with scenarios.started(tmp_path, entry_vms_per_zone=3) as scenario:
+        finish = scenario.start_load(9)
+        scenario.sleep_until(2)
+        scenario.running.kill("vm-1a")
+        scenario.running.kill("ab-1a")
+        found = finish()
+        scenario.check_served(found)
+        assert scenario.violations(found) == []
+        longest = scenarios.longest_unavailable_s(found)
+        assert longest < scenarios.SERVED_AGAIN_S + scenarios.POLL_SLACK_S
