Keep a frozen server that checks no tokens; serve writes in a zone that is cut off early

Cause: a cluster test showed that a frozen server that checks no tokens was taken over. The suspension closed the connections to it, and deadlines close them too, so requests that wait in its sockets were no longer counted. Another showed that a zone that is cut off within two minutes of the start refused all writes: every entry VM was young, so claims were sent on to the other zones. Ruled out: a delay instead of the count, because a freeze has no known end. Change: a suspension leaves connections open; attempts that were given up count until the server has shown a sign of life 5 s later or its process is replaced; a young zone asks other zones only if they have older entry VMs.

--- a/src/celerystack/control/claims_task.py
+++ b/src/celerystack/control/claims_task.py
@@ -19,6 +19,9 @@
 """Longest wait for one holder. It is shorter than the detection of a silent entry VM, because the
 caller is better served by a prompt ``not-run`` that it can repeat."""
 
+STARTED_TOGETHER_S = 3.0
+"""Entry VMs whose ages differ by less were started together, after a loss of all of them."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -109,9 +112,8 @@
     ) -> list[ids.EntryVmId]:
         """Return the holders in the home zone.
 
-        Other zones are added in a fixed order while the zones before them have no entry VM that is
-        older than the window of a claim: their entry VMs are gone, or have just replaced others
-        whose claims may be held further down the order.
+        Other zones are added in a fixed order while all entry VMs of the zones before them have
+        ended, or have replaced such ones so lately that claims may be held further down the order.
         """
         chosen: list[ids.EntryVmId] = []
         for zone in self._zones_in_order(request_id, home_zone):
@@ -121,10 +123,31 @@
                     "no entry VM of the home zone is connected", step="claims.holders", peer=zone
                 )
             chosen += claims.holders(request_id, live, recent=recent)
-            if any(vm not in recent for vm in live):
+            settled = any(vm not in recent for vm in live)
+            if live and (settled or not self._has_older_vm_elsewhere(zone, live)):
                 break
         return chosen
 
+    def _has_older_vm_elsewhere(self, zone: ids.ZoneName, live: list[ids.EntryVmId]) -> bool:
+        """Return whether another zone may hold claims from a time without entry VMs in ``zone``."""
+        uptimes = self._uptimes_by_vm()
+        oldest_s = max(uptimes.get(vm, 0.0) for vm in live)
+        others = [p.entry_vm for p in self._mesh.peers_by_vm.values()] + [self._mesh.me]
+        return any(
+            uptimes.get(other.vm, 0.0) > oldest_s + STARTED_TOGETHER_S
+            for other in others
+            if other.zone != zone
+        )
+
+    def _uptimes_by_vm(self) -> dict[ids.EntryVmId, float]:
+        now = self._clock.seconds()
+        uptimes = {
+            vm: peer.heartbeat.uptime_s + now - peer.silent_since
+            for vm, peer in self._mesh.peers_by_vm.items()
+            if peer.heartbeat is not None
+        }
+        return {**uptimes, self._mesh.me.vm: now - self._started_at}
+
     def _zones_in_order(
         self, request_id: ids.RequestId, home_zone: tuple[ids.ZoneName, ...]
     ) -> list[ids.ZoneName]:
@@ -134,13 +157,8 @@
         return [home, *(ids.ZoneName(zone) for zone in ranked if zone != home)]
 
     def _recent(self) -> set[ids.EntryVmId]:
-        now = self._clock.seconds()
-        recent = {
-            peer.entry_vm.vm
-            for peer in self._mesh.live_peers()
-            if peer.heartbeat is None or peer.heartbeat.uptime_s < claims.RECENT_S
-        }
-        return recent | ({self._mesh.me.vm} if now - self._started_at < claims.RECENT_S else set())
+        uptimes = self._uptimes_by_vm()
+        return {vm for vm, uptime_s in uptimes.items() if uptime_s < claims.RECENT_S}
 
     async def _ask(
         self, request_id: ids.RequestId, vm: ids.EntryVmId, deadline: float
--- a/src/celerystack/control/entry_vm.py
+++ b/src/celerystack/control/entry_vm.py
@@ -131,7 +131,7 @@
             view=self.view,
             mesh=self.mesh,
             cache=self.cache,
-            in_flight=lambda server: len(self.forwarder.in_flight(server)),
+            unanswered=lambda server: self.forwarder.unanswered(server),
         )
         self.traffic = traffic_task.TrafficTask(self._clock, view=self.view, mesh=self.mesh)
         self.placer = placer_task.PlacerTask(
@@ -198,6 +198,7 @@
             placer=self.placer,
             forwarding=self.forwarder,
         )
+        self._incarnation_by_server: dict[ids.ServerId, ids.Incarnation] = {}
         self._address_by_server: dict[ids.ServerId, str] = {}
         self.view.add_listener(self._view_changed)
         self.entry_vm_count = shares.EntryVmCount(self.me.vm, started_at=self._clock.seconds())
@@ -212,8 +213,11 @@
             self._address_by_server = {s: entry.address for s, entry in declared.items()}
         for server in change.servers:
             row = self.view.server_rows_by_id.get(server)
-            if row is not None and row.state is not model.ServerState.ACTIVE:
+            if row is not None and row.state is model.ServerState.LOST:
                 self.forwarder.server_lost(server)
+            if row is not None and row.incarnation != self._incarnation_by_server.get(server):
+                self._incarnation_by_server[server] = row.incarnation
+                self.forwarder.process_ended(server)
 
     def _address_of(self, server: ids.ServerId) -> str | None:
         declared = self.view.declared(server)
--- a/src/celerystack/control/views_task.py
+++ b/src/celerystack/control/views_task.py
@@ -20,8 +20,8 @@
 
     Parameters
     ----------
-    in_flight : callable
-        Number of this entry VM's unanswered requests at a server.
+    unanswered : callable
+        Number of this entry VM's requests that may still run at a server.
     """
 
     def __init__(
@@ -31,13 +31,13 @@
         view: cluster_view.ClusterView,
         mesh: peer_mesh.Mesh,
         cache: row_cache.RowCache,
-        in_flight: Callable[[ids.ServerId], int],
+        unanswered: Callable[[ids.ServerId], int],
     ) -> None:
         self._clock = clock
         self._view = view
         self._mesh = mesh
         self._cache = cache
-        self._in_flight = in_flight
+        self._unanswered = unanswered
         self._view_until_by_vm: dict[ids.EntryVmId, float] = {}
         self._confirmed_at_by_vm: dict[ids.EntryVmId, float] = {}
         self._row_since_by_server: dict[ids.ServerId, float] = {}
@@ -54,7 +54,7 @@
     def unanswered_by_server(self) -> dict[ids.ServerId, int]:
         """Return this entry VM's unanswered requests at servers that do not check tokens."""
         counts = {
-            server: self._in_flight(server)
+            server: self._unanswered(server)
             for server in self._view.configuration.servers_by_id
             if not self._view.checks_token(server)
         }
@@ -93,7 +93,7 @@
 
     def idle_here(self, server: ids.ServerId) -> bool:
         """Return whether this entry VM has no unanswered request at a server."""
-        return self._in_flight(server) == 0
+        return self._unanswered(server) == 0
 
     def _lessors_confirmed_at(self, row: model.ServerRow, since: float) -> float | None:
         latest = since
--- a/src/celerystack/requests/forwarder.py
+++ b/src/celerystack/requests/forwarder.py
@@ -10,9 +10,18 @@
 from twisted.internet import defer
 
 from celerystack import errors, ids, model
-from celerystack.backend import http
+from celerystack.backend import exchange, http
 from celerystack.peers import messages
-from celerystack.requests import calls, dispatch, encoding, ports, replies, retries, targets
+from celerystack.requests import (
+    abandoned,
+    calls,
+    dispatch,
+    encoding,
+    ports,
+    replies,
+    retries,
+    targets,
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,6 +73,7 @@
         self._now = now
         self._finder = targets.TargetFinder(reactor, needs.routes, needs.chooser, now=now)
         self._dispatchers_by_server: dict[ids.ServerId, dispatch.Dispatcher] = {}
+        self._abandoned = abandoned.AbandonedRequests()
         self._retired: list[dispatch.Dispatcher] = []
         self._entry_vms = entry_vms
 
@@ -95,6 +105,14 @@
             for attempt in dispatcher.pending
         )
 
+    def unanswered(self, server_id: ids.ServerId) -> int:
+        """Return how many attempts may still run at a server; abandoned ones count as one."""
+        return len(self.in_flight(server_id)) + int(self._abandoned.has(server_id))
+
+    def process_ended(self, server_id: ids.ServerId) -> None:
+        """Record that the process that requests were sent to has ended."""
+        self._abandoned.forget(server_id)
+
     def forget(self, server_id: ids.ServerId) -> None:
         """Drop a server that left the configuration or changed its address.
 
@@ -224,13 +242,21 @@
         except errors.NotRunError as error:
             return replies.Outdated() if pending.outdated else replies.NotSent(error.reason)
         except errors.OutcomeUnknownError as error:
+            self._note_abandoned(target.server.server, pending)
             return replies.Lost(error.reason)
         except defer.CancelledError:
             progress.may_have_run |= pending.sent
+            self._note_abandoned(target.server.server, pending)
             raise
+        self._abandoned.answered(target.server.server, self._now())
         _observe(dispatcher, attempt, self._now() - now)
         return attempt
 
+    def _note_abandoned(self, server: ids.ServerId, pending: dispatch.PendingAttempt) -> None:
+        """Record an attempt that was sent and whose connection the server did not close."""
+        if pending.sent and pending.ending is exchange.Ending.INTACT:
+            self._abandoned.add(server, self._now())
+
     async def _prepare_retry(
         self,
         call: calls.Call,
--- a/tests/control/test_claims_task.py
+++ b/tests/control/test_claims_task.py
@@ -62,7 +62,8 @@
         beat = messages.Heartbeat(
             digest=0, config_version=ids.ConfigVersion(1), uptime_s=other.uptime_s
         )
-        return mesh.Peer(other.me, live_until=0.0, silent_since=0.0, heartbeat=beat)
+        now = self.network.clock.seconds()
+        return mesh.Peer(other.me, live_until=now, silent_since=now, heartbeat=beat)
 
     def live_peers(self) -> list[mesh.Peer]:
         return [self._peer(m) for m in self._reachable() if m.me.vm != self.me.vm]
@@ -140,6 +141,16 @@
         self.tasks["a3"] = self.network.add("a3", "z1", uptime_s=5.0)
         self.assertEqual(RUNNING, self.claim("a3", "z1"))
 
+    def test_zone_that_is_cut_off_soon_after_the_start_serves_writes(self):
+        """Guards against refusing all writes of a zone while every entry VM is young."""
+        for other in self.network.meshes.values():
+            other.uptime_s = 20.0
+        for started in self.tasks.values():
+            started._started_at = self.clock.seconds() - 20.0
+        for vm in ("b1", "b2"):
+            self.network.meshes[vm].cut = True
+        self.assertEqual(ACCEPTED, self.claim("a1", "z1"))
+
     def test_refused_claim_releases_what_was_accepted(self):
         """Guards against an id that stays claimed although nothing was sent."""
         self.network.meshes["a2"].handlers.clear()
--- a/tests/control/test_views_task.py
+++ b/tests/control/test_views_task.py
@@ -48,7 +48,7 @@
             view=self.world.view,
             mesh=self.mesh,
             cache=self.world.cache,
-            in_flight=lambda server: self.in_flight.get(server, 0),
+            unanswered=lambda server: self.in_flight.get(server, 0),
         )
         self.world.create_servers()
 
--- a/tests/system/test_evidence.py
+++ b/tests/system/test_evidence.py
@@ -94,6 +94,7 @@
         release_at = time.monotonic()
         assert scenario.running.command("release", "ab-1a", "--yes").returncode == 0
         assert scenario.running.command("release", "ab-1a", "--yes").returncode == 0
+        scenario.running.processes.thaw("vm-1a")
         found = finish()
         scenario.check_served(found)
         assert scenario.violations(found) == []
@@ -114,6 +115,8 @@
         assert ran_elsewhere(scenario, keys, killed_at) == []
         delisted_at = time.monotonic()
         scenario.running.remove_member("ab-1a")
+        scenario.sleep_until(delisted_at + 2.0 - scenario.started_at)
+        scenario.running.processes.thaw("vm-1a")
         found = finish()
         scenario.check_served(found)
         assert scenario.violations(found) == []
