Add a golden file of a control session of three entry VMs

Cause: the control tasks were tested together only as processes, where times and orders vary. Ruled out: the simulation of tests/lease, which has its own loop instead of the control tasks. Change: tests/golden/control_world.py connects the real steward, lessor, placer, table poller and mesh to one task.Clock, an in-memory table and model servers; the transcript lists first assignment, renewal, loss, takeover, return and drain. Logged errors fail the test.

--- /dev/null
+++ b/tests/golden/control_world.py
@@ -0,0 +1,251 @@
+"""Entry VMs with their real control tasks on one deterministic clock, table and network."""
+
+from __future__ import annotations
+
+import collections
+import itertools
+import types
+from collections.abc import Iterator
+from unittest import mock
+
+from twisted.internet import defer, task
+
+from celerystack import errors, ids, model
+from celerystack.backend import messages as order_messages
+from celerystack.control import (
+    changes,
+    committer,
+    lessor_task,
+    membership_task,
+    placer_task,
+    steward_task,
+    table_sync,
+    traffic_task,
+    view,
+    views_task,
+)
+from celerystack.lease import lessor as lessors
+from celerystack.peers import mesh, messages, sync
+from celerystack.platform import ports, transactor
+from celerystack.state import cache, codec, keys
+from tests import fakes
+from tests.lease import model_server
+
+LATENCY_S = 0.001
+ORDER_TIMEOUT_S = 0.4
+START_S = 100.0
+WALL_S = 1_700_000_000.0
+
+
+class RecordedTable(fakes.FakeTable):
+    """Adds the change feed; each commit is passed to ``on_commit``."""
+
+    def __init__(self, clock: task.Clock, on_commit) -> None:
+        super().__init__(clock)
+        self._feed: list[ports.Row] = []
+        self._on_commit = on_commit
+
+    def commit(self, transaction: ports.Transaction) -> list[ports.Row]:
+        written = super().commit(transaction)
+        self._feed += written
+        self._on_commit(written)
+        return written
+
+    def put(self, key: str, value: bytes | None) -> ports.Row:
+        row = super().put(key, value)
+        self._feed.append(row)
+        return row
+
+    def changes(self, since: int) -> defer.Deferred[tuple[int, list[ports.Row]]]:
+        newest = {row.key: row for row in self._feed[since:]}
+        return defer.succeed((len(self._feed), list(newest.values())))
+
+
+class Link:
+    """One direction between two entry VMs; implements what the mesh needs of a sender."""
+
+    transport = None
+
+    def __init__(self, world: World, source: model.EntryVm, address: str) -> None:
+        self._world = world
+        self._receiver = types.SimpleNamespace(
+            hello=messages.Hello(
+                vm=source.vm,
+                incarnation=source.incarnation,
+                zone=source.zone,
+                address=source.peer_address,
+            )
+        )
+        self._address = address
+
+    def send(self, message: messages.Message) -> None:
+        target = self._world.vm_at(self._address)
+        self._world.clock.callLater(LATENCY_S, target.mesh._received, self._receiver, message)
+
+
+class LinkedMesh(mesh.Mesh):
+    """A mesh whose streams are links of the world."""
+
+    world: World
+
+    def start(self, listen_address: str) -> None:
+        self._loop.start()
+
+    def _dial_one(self, address: str) -> None:
+        self._senders_by_address.setdefault(address, Link(self.world, self.me, address))
+
+
+class EntryVm:
+    """The control tasks of one entry VM, connected as in `control.entry_vm`."""
+
+    def __init__(self, world: World, vm: str, zone: str) -> None:
+        clock = world.clock
+        self.me = model.EntryVm(vm=vm, incarnation=f"i-{vm}", zone=zone, peer_address=f"{vm}:1")
+        self.cache = cache.RowCache()
+        self.view = view.ClusterView(self.cache)
+        self.mesh = LinkedMesh(
+            None, clock=clock, me=self.me, secrets=(b"s",), heartbeat=self._heartbeat
+        )
+        self.mesh.world = world
+        rows = sync.RowSync(clock, mesh=self.mesh, cache=self.cache)
+        known = {"view": self.view, "mesh": self.mesh}
+        self.tables = table_sync.TableSync(
+            clock, table=world.table, rows=rows, mesh=self.mesh, on_failure=lambda _: None
+        )
+        membership = membership_task.MembershipTask(clock, membership=world, **known)
+        commits = committer.Committer(
+            clock,
+            transactor=transactor.Transactor(clock, world.table),
+            tables=self.tables,
+            rows=rows,
+            operator=vm,
+            on_commit=lambda _: None,
+            on_failure=lambda error: world.note(f"{vm}: {error}"),
+        )
+        lessor = lessors.Lessor(me=model.LessorRef(self.me.vm, self.me.incarnation))
+        orders = types.SimpleNamespace(send=lambda order: world.send(vm, order))
+        self.lessor = lessor_task.LessorTask(clock, lessor=lessor, orders=orders, **known)
+        views = views_task.ViewTracker(clock, cache=self.cache, in_flight=lambda _: 0, **known)
+        traffic = traffic_task.TrafficTask(clock, **known)
+        common = {**known, "lessor": lessor, "commits": commits, "membership": membership}
+        self.placer = placer_task.PlacerTask(
+            clock, traffic=traffic, released=lambda s: views.released(s, answers=True), **common
+        )
+        self.steward = steward_task.StewardTask(
+            clock, tables=self.tables, planner=self.placer, views=views, **common
+        )
+        self.tasks = (self.tables, membership, self.lessor, self.steward, self.placer, traffic)
+
+    def _heartbeat(self) -> messages.Heartbeat:
+        return messages.Heartbeat(
+            digest=self.cache.digest,
+            config_version=self.view.configuration.version,
+            store_reachable=self.tables.reachable,
+        )
+
+    def start(self) -> None:
+        self.mesh.start("")
+        for part in self.tasks:
+            part.start()
+
+    def keep_up(self) -> None:
+        self.lessor.lessor.watch(self.steward.watched() | self.placer.watched())
+        self.lessor.store_reachable = self.tables.reachable
+
+
+class World:
+    """Entry VMs, backend servers, table and membership list; records what happens."""
+
+    def __init__(self, *, zones_by_vm: dict[str, str], servers: list[str]) -> None:
+        self.clock = task.Clock()
+        self.clock.advance(START_S)
+        self.table = RecordedTable(self.clock, self._committed)
+        self.lines: list[str] = []
+        self._repeated: collections.Counter[str] = collections.Counter()
+        self.servers_by_id = {
+            name: model_server.ModelServer(ids.ServerId(name), ids.Incarnation(f"{name}-p1"))
+            for name in servers
+        }
+        self.unreachable: set[str] = set()
+        self.vms = [EntryVm(self, vm, zone) for vm, zone in zones_by_vm.items()]
+
+    def patches(self) -> Iterator:
+        """Replace the wall clock and the random transaction ids."""
+        wall = types.SimpleNamespace(time=lambda: WALL_S + self.clock.seconds() - START_S)
+        numbers = itertools.count(1)
+        yield mock.patch.object(committer, "time", wall)
+        yield mock.patch.object(changes, "time", wall)
+        yield mock.patch.object(
+            transactor, "new_transaction_id", lambda: f"transaction-{next(numbers)}"
+        )
+
+    def start(self) -> None:
+        for vm in self.vms:
+            vm.start()
+
+    def run(self, seconds: float) -> None:
+        """Advance the clock in steps of 10 ms."""
+        for _ in range(round(seconds * 100)):
+            self.clock.advance(0.01)
+            for vm in self.vms:
+                vm.keep_up()
+
+    def vm_at(self, address: str) -> EntryVm:
+        return next(vm for vm in self.vms if vm.me.peer_address == address)
+
+    def members(self) -> defer.Deferred[list[ports.Member]]:
+        """Implement `ports.MembershipPort`: all entry VMs are listed at all times."""
+        listed = [
+            ports.Member(
+                vm=vm.me.vm,
+                role=ports.VmRole.ENTRY,
+                zone=vm.me.zone,
+                address=vm.me.peer_address,
+                state=ports.VmState.LIVE,
+            )
+            for vm in self.vms
+        ]
+        return defer.succeed(listed)
+
+    def restart(self, server: str, process: int) -> None:
+        incarnation = ids.Incarnation(f"{server}-p{process}")
+        self.servers_by_id[server] = model_server.ModelServer(ids.ServerId(server), incarnation)
+        self.unreachable.discard(server)
+
+    def send(self, vm: str, order: order_messages.Order) -> defer.Deferred:
+        """Implement `lessor_task.OrderPort` for one entry VM."""
+        if order.server in self.unreachable:
+            lost = errors.OutcomeUnknownError("timeout", step="backend.order", peer=order.server)
+            return task.deferLater(self.clock, ORDER_TIMEOUT_S, defer.fail, lost)
+        return task.deferLater(self.clock, LATENCY_S, self._handle, vm, order)
+
+    def _handle(self, vm: str, order: order_messages.Order) -> defer.Deferred:
+        reply = self.servers_by_id[order.server].handle(order, self.clock.seconds())
+        kind = type(order).__name__.lower()
+        text = f"{vm} -> {order.server} {kind}"
+        if not isinstance(order, order_messages.Probe):
+            text += f" token {order.token}"
+        if isinstance(order, order_messages.Grant):
+            text += f" shards {' '.join(f'{g.shard}@{g.epoch}' for g in order.shards) or '-'}"
+        self._repeated[f"{text}: {reply.result.value}"] += 1
+        if self._repeated[f"{text}: {reply.result.value}"] == 1:
+            self.note(f"{text}: {reply.result.value}")
+        return task.deferLater(self.clock, LATENCY_S, lambda: reply)
+
+    def note(self, text: str) -> None:
+        self.lines.append(f"{self.clock.seconds() - START_S:7.3f} {text}")
+
+    def title(self, text: str) -> None:
+        self.lines += ["", f"# {text}", ""]
+        self._repeated.clear()
+
+    def _committed(self, rows: list[ports.Row]) -> None:
+        for row in rows:
+            if row.key.startswith(keys.AUDIT_PREFIX):
+                entry = codec.decode_flat(codec.AuditRow, row.value, key=row.key)
+                written = " ".join(f"{r.key}={r.version}" for r in rows if r is not row)
+                self.note(f"{entry.operator} commits {entry.transaction}: {written}")
+                self.note(
+                    f"  audit {entry.time_ms - int(WALL_S * 1000)} ms: {entry.action} "
+                    f"{entry.subject} ({entry.reason}): {entry.before} -> {entry.after}"
+                )
--- /dev/null
+++ b/tests/golden/test_control_session.py
@@ -0,0 +1,68 @@
+"""A control session: the orders, transactions and audit rows of three entry VMs."""
+
+from __future__ import annotations
+
+import testtools
+
+from celerystack import ids
+from celerystack.config import derive
+from celerystack.state import codec, keys
+from tests.golden import control_world, transcripts
+
+SERVER = """
+[server.{name}]
+service = "browse"
+zone = "{zone}"
+address = "127.0.0.1:{port}"
+"""
+CONFIG = '[service.browse]\nprefixes = ["/browse/"]\nshards = 6\nchecks_token = true\n' + "".join(
+    SERVER.format(name=name, zone=zone, port=port)
+    for name, zone, port in (("b1", "z1", 9001), ("b2", "z1", 9002), ("b3", "z2", 9003))
+)
+
+
+class ControlSessionTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.world = control_world.World(
+            zones_by_vm={"e1": "z1", "e2": "z1", "e3": "z2"}, servers=["b1", "b2", "b3"]
+        )
+        for patch in self.world.patches():
+            patch.start()
+            self.addCleanup(patch.stop)
+        head = codec.ConfigHead(
+            version=ids.ConfigVersion(1),
+            sha256_by_file={"10.toml": derive.sha256(CONFIG)},
+            snapshot="",
+        )
+        self.world.table.put(keys.config_file("10.toml"), CONFIG.encode())
+        self.world.table.put(keys.CONFIG_HEAD, codec.encode_flat(head))
+
+    def test_session(self) -> None:
+        """Guards against changed orders, transactions or times of a server's life."""
+        with self.assertNoLogs(level="ERROR"):
+            self._run_session(self.world)
+
+    def _run_session(self, world: control_world.World) -> None:
+        world.lines.append("An order is listed once per part, with the time of the first one.")
+        world.title("first assignment and renewal")
+        world.start()
+        world.run(5.0)
+        world.title("b1 is lost and taken over")
+        world.unreachable.add("b1")
+        world.run(4.0)
+        world.title("b1 returns as a new process")
+        world.restart("b1", 2)
+        world.run(15.0)
+        world.title("an operator drains b2")
+        asked = codec.OperatorRow(operator="ann", time_ms=1, reason="disk")
+        world.table.put(keys.drain(ids.ServerId("b2")), codec.encode_flat(asked))
+        world.run(6.0)
+        rows = world.table.rows_by_key
+        world.title("rows of servers and maps afterwards")
+        shown = "".join(
+            transcripts.shown_row(rows[key])
+            for key in sorted(rows)
+            if key.startswith((keys.SERVER_PREFIX, keys.MAP_PREFIX))
+        )
+        transcripts.compare("control_session", "\n".join(world.lines) + "\n" + shown)
