Add tests of the placer, committer and table poller tasks

Cause: these tasks were exercised only by the system tests, where single decisions are not visible. Ruled out: stubs of the transactor and the row exchange, which would hide how they work together. Change: placer with a fake mesh and lessor; committer and table poller on tests/golden/control_world.

--- /dev/null
+++ b/tests/control/test_committer.py
@@ -0,0 +1,93 @@
+"""The committer on the real tasks of one or two entry VMs, an in-memory table and one clock."""
+
+from __future__ import annotations
+
+import testtools
+from twisted.internet import defer
+
+from celerystack import ids
+from celerystack.control import changes, committer
+from celerystack.observe import audit
+from celerystack.state import keys
+from tests import fakes
+from tests.golden import control_world
+
+KEY = keys.drain(ids.ServerId("b1"))
+
+
+class CommitterTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.world = control_world.World(zones_by_vm={"e1": "z1", "e2": "z1"}, servers=[])
+        self.first, self.second = self.world.vms
+        self.world.start()
+        self.world.run(1.0)
+        self.table = self.world.table
+        self.noted: list[tuple[str, object]] = []
+        self.commits = committer.Committer(
+            self.world.clock,
+            transactor=control_world.transactor.Transactor(self.world.clock, self.table),
+            tables=self.first.tables,
+            rows=self.first.rows,
+            operator="router e1",
+            on_commit=lambda change: self.noted.append(("commit", change.subject)),
+            on_failure=lambda error: self.noted.append(("failure", type(error).__name__)),
+        )
+
+    def commit(self, value: bytes, *, seconds: float = 0.1) -> list[bool]:
+        """Commit one row on the version that the first entry VM knows."""
+        builder = changes.ChangeBuilder(self.first.view)
+        builder.put_plain(KEY, value)
+        change = builder.build(action=audit.Action.DRAIN, subject=KEY, reason="test")
+        results: list[bool] = []
+        running = defer.ensureDeferred(self.commits.commit(change))
+        running.addCallback(results.append)
+        self.world.run(seconds)
+        return results
+
+    def test_written_rows_reach_the_peers_without_the_table(self) -> None:
+        """Guards against peers that learn of a change at their next poll only."""
+        self.assertEqual([True], self.commit(b"1", seconds=0.02))
+        self.assertEqual(b"1", self.second.cache.get(KEY).value)
+        self.assertEqual([("commit", KEY)], self.noted)
+        self.assertEqual(1, len(self.table.audit_keys()))
+
+    def test_conflict_refreshes_the_rows(self) -> None:
+        """Guards against repeating a decision on the rows that have just conflicted."""
+        self.table.put(KEY, b"other")
+        self.assertEqual([False], self.commit(b"1", seconds=0.02))
+        self.assertEqual(b"other", self.first.cache.get(KEY).value)
+        self.assertEqual([("failure", "TransactionConflictError")], self.noted)
+        self.assertEqual([True], self.commit(b"2"))
+
+    def test_conflict_while_the_table_cannot_be_read(self) -> None:
+        """Guards against an exception from the refresh, which would leave the task busy."""
+        self.table.put(KEY, b"other")
+        self.table.unreadable = True
+        self.assertEqual([False], self.commit(b"1", seconds=0.02))
+        self.assertFalse(self.first.tables.reachable)
+
+    def test_lost_answer_is_resolved(self) -> None:
+        """Guards against reporting a failure for a change that took effect."""
+        self.table.transact_faults.append(fakes.Fault.LOST_AFTER_COMMIT)
+        self.assertEqual([True], self.commit(b"1"))
+        self.assertEqual(b"1", self.second.cache.get(KEY).value)
+        self.assertEqual(1, len(self.table.audit_keys()))
+
+    def test_unknown_result_is_no_success(self) -> None:
+        """Guards against acting on a change whose result is unknown, and against waiting longer."""
+        self.table.transact_faults.append(fakes.Fault.LOST_AFTER_COMMIT)
+        self.table.read_faults.extend([fakes.Fault.REFUSED] * 1000)
+        results = self.commit(b"1", seconds=committer.COMMIT_TIMEOUT_S - 0.5)
+        self.assertEqual([], results)
+        self.world.run(1.0)
+        self.assertEqual([("failure", "AnswerLostError")], self.noted)
+
+    def test_rows_are_read_again_after_an_unknown_result(self) -> None:
+        """Guards against deciding anew on rows from before a change that took effect."""
+        self.table.transact_faults.append(fakes.Fault.LOST_AFTER_COMMIT)
+        self.table.read_faults.extend([fakes.Fault.REFUSED] * 1000)
+        self.first.tables.stop()
+        self.second.tables.stop()
+        self.commit(b"1", seconds=committer.COMMIT_TIMEOUT_S + 0.5)
+        self.assertEqual(b"1", self.first.cache.get(KEY).value)
--- /dev/null
+++ b/tests/control/test_placer_task.py
@@ -0,0 +1,244 @@
+from __future__ import annotations
+
+import dataclasses
+import types
+
+import testtools
+from twisted.internet import defer, task
+
+from celerystack import ids, model
+from celerystack.control import changes, placer_task, traffic_task
+from celerystack.state import codec, keys
+from tests.control import worlds
+from tests.control.worlds import B1, B2, BROWSE, D1
+
+ME = model.EntryVm(vm="e2", incarnation="i2", zone="z1", peer_address="127.0.1.1:1")
+FAR = model.EntryVm(vm="e1", incarnation="i1", zone="z2", peer_address="127.0.2.1:1")
+
+
+class FakeMesh:
+    """Live entry VMs under the test's control."""
+
+    def __init__(self) -> None:
+        self.me = ME
+        self.live = [ME, FAR]
+
+    def live_entry_vms(self) -> list[model.EntryVm]:
+        return self.live
+
+    def add_handler(self, handler) -> None:
+        pass
+
+
+class FakeLessor:
+    """What this entry VM knows of the servers, under the test's control."""
+
+    def __init__(self, world: worlds.World) -> None:
+        self._world = world
+        self.replying = {B1, B2}
+        self.acting = {B1}
+        self.releasing: set[ids.ServerId] = set()
+
+    def reachable(self, server: ids.ServerId, now: float) -> bool:
+        return server in self.replying
+
+    def is_acting(self, server: ids.ServerId) -> bool:
+        return server in self.acting
+
+    def acknowledged_token(self, server: ids.ServerId) -> ids.Token | None:
+        return self._world.row(server).token if server in self.replying else None
+
+    def running_dropped(self, server: ids.ServerId) -> int:
+        return 1 if server in self.releasing else 0
+
+
+class PlacerTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.world = worlds.World()
+        self.clock = task.Clock()
+        self.mesh = FakeMesh()
+        self.mesh.live = [ME]
+        self.lessor = FakeLessor(self.world)
+        self.membership = types.SimpleNamespace(leaving_servers=frozenset())
+        self.released = True
+        self.committed: list[changes.Change] = []
+        self.held: defer.Deferred | None = None
+        self.placer = placer_task.PlacerTask(
+            self.clock,
+            view=self.world.view,
+            mesh=self.mesh,
+            lessor=self.lessor,
+            commits=types.SimpleNamespace(commit=self._commit),
+            membership=self.membership,
+            traffic=traffic_task.TrafficTask(self.clock, view=self.world.view, mesh=self.mesh),
+            released=lambda server: self.released,
+        )
+
+    async def _commit(self, change: changes.Change) -> bool:
+        self.committed.append(change)
+        if self.held is not None:
+            await self.held
+        self.world.commit(change)
+        return True
+
+    def start(self, *servers: ids.ServerId) -> None:
+        for server in servers:
+            incarnation = ids.Incarnation("s1")
+            self.world.commit(
+                changes.create_server(self.world.view, server, worlds.LESSORS, incarnation)
+            )
+        self.mesh.live = [ME, FAR]
+        self.placer.start()
+        self.addCleanup(self.placer.stop)
+
+    def run_for(self, seconds: float) -> None:
+        self.clock.pump([0.05] * round(seconds / 0.05))
+
+    def actions(self) -> list[str]:
+        return [change.action.value for change in self.committed]
+
+    def owners(self) -> list[str | None]:
+        _, chunk = self.world.view.chunk(BROWSE, 0)
+        return [chunk.owner(ids.ShardId(shard)) for shard in range(4)]
+
+    def drain(self, server: ids.ServerId) -> None:
+        row = codec.OperatorRow(operator="op", time_ms=1, reason="")
+        self.world.write(keys.drain(server), codec.encode_flat(row))
+
+    def placed(self) -> None:
+        """Let both servers get shards, and forget the changes."""
+        self.mesh.live = [dataclasses.replace(ME), FAR]
+        self.start(B1, B2, D1)
+        self.run_for(1.0)
+        self.assertEqual({B1: 2, B2: 2}, {s: self.owners().count(s) for s in (B1, B2)})
+        self.committed.clear()
+
+
+class AssignmentTest(PlacerTest):
+    def test_first_assignment_waits_for_all_servers(self) -> None:
+        """Guards against giving all shards to the server that answers first."""
+        self.start(B1)
+        self.run_for(placer_task.FIRST_ASSIGNMENT_WAIT_S / 2)
+        self.assertEqual(["create_map"], self.actions())
+        self.world.commit(
+            changes.create_server(self.world.view, B2, worlds.LESSORS, ids.Incarnation("s1"))
+        )
+        self.run_for(0.5)
+        self.assertEqual(["create_map", "assign"], self.actions())
+        self.assertEqual({B1: 2, B2: 2}, {s: self.owners().count(s) for s in (B1, B2)})
+
+    def test_first_assignment_does_not_wait_for_ever(self) -> None:
+        """Guards against a service without owners because one server never came up."""
+        self.start(B1)
+        self.run_for(placer_task.FIRST_ASSIGNMENT_WAIT_S + 0.5)
+        self.assertEqual([B1] * 4, self.owners())
+
+    def test_receivers_skip_silent_and_unconnected_servers(self) -> None:
+        """Guards against giving shards to a server that could not be granted them."""
+        self.start(B1, B2)
+        declared = self.world.view.declared
+        self.lessor.replying = set()
+        self.assertFalse(self.placer.may_receive(declared(B1)), "silent to its own lessor")
+        self.assertTrue(self.placer.may_receive(declared(B2)), "an entry VM of z2 is connected")
+        self.mesh.live = [ME]
+        self.assertFalse(self.placer.may_receive(declared(B2)), "beyond a partition")
+        self.assertEqual({}, self.placer.receivers(B1))
+        self.lessor.replying = {B2}
+        self.assertTrue(self.placer.may_receive(declared(B2)), "replies to this entry VM")
+
+    def test_shards_of_a_lost_server_without_receiver_have_none(self) -> None:
+        """Guards against a takeover that names a receiver beyond a partition, or the lost one."""
+        self.placed()
+        lost = {shard for shard, owner in enumerate(self.owners()) if owner == B1}
+        self.assertEqual({B2}, set(self.placer.receivers(B1).values()))
+        self.mesh.live = [ME]
+        self.lessor.replying = set()
+        targets = self.placer.receivers(B1)
+        self.assertEqual({(BROWSE, shard): None for shard in lost}, targets)
+
+    def test_only_the_placer_decides_and_one_change_at_a_time(self) -> None:
+        """Guards against a second decision on rows that a pending transaction will replace."""
+        self.held = defer.Deferred()
+        self.start(B1, B2)
+        self.run_for(1.0)
+        self.assertEqual(["create_map"], self.actions())
+        held, self.held = self.held, None
+        self.placer.stopping = True
+        held.callback(None)
+        self.run_for(1.0)
+        self.assertEqual(["create_map"], self.actions())
+
+    def test_unowned_shards_are_counted(self) -> None:
+        """Guards against a metric that hides shards without owner."""
+        self.lessor.replying = set()
+        self.mesh.live = [ME]
+        self.start(B1)
+        self.mesh.live = [ME]
+        self.run_for(placer_task.FIRST_ASSIGNMENT_WAIT_S + 0.5)
+        self.assertEqual({BROWSE: 4}, self.placer.unowned_shards())
+
+
+class MoveTest(PlacerTest):
+    def test_move_ends_only_after_the_source_has_released(self) -> None:
+        """Guards against two owners: requests for the shard may still run on the source."""
+        self.placed()
+        self.lessor.releasing = {B2}
+        self.drain(B2)
+        self.run_for(2.0)
+        self.assertEqual(["move_start"], self.actions())
+        self.assertEqual({B1, None}, set(self.owners()))
+        self.assertEqual(frozenset({B2}), self.placer.watched())
+        self.lessor.replying.discard(B2)
+        self.lessor.releasing = set()
+        self.run_for(1.0)
+        self.assertEqual(["move_start"], self.actions(), "the new token is not acknowledged")
+        self.lessor.replying.add(B2)
+        self.run_for(1.0)
+        self.assertEqual(["move_start", "move_end"], self.actions())
+        self.assertEqual([B1] * 4, self.owners())
+
+    def test_move_from_a_server_without_token_check_waits_for_the_entry_vms(self) -> None:
+        """Guards against two owners when an entry VM still sends under the old map."""
+        config = worlds.CONFIG.replace("checks_token = true", "checks_token = false")
+        self.placed()
+        self.released = False
+        self.drain(B2)
+        self.world.view.checks_token = lambda server: "true" in config
+        self.run_for(2.0)
+        self.assertEqual(["move_start"], self.actions())
+        self.released = True
+        self.run_for(0.5)
+        self.assertEqual(["move_start", "move_end"], self.actions())
+
+    def test_receiver_lost_during_the_move(self) -> None:
+        """Guards against a move that never ends because its receiver has gone."""
+        self.placed()
+        self.lessor.releasing = {B2}
+        self.drain(B2)
+        self.run_for(0.5)
+        lost = dataclasses.replace(self.world.row(B1), state=model.ServerState.LOST)
+        self.world.write(keys.server(B1), codec.encode_server(lost))
+        self.lessor.releasing = set()
+        self.run_for(1.0)
+        self.assertEqual(["move_start"], self.actions(), "no server may receive the shards")
+        back = dataclasses.replace(lost, state=model.ServerState.ACTIVE)
+        self.world.write(keys.server(B1), codec.encode_server(back))
+        self.run_for(1.0)
+        self.assertNotIn(None, self.owners())
+
+    def test_leaving_server_is_drained_and_gets_nothing(self) -> None:
+        """Guards against new work for a server that the platform is about to remove."""
+        self.placed()
+        self.membership.leaving_servers = frozenset({B2})
+        self.run_for(1.0)
+        self.assertEqual([B1] * 4, self.owners())
+        self.assertFalse(self.placer.may_receive(self.world.view.declared(B2)))
+
+    def test_drain_of_an_unconnected_source_does_not_start(self) -> None:
+        """Guards against holding the requests of shards that their owner cannot release."""
+        self.placed()
+        self.mesh.live = [ME]
+        self.drain(B2)
+        self.run_for(1.0)
+        self.assertEqual([], self.actions())
--- /dev/null
+++ b/tests/control/test_table_sync.py
@@ -0,0 +1,103 @@
+"""Polling of the change feed, on the real tasks of entry VMs, one table and one clock."""
+
+from __future__ import annotations
+
+import testtools
+
+from celerystack import ids, timing
+from celerystack.config import derive
+from celerystack.state import codec, keys
+from tests import fakes
+from tests.golden import control_world
+
+KEY = keys.drain(ids.ServerId("b1"))
+OUTAGE_BOUND_S = 2.0
+"""A key is served again within 2 s of a loss (docs/design.md, section 1)."""
+
+CONFIG = '[service.browse]\nprefixes = ["/browse/"]\nshards = 6\nchecks_token = true\n' + "".join(
+    f'[server.{name}]\nservice = "browse"\nzone = "z1"\naddress = "127.0.0.1:{port}"\n'
+    for name, port in (("b1", 9001), ("b2", 9002), ("b3", 9003))
+)
+
+
+class PollTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        zones = {"e1": "z1", "e2": "z1", "e3": "z2"}
+        self.world = control_world.World(zones_by_vm=zones, servers=[])
+        self.world.start()
+
+    def test_one_entry_vm_per_zone_polls(self) -> None:
+        """Guards against reads of the table that grow with the number of entry VMs."""
+        self.world.run(20.0)
+        before = self.world.table.polls
+        self.world.run(20.0)
+        pollers, others = 2, 1
+        expected = 20 * pollers / timing.CHANGE_POLL_S + 20 * others / 5.0
+        self.assertLessEqual(self.world.table.polls - before, expected + pollers + others)
+
+    def test_change_reaches_every_entry_vm(self) -> None:
+        """Guards against an operator's change that some entry VMs learn late."""
+        self.world.run(3.0)
+        self.world.table.put(KEY, b"1")
+        self.world.run(1.5 * timing.CHANGE_POLL_S)
+        for vm in self.world.vms:
+            self.assertEqual(b"1", vm.cache.get(KEY).value, vm.me.vm)
+
+    def test_outage_is_noted_and_ends(self) -> None:
+        """Guards against an entry VM that takes the table as reachable, or as down for ever."""
+        self.world.run(3.0)
+        self.world.table.unreadable = True
+        self.world.run(6.0)
+        self.assertEqual([False] * 3, [vm.tables.reachable for vm in self.world.vms])
+        self.world.table.unreadable = False
+        self.world.table.put(KEY, b"1")
+        self.world.run(6.0)
+        self.assertEqual([True] * 3, [vm.tables.reachable for vm in self.world.vms])
+        self.assertEqual({b"1"}, {vm.cache.get(KEY).value for vm in self.world.vms})
+
+
+class RefusedTakeoverTest(testtools.TestCase):
+    """Two entry VMs of one zone; one of them polls the table once a second, the other seldom."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        zones = {"e1": "z1", "e2": "z1"}
+        self.world = control_world.World(zones_by_vm=zones, servers=["b1", "b2", "b3"])
+        head = codec.ConfigHead(
+            version=ids.ConfigVersion(1),
+            sha256_by_file={"10.toml": derive.sha256(CONFIG)},
+            snapshot="",
+        )
+        self.world.table.put(keys.config_file("10.toml"), CONFIG.encode())
+        self.world.table.put(keys.CONFIG_HEAD, codec.encode_flat(head))
+        self.world.start()
+        self.world.run(7.5)
+
+    def outage_s(self, server: str) -> float:
+        """Return how long the shards of a server stay with it after it falls silent."""
+        _, before = self.world.vms[0].view.chunk(ids.ServiceName("browse"), 0)
+        self.assertNotEqual([], before.owned_by(server))
+        started = self.world.clock.seconds()
+        self.world.unreachable.add(server)
+        while self.world.clock.seconds() < started + 10.0:
+            self.world.run(0.05)
+            _, chunk = self.world.vms[0].view.chunk(ids.ServiceName("browse"), 0)
+            if not chunk.owned_by(server):
+                break
+        return self.world.clock.seconds() - started
+
+    def test_takeover(self) -> None:
+        """Guards against a takeover that takes longer than the target, with the table in order."""
+        for server in ("b1", "b2"):
+            self.assertLess(self.outage_s(server), OUTAGE_BOUND_S, server)
+
+    def test_takeover_of_b1_after_one_refused_transaction(self) -> None:
+        """Guards against one refused call that delays a takeover until the next poll."""
+        self.world.table.transact_faults.append(fakes.Fault.REFUSED)
+        self.assertLess(self.outage_s("b1"), OUTAGE_BOUND_S)
+
+    def test_takeover_of_b2_after_one_refused_transaction(self) -> None:
+        """Guards against the same at the other entry VM, which polls seldom."""
+        self.world.table.transact_faults.append(fakes.Fault.REFUSED)
+        self.assertLess(self.outage_s("b2"), OUTAGE_BOUND_S)
--- a/tests/golden/control_world.py
+++ b/tests/golden/control_world.py
@@ -44,6 +44,8 @@
         super().__init__(clock)
         self._feed: list[ports.Row] = []
         self._on_commit = on_commit
+        self.unreadable = False
+        self.polls = 0
 
     def commit(self, transaction: ports.Transaction) -> list[ports.Row]:
         written = super().commit(transaction)
@@ -57,6 +59,10 @@
         return row
 
     def changes(self, since: int) -> defer.Deferred[tuple[int, list[ports.Row]]]:
+        self.polls += 1
+        if self.unreadable:
+            refused = errors.PlatformUnavailableError("refused", step="table.changes", peer="t")
+            return defer.fail(refused)
         newest = {row.key: row for row in self._feed[since:]}
         return defer.succeed((len(self._feed), list(newest.values())))
 
@@ -107,17 +113,17 @@
             None, clock=clock, me=self.me, secrets=(b"s",), heartbeat=self._heartbeat
         )
         self.mesh.world = world
-        rows = sync.RowSync(clock, mesh=self.mesh, cache=self.cache)
+        self.rows = sync.RowSync(clock, mesh=self.mesh, cache=self.cache)
         known = {"view": self.view, "mesh": self.mesh}
         self.tables = table_sync.TableSync(
-            clock, table=world.table, rows=rows, mesh=self.mesh, on_failure=lambda _: None
+            clock, table=world.table, rows=self.rows, mesh=self.mesh, on_failure=lambda _: None
         )
         membership = membership_task.MembershipTask(clock, membership=world, **known)
         commits = committer.Committer(
             clock,
             transactor=transactor.Transactor(clock, world.table),
             tables=self.tables,
-            rows=rows,
+            rows=self.rows,
             operator=vm,
             on_commit=lambda _: None,
             on_failure=lambda error: world.note(f"{vm}: {error}"),
