Test that leases hold while entry VMs of a zone do not reach each other

Ruled out: a bound on the transactions, because no target states one. Change: three entry VMs with cut streams; every shard keeps one server with a lease for 10 s. With whole streams nothing is written to the table.

--- /dev/null
+++ b/tests/control/test_cut_streams.py
@@ -0,0 +1,51 @@
+"""Entry VMs of one zone that reach the table and the servers, but not each other."""
+
+from __future__ import annotations
+
+import testtools
+
+from celerystack import ids
+from celerystack.config import derive
+from celerystack.state import codec, keys
+from tests.golden import control_world
+
+SERVERS = ("b1", "b2", "b3")
+CONFIG = '[service.browse]\nprefixes = ["/browse/"]\nshards = 6\nchecks_token = true\n' + "".join(
+    f'[server.{name}]\nservice = "browse"\nzone = "z1"\naddress = "127.0.0.1:{9001 + index}"\n'
+    for index, name in enumerate(SERVERS)
+)
+
+
+class CutStreamsTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        zones = dict.fromkeys(("e1", "e2", "e3"), "z1")
+        self.world = control_world.World(zones_by_vm=zones, servers=list(SERVERS))
+        head = codec.ConfigHead(
+            version=ids.ConfigVersion(1),
+            sha256_by_file={"10.toml": derive.sha256(CONFIG)},
+            snapshot="",
+        )
+        self.world.table.put(keys.config_file("10.toml"), CONFIG.encode())
+        self.world.table.put(keys.CONFIG_HEAD, codec.encode_flat(head))
+        self.world.start()
+        self.world.run(5.0)
+
+    def test_every_shard_stays_with_one_server_that_has_a_lease(self) -> None:
+        """Guards against two stewards that take a lease, or the same shard, from each other.
+
+        Each entry VM is the steward in its own view, and all of them change the lessors.
+        """
+        self.world.cut_streams()
+        for _ in range(200):
+            self.world.run(0.05)
+            now = self.world.clock.seconds()
+            held = [shard for s in self.world.servers_by_id.values() for shard in s.shards(now)]
+            self.assertEqual(sorted(set(held)), sorted(held), "a shard has two owners")
+            self.assertEqual(6, len(held), f"shards without a lease at {now}")
+
+    def test_whole_streams_need_no_transactions(self) -> None:
+        """Guards against stewards that write to the table although nothing has changed."""
+        before = self.world.table.attempts
+        self.world.run(20.0)
+        self.assertEqual(before, self.world.table.attempts)
--- a/tests/golden/control_world.py
+++ b/tests/golden/control_world.py
@@ -100,6 +100,10 @@
     def _dial_one(self, address: str) -> None:
         self._senders_by_address.setdefault(address, Link(self.world, self.me, address))
 
+    def cut(self) -> None:
+        """Drop all links; the addresses stay known, so they are not dialled again."""
+        self._senders_by_address = dict.fromkeys(self._senders_by_address)
+
 
 class EntryVm:
     """The control tasks of one entry VM, connected as in `control.entry_vm`."""
@@ -213,6 +217,11 @@
         ]
         return defer.succeed(listed)
 
+    def cut_streams(self) -> None:
+        """Break the streams between all entry VMs for good."""
+        for vm in self.vms:
+            vm.mesh.cut()
+
     def restart(self, server: str, process: int) -> None:
         incarnation = ids.Incarnation(f"{server}-p{process}")
         self.servers_by_id[server] = model_server.ModelServer(ids.ServerId(server), incarnation)
