Count an attempt once in the traffic of its key and shard

Cause: the check before the write looked the route up again through the counting look-up, so each request of a divided service was reported twice to the placer (on_route is documented as once per request). Change: current_route looks up without counting; the check reuses the key's hash. The check itself is unchanged. New tests fail with the earlier look-up.

--- a/src/celerystack/control/routes.py
+++ b/src/celerystack/control/routes.py
@@ -65,7 +65,14 @@
         return path[len(prefix) :].split("?", 1)[0].split("/", 1)[0] or None
 
     def route(self, service: model.Service, key_hash: ids.KeyHash) -> model.RouteResult:
-        """Return the owner of a key hash."""
+        """Return the owner of a key hash, and count the request."""
+        found = self.current_route(service, key_hash)
+        if isinstance(found, model.Route):
+            self._on_route(service.name, key_hash, found.shard)
+        return found
+
+    def current_route(self, service: model.Service, key_hash: ids.KeyHash) -> model.RouteResult:
+        """Return the owner of a key hash without counting a request."""
         chunks = self._chunks_by_service.get(service.name)
         if not chunks:
             return model.NoOwner(ids.ShardId(0))
@@ -81,7 +88,6 @@
         owner = chunk.owner(shard)
         if owner is None:
             return model.NoOwner(shard)
-        self._on_route(service.name, key_hash, shard)
         return model.Route(owner, shard, chunk.epoch(shard), _former_zones(chunk, shard))
 
     def servers(self, service: model.Service) -> tuple[model.BackendServer, ...]:
--- a/src/celerystack/requests/ports.py
+++ b/src/celerystack/requests/ports.py
@@ -21,7 +21,10 @@
         """Return the key of a request; None if it is missing. Header names are in lower case."""
 
     def route(self, service: model.Service, key_hash: ids.KeyHash) -> model.RouteResult:
-        """Return the owner of a key hash."""
+        """Return the owner of a key hash for a new attempt, which is counted as traffic."""
+
+    def current_route(self, service: model.Service, key_hash: ids.KeyHash) -> model.RouteResult:
+        """Return the owner of a key hash, to check an attempt again; counts nothing."""
 
     def servers(self, service: model.Service) -> tuple[model.BackendServer, ...]:
         """Return the usable servers of a service that is not divided by key."""
--- a/src/celerystack/requests/targets.py
+++ b/src/celerystack/requests/targets.py
@@ -15,10 +15,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Target:
-    """The server for one attempt; ``route`` is None for a service that is not divided."""
+    """The server for one attempt.
+
+    Attributes
+    ----------
+    route : Route or None
+        None for a service that is not divided.
+    key_hash : KeyHash or None
+        Hash of the key that ``route`` belongs to.
+    """
 
     server: model.BackendServer
     route: model.Route | None
+    key_hash: ids.KeyHash | None = None
 
 
 async def change_or_delay(
@@ -76,10 +85,10 @@
         A call can wait for a place at the server while its shard moves away. A server that does
         not check epochs would run it although it no longer owns the key.
         """
-        if target.route is None:
+        if target.route is None or target.key_hash is None:
             usable = self._source.servers(call.service)
             return any(server.server == target.server.server for server in usable)
-        return self._source.route(call.service, call.key_hash()) == target.route
+        return self._source.current_route(call.service, target.key_hash) == target.route
 
     def _choose(self, call: calls.Call, avoid_until: dict[ids.ServerId, float]) -> Target:
         servers = self._source.servers(call.service)
@@ -105,7 +114,7 @@
                 case model.Route(server=owner) as route:
                     server = self._source.server(owner)
                     if server is not None:
-                        return Target(server, route)
+                        return Target(server, route, hashed)
                 case model.Moving():
                     hold_until = hold_until or now + timing.HOLD_MAX_S
                     if now >= hold_until:
--- /dev/null
+++ b/tests/control/test_routes.py
@@ -0,0 +1,74 @@
+"""Routes over a cluster view, and what is counted as traffic."""
+
+from __future__ import annotations
+
+import testtools
+from twisted.internet import defer, task
+
+from celerystack import ids, model
+from celerystack.control import changes, routes
+from celerystack.requests import calls, targets
+from celerystack.state import shardmap
+from tests.control import worlds
+
+KEY = "k1"
+
+
+class CountingTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.world = worlds.World()
+        self.counted = []
+        self.routes = routes.Routes(
+            self.world.view,
+            may_send=lambda _: True,
+            usable=lambda _: True,
+            on_route=lambda *counted: self.counted.append(counted),
+        )
+        self.world.create_servers()
+        self.service = self.world.view.configuration.services_by_name[worlds.BROWSE]
+        self.finder = targets.TargetFinder(task.Clock(), self.routes, None, now=lambda: 0.0)
+        self.call = calls.Call(
+            service=self.service,
+            method="GET",
+            target=b"/browse/k1",
+            headers=(),
+            body=b"",
+            deadline=1.0,
+            key=KEY,
+        )
+
+    def find(self):
+        found = defer.Deferred.fromCoroutine(self.finder.find(self.call, {}))
+        results = []
+        found.addCallback(results.append)
+        return results[0]
+
+    def test_an_attempt_is_counted_once(self):
+        """Guards against rates that count the check before the write as a request of its own."""
+        self.world.assign_all()
+        target = self.find()
+        self.assertTrue(self.finder.is_current(self.call, target))
+        hashed = shardmap.key_hash(KEY)
+        self.assertEqual([(worlds.BROWSE, hashed, target.route.shard)], self.counted)
+
+    def test_both_look_ups_agree(self):
+        """Guards against a check before the write that follows other rules than the route."""
+        hashed = shardmap.key_hash(KEY)
+        for prepare in (lambda: None, self.world.assign_all):
+            prepare()
+            self.assertEqual(
+                self.routes.route(self.service, hashed),
+                self.routes.current_route(self.service, hashed),
+            )
+
+    def test_a_target_is_outdated_after_a_move(self):
+        """Guards against a write to the former owner of a key."""
+        self.world.assign_all()
+        target = self.find()
+        shards = {ids.ShardId(shard): worlds.B2 for shard in range(4)}
+        self.world.commit(changes.assign(self.world.view, worlds.BROWSE, shards))
+        self.assertFalse(self.finder.is_current(self.call, target))
+        moved = self.find()
+        self.assertIsInstance(moved.route, model.Route)
+        self.assertTrue(self.finder.is_current(self.call, moved))
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -63,6 +63,9 @@
     def route(self, service, key_hash):
         return self.result
 
+    def current_route(self, service, key_hash):
+        return self.route(service, key_hash)
+
     def servers(self, service):
         return tuple(s for s in self.servers_by_id.values() if s.service == service.name)
 
