Revert "Read plain whole answers without h11"

Ruled out: a compiled parser library, because the one-file binary carries no compiled extension modules. Change: h11 reads all answers again. Conclusion: the request path pays for h11 until such a library exists.

--- a/src/celerystack/backend/connection.py
+++ b/src/celerystack/backend/connection.py
@@ -14,7 +14,7 @@
 
 from celerystack import errors
 from celerystack.backend import exchange as exchanges
-from celerystack.backend import http, whole, wire
+from celerystack.backend import http, wire
 
 _log = logging.getLogger(__name__)
 
@@ -93,7 +93,6 @@
         self._paused = False
         self._kept = False
         self._answering = False
-        self._parsing = False
         self.idle_since = 0.0
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -124,7 +123,7 @@
             exchange.fail(self._not_run("the send was not permitted"))
             return
         try:
-            data = wire.encode(exchange.request)
+            data = self._encode(exchange.request)
         except ValueError as error:
             self._on_idle(self)
             exchange.fail(self._not_run(str(error)))
@@ -150,6 +149,12 @@
     def _not_run(self, reason: str) -> errors.NotRunError:
         return errors.NotRunError(reason, step="backend.exchange", peer=self._peer)
 
+    def _encode(self, request: http.HttpRequest) -> bytes:
+        data = wire.encode(request)
+        self._h11.send(_request_event(request.method))
+        self._h11.send(_END)
+        return data
+
     def remainder_written(self) -> None:
         """Take the notice that the whole request is in the socket buffer."""
         self._remainder = False
@@ -175,39 +180,12 @@
             self.abort()
             return
         self._answering = True
-        if not self._parsing:
-            answer = self._whole_answer(data)
-            if answer is not None:
-                self._take_whole(answer)
-                return
         try:
-            self._begin_parsing()
             self._h11.receive_data(data)
             self._read_events()
         except h11.RemoteProtocolError as error:
             self._fail_answer(f"malformed answer: {error}")
 
-    def _whole_answer(self, data: bytes) -> http.HttpResponse | None:
-        exchange = self._exchange
-        if self._remainder or exchange.request.method == b"HEAD":
-            return None
-        return whole.read(data, body_max=exchange.whole_max)
-
-    def _take_whole(self, answer: http.HttpResponse) -> None:
-        exchange, self._exchange = self._exchange, None
-        exchange.connection = None
-        exchange.begin_answer(answer.status, answer.reason, answer.headers)
-        exchange.receive(answer.body)
-        self._kept = True
-        self._on_idle(self)
-        exchange.complete()
-
-    def _begin_parsing(self) -> None:
-        if not self._parsing:
-            self._parsing = True
-            self._h11.send(_request_event(self._exchange.request.method))
-            self._h11.send(_END)
-
     def _read_events(self) -> None:
         while self._exchange is not None and not self.closing:
             event = self._h11.next_event()
@@ -246,7 +224,6 @@
         self._kept = True
         if reusable:
             self._h11.start_next_cycle()
-            self._parsing = False
             self.resume_reading()
             self._on_idle(self)
         else:
