--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -4,7 +4,9 @@
 
 import json
 import pathlib
+import shutil
 import time
+from concurrent import futures
 
 import pytest
 
@@ -98,3 +100,27 @@
         invalid = scenario.running.command("apply", str(second))
         assert invalid.returncode == 3
         assert "/three/" in invalid.stderr
+
+
+def test_operators_who_commit_at_the_same_time(tmp_path: pathlib.Path) -> None:
+    """Guards against a commit without conditions, which loses the other operator's change."""
+    with scenarios.started(tmp_path, entry_vms_per_zone=1) as scenario:
+        running = scenario.running
+        base = running.folder / "configuration"
+        second = running.folder / "second"
+        shutil.copytree(base, second)
+        (base / "40-first.toml").write_text('[service.one]\nprefixes = ["/one/"]\n')
+        (second / "41-second.toml").write_text('[service.two]\nprefixes = ["/two/"]\n')
+        before = version_at(scenario, "vm-1a")
+        # Both read the same version before the first of them commits.
+        running.set_platform(delay_s=0.3)
+        with futures.ThreadPoolExecutor(2) as operators:
+            results = operators.map(
+                lambda folder: running.command("apply", str(folder)), (base, second)
+            )
+            assert [result.returncode for result in results] == [0, 0]
+        running.set_platform(delay_s=0.0)
+        wait_version(scenario, list(running.entry_vms_by_name), before + 2)
+        for addresses in running.addresses_by_vm.values():
+            for path in ("/one/key", "/two/key"):
+                assert layout.call(addresses.caller, "GET", path, timeout_s=5)[0] != 404, path
