Send a whole answer in the reactor turn that made it

Cause: transport.write buffers the answer for the next reactor turn and registers and unregisters the socket with epoll for it. Change: the caller's connection sends at once if the transport holds no bytes and is not closing. The transport buffers what the socket does not take, and reports errors of the socket as before. Reads the private _tempDataBuffer of Twisted's transport, because no public attribute tells whether bytes wait.

--- a/src/celerystack/requests/callerhttp.py
+++ b/src/celerystack/requests/callerhttp.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import io
 import time
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet import defer, protocol
+from twisted.internet import defer, protocol, tcp
 from twisted.python import failure
 from twisted.web import http, iweb
 from zope.interface import provider
@@ -128,7 +129,7 @@
         parts.append(b"")
         bodyless = self.method == b"HEAD" or status in http.NO_BODY_CODES
         parts.append(b"" if bodyless else body)
-        self.channel.write(b"\r\n".join(parts))
+        self.channel.send(b"\r\n".join(parts))
         self.finish()
 
     def write(self, data: bytes) -> None:
@@ -155,6 +156,15 @@
     """Ignore bytes that a caller sends after its request was refused."""
 
 
+def _is_flushed(transport: Any) -> bool:
+    """Return whether a TCP transport is open and holds no bytes that must be sent before others."""
+    if not isinstance(transport, tcp.Connection):
+        return False
+    # Newly written bytes are in _tempDataBuffer until the transport joins them to dataBuffer.
+    waiting = transport.dataBuffer or transport._tempDataBuffer
+    return bool(transport.connected) and not transport.disconnecting and not waiting
+
+
 class CallerChannel(http.HTTPChannel):
     """HTTP/1.1 connection of a caller."""
 
@@ -178,6 +188,18 @@
         super().connectionLost(reason)
         self.factory.check_drained()
 
+    def send(self, data: bytes) -> None:
+        """Send at once what the socket takes; the transport buffers only the rest.
+
+        `write` waits for the next reactor turn and registers with epoll twice per answer.
+        """
+        if _is_flushed(self.transport):
+            # A full buffer is for the transport to wait for, and an error for it to report.
+            with contextlib.suppress(OSError):
+                data = data[self.transport.getHandle().send(data) :]
+        if data:
+            self.write(data)
+
     def refuse(self, status: int, reason: bytes) -> None:
         """Answer a request that cannot be read and close the connection.
 
