Read a request's headers in fewer passes

Cause: _read_call is the largest function of this project in the profile after the forwarder; it went through the headers seven times by generators. Change: lists instead of generators, and a second pass only for headers that are present. The checks and their order are unchanged.

--- a/src/celerystack/requests/encoding.py
+++ b/src/celerystack/requests/encoding.py
@@ -30,29 +30,32 @@
     return names
 
 
-def request_headers(headers: http.HeaderList) -> http.HeaderList:
-    """Return the headers of a caller that are forwarded; names are in lower case."""
-    dropped = _NOT_FORWARDED | _named_by_connection(headers)
+def _without(headers: http.HeaderList, dropped: frozenset[bytes]) -> http.HeaderList:
+    named = _named_by_connection(headers)
+    if named:
+        dropped |= named
     return tuple(
-        (name, value)
-        for name, value in headers
-        if name not in dropped and not name.startswith(OWN_PREFIX)
+        [
+            header
+            for header in headers
+            if header[0] not in dropped and not header[0].startswith(OWN_PREFIX)
+        ]
     )
 
 
+def request_headers(headers: http.HeaderList) -> http.HeaderList:
+    """Return the headers of a caller that are forwarded; names are in lower case."""
+    return _without(headers, _NOT_FORWARDED)
+
+
 def answer_headers(headers: http.HeaderList) -> http.HeaderList:
     """Return the headers of a server's answer that are passed on; names are in lower case.
 
     A length beside a transfer encoding is not the length of the body and is dropped.
     """
-    dropped = _HOP_BY_HOP | _named_by_connection(headers)
     if any(name == b"transfer-encoding" for name, _ in headers):
-        dropped |= {b"content-length"}
-    return tuple(
-        (name, value)
-        for name, value in headers
-        if name not in dropped and not name.startswith(OWN_PREFIX)
-    )
+        return _without(headers, _HOP_BY_HOP | {b"content-length"})
+    return _without(headers, _HOP_BY_HOP)
 
 
 def encode(call: calls.Call, target: targets.Target, now: float) -> http.HttpRequest:
--- a/src/celerystack/requests/frontend.py
+++ b/src/celerystack/requests/frontend.py
@@ -119,17 +119,17 @@
             raise RequestError(400, "the request target must be a path of visible characters")
         if not _METHOD.fullmatch(request.method) or request.method == b"CONNECT":
             raise RequestError(400, "the method is not supported")
-        codings = [value.lower() for name, value in headers if name == b"transfer-encoding"]
-        if codings not in ([], [b"chunked"]):
+        names = [name for name, _ in headers]
+        if b"transfer-encoding" in names and not _is_chunked(headers):
             # twisted.web ignores "identity"; another hop may delimit such a request differently.
             raise RequestError(400, "the transfer encoding is not supported")
-        if _CONTROL.search(b"".join(value for _, value in headers)):
+        if _CONTROL.search(b"".join([value for _, value in headers])):
             raise RequestError(400, "a header value contains a control character")
         path = target.partition(b"?")[0].decode("ascii")
         service = self._routes.service_for(path)
         if service is None:
             raise RequestError(404, "no service owns this path")
-        if sum(name == b"host" for name, _ in headers) > 1:
+        if names.count(b"host") > 1:
             raise RequestError(400, "repeated Host header")
         key = ""
         if service.divided:
@@ -225,6 +225,11 @@
     request.answer(status, twisted_http.RESPONSES[status], headers, body)
 
 
+def _is_chunked(headers: http.HeaderList) -> bool:
+    codings = [value.lower() for name, value in headers if name == b"transfer-encoding"]
+    return codings == [b"chunked"]
+
+
 def _deadline_ms(method: bytes, headers: http.HeaderList, service: model.Service) -> int:
     idempotent = method.decode("ascii", "replace") in service.idempotent_methods
     limit_ms = DEADLINE_MAX_MS if idempotent else CLAIMED_DEADLINE_MAX_MS
