End a call after two servers broke it off, and report a loss before anything is sent again

Cause: a GET that crashes servers was sent on by the router itself, and by its caller through other entry VMs, before the loss was judged (50 ms): 3 servers were lost to one request in a cluster test, the bound is 2. Ruled out: refusing the first retry of a suspect, because an innocent GET that was alone on a killed server would then fail. Change: a call ends after two broken attempts; a broken attempt is answered or retried 60 ms later, when the peers know of it.

--- a/src/celerystack/requests/forwarder.py
+++ b/src/celerystack/requests/forwarder.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet import defer
+from twisted.internet import defer, task
 
 from celerystack import errors, ids, model
 from celerystack.backend import exchange, http
@@ -23,6 +23,12 @@
     targets,
 )
 
+SERVERS_BROKEN_MAX = 2
+"""Servers that one call may lose: a request that crashes servers would go on to the next one."""
+
+REPORT_S = dispatch.LOSS_WINDOW_S + 0.01
+QUARANTINED = "the request is quarantined: servers were lost while it ran"
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Ports:
@@ -43,6 +49,7 @@
     claimed: bool = False
     home_zones: tuple[ids.ZoneName, ...] = ()
     attempts: int = 0
+    servers_broken: int = 0
     sent_at: float | None = None
     avoid_until: dict[ids.ServerId, float] = dataclasses.field(default_factory=dict)
 
@@ -135,7 +142,7 @@
         self._ports.budget.on_request(self._now())
         fingerprint = call.fingerprint()
         if self._ports.losses.is_quarantined(fingerprint):
-            return replies.NotRun("the request is quarantined: servers were lost while it ran")
+            return replies.NotRun(QUARANTINED)
         progress = _Progress()
         state = messages.ClaimState.UNKNOWN
         try:
@@ -242,6 +249,7 @@
         except errors.NotRunError as error:
             return replies.Outdated() if pending.outdated else replies.NotSent(error.reason)
         except errors.OutcomeUnknownError as error:
+            progress.servers_broken += pending.ending is exchange.Ending.BROKEN
             self._note_abandoned(target.server.server, pending)
             return replies.Lost(error.reason)
         except defer.CancelledError:
@@ -265,6 +273,12 @@
         progress: _Progress,
     ) -> replies.Reply | None:
         """Return the final reply, or None when the next attempt may start."""
+        if isinstance(attempt, replies.Lost) and progress.servers_broken:
+            # Gives the loss time to be judged and reported to the peers, before this entry VM or
+            # the caller, through another one, sends the request to the next server.
+            await task.deferLater(self._reactor, REPORT_S)
+        if progress.servers_broken >= SERVERS_BROKEN_MAX:
+            return self._give_up(call, progress, "two servers broke off the request")
         rule = retries.rule_for(attempt, idempotent=call.idempotent, divided=call.service.divided)
         reason = retries.reason_of(attempt)
         now = self._now()
