Wait up to a second for holders of claims; accept callers only with a configuration

Cause: while entry VMs were restarted one after the other, 72 of 8,547 requests were not run in a cluster test: 70 found no stream to a holder that had just ended, two reached an entry VM before its configuration. Two set-ups of clusters failed because the kernel had given their port to a connection. Ruled out: sending without a claim. Change: a claim is tried again for up to 1 s with the holders as they are then; the caller listener opens with the configuration; stand-ins use ports below the range of outgoing connections.

--- a/src/celerystack/control/claims_task.py
+++ b/src/celerystack/control/claims_task.py
@@ -5,7 +5,7 @@
 import itertools
 import logging
 
-from twisted.internet import defer, interfaces
+from twisted.internet import defer, interfaces, task
 
 from celerystack import errors, ids, model
 from celerystack.control import ended_vms, membership_task
@@ -19,6 +19,10 @@
 """Longest wait for one holder. It is shorter than the detection of a silent entry VM, because the
 caller is better served by a prompt ``not-run`` that it can repeat."""
 
+RETRY_S = 0.1
+RETRY_MAX_S = 1.0
+"""Longest wait for holders; longer than `timing.PEER_DOWN_S`, after which others are chosen."""
+
 STARTED_TOGETHER_S = 3.0
 """Entry VMs whose ages differ by less were started together, after a loss of all of them."""
 
@@ -69,6 +73,19 @@
     ) -> messages.ClaimState:
         if request_id in self._holders_by_request:
             return messages.ClaimState.RUNNING
+        give_up_at = min(deadline, self._clock.seconds() + RETRY_MAX_S)
+        while True:
+            try:
+                return await self._claim_once(request_id, home_zones, deadline)
+            except errors.PeerError:
+                if self._clock.seconds() + RETRY_S >= give_up_at:
+                    raise
+            # Holders that have ended are soon replaced by others; nothing has been sent yet.
+            await task.deferLater(self._clock, RETRY_S)
+
+    async def _claim_once(
+        self, request_id: ids.RequestId, home_zones: tuple[ids.ZoneName, ...], deadline: float
+    ) -> messages.ClaimState:
         holders = self._holders(request_id, home_zones)
         self._holders_by_request[request_id] = holders
         try:
--- a/src/celerystack/control/entry_vm.py
+++ b/src/celerystack/control/entry_vm.py
@@ -62,6 +62,7 @@
         self._settings = configured
         self._started_at = self._clock.seconds()
         self.draining = False
+        self._listening = False
         self.registry = prometheus_client.CollectorRegistry()
         self.me = model.EntryVm(
             vm=ids.EntryVmId(configured.vm),
@@ -239,7 +240,7 @@
         return not self.draining and self.view.configuration.version > 0
 
     def start(self) -> None:
-        """Open the listeners for peers and callers and start all tasks."""
+        """Open the peer listener and start all tasks; the caller listener opens when ready."""
         self.mesh.start(self._settings.peer_address)
         self.mesh.dial(self._settings.peers)
         self.table_sync.start()
@@ -250,10 +251,17 @@
         self.traffic.start()
         self.metrics.start()
         self._upkeep.start()
+
+    def _open_listener(self) -> None:
+        """Accept callers once services are known; they would get 404 before."""
+        if self._listening or not self.is_ready():
+            return
+        self._listening = True
         host, port = settings.split_address(self._settings.caller_address)
         self.front_end.listen(host, port)
 
     def _keep_up(self) -> None:
+        self._open_listener()
         now = self._clock.seconds()
         self.entry_vm_count.update([peer.entry_vm.vm for peer in self.mesh.live_peers()], now)
         self.forwarder.set_entry_vms(self.entry_vm_count.count(now))
--- a/standins/layout.py
+++ b/standins/layout.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import http.client
 import json
+import random
 import socket
 import time
 from collections.abc import Callable
 from typing import Any
 
 POLL_S = 0.05
+PORT_RANGE = (10_000, 30_000)
+"""Below the ports that the kernel gives to outgoing connections, which could take one meanwhile."""
+
 HTTP_TIMEOUT_S = 2.0
 
 
@@ -57,9 +62,11 @@
 
 def free_address(ip: str, kind: int = socket.SOCK_STREAM) -> str:
     """Return ``ip`` with a port that is free now."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((ip, 0))
-        return f"{ip}:{probe.getsockname()[1]}"
+    while True:
+        port = random.randrange(*PORT_RANGE)
+        with socket.socket(socket.AF_INET, kind) as probe, contextlib.suppress(OSError):
+            probe.bind((ip, port))
+            return f"{ip}:{port}"
 
 
 def call(
