--- /dev/null
+++ b/src/celerystack/control/change_builder.py
@@ -0,0 +1,157 @@
+"""Collects the rows of one conditional transaction from the newest known state."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+
+from celerystack import errors, ids, model
+from celerystack.control import view as cluster_view
+from celerystack.observe import audit
+from celerystack.platform import ports
+from celerystack.requests import claims
+from celerystack.state import codec, grants, keys, shardmap
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Change:
+    """A transaction to commit, with the texts of its audit row.
+
+    Attributes
+    ----------
+    shards : int
+        Number of shards whose owner changes.
+    """
+
+    expected_versions_by_key: dict[ids.RowKey, ids.RowVersion]
+    writes: tuple[ports.Write, ...]
+    action: audit.Action
+    subject: str
+    reason: str
+    before: str
+    after: str
+    shards: int = 0
+
+
+class ChangeBuilder:
+    """Collects edits; every row that is read or written becomes a condition."""
+
+    def __init__(self, view: cluster_view.ClusterView) -> None:
+        self._view = view
+        self._expected_by_key: dict[ids.RowKey, ids.RowVersion] = {}
+        self._rows_by_server: dict[ids.ServerId, model.ServerRow] = {}
+        self._chunks_by_key: dict[ids.RowKey, shardmap.ShardMapChunk] = {}
+        self._plain_by_key: dict[ids.RowKey, bytes] = {}
+
+    def expect(self, key: ids.RowKey) -> None:
+        """Make the present version of a row a condition."""
+        self._expected_by_key.setdefault(key, self._view.row_version(key))
+
+    def server_row(self, server: ids.ServerId) -> model.ServerRow | None:
+        """Return the row as edited so far."""
+        return self._rows_by_server.get(server) or self._view.server_rows_by_id.get(server)
+
+    def put_server(self, row: model.ServerRow) -> None:
+        """Write a server's row."""
+        self.expect(keys.server(row.server))
+        self._rows_by_server[row.server] = row
+
+    def note_former_owner(
+        self,
+        chunk: shardmap.ShardMapChunk,
+        shard: ids.ShardId,
+        *,
+        owner: ids.ServerId,
+        receiver: ids.ServerId | None,
+    ) -> None:
+        """Keep the zone of a former owner while request ids may be claimed there."""
+        zone = self._zone(owner)
+        if zone is None or (receiver is not None and self._zone(receiver) == zone):
+            return
+        now_ms = int(time.time() * 1000)
+        former = shardmap.FormerZone(zone, now_ms + int(claims.RECENT_S * 1000))
+        chunk.note_former_zone(shard, former, now_ms=now_ms)
+
+    def _zone(self, server: ids.ServerId) -> ids.ZoneName | None:
+        declared = self._view.declared(server)
+        return None if declared is None else declared.zone
+
+    def raise_token(self, server: ids.ServerId) -> None:
+        """Raise a server's token by one; at most once per transaction."""
+        if server in self._rows_by_server:
+            return
+        row = self._view.server_rows_by_id.get(server)
+        if row is None:
+            raise errors.CelerystackError(
+                f"server {server} has no row", step="change_builder.raise_token"
+            )
+        self.put_server(dataclasses.replace(row, token=ids.Token(row.token + 1)))
+
+    def chunk(self, service: ids.ServiceName, number: int) -> shardmap.ShardMapChunk:
+        """Return an editable copy of a chunk."""
+        key, known = self._view.chunk(service, number)
+        if key not in self._chunks_by_key:
+            if known is None:
+                raise errors.CelerystackError(f"no row {key}", step="change_builder.chunk")
+            self.put_chunk(key, known.copy())
+        return self._chunks_by_key[key]
+
+    def put_chunk(self, key: ids.RowKey, chunk: shardmap.ShardMapChunk) -> None:
+        """Write a chunk of a shard map."""
+        self.expect(key)
+        self._chunks_by_key[key] = chunk
+
+    def put_plain(self, key: ids.RowKey, value: bytes) -> None:
+        """Write a row with the given value."""
+        self.expect(key)
+        self._plain_by_key[key] = value
+
+    def _rows_with_digests(self) -> dict[ids.ServerId, model.ServerRow]:
+        """Return the edited rows, each with the digest of its shards after the transaction."""
+        if not self._chunks_by_key:
+            return self._rows_by_server
+        result = {}
+        for server, row in self._rows_by_server.items():
+            shards = self._view.mapped(server, changed=self._chunks_by_key)
+            result[server] = dataclasses.replace(row, shards_digest=grants.digest(shards))
+        return result
+
+    def build(
+        self,
+        *,
+        action: audit.Action,
+        subject: str,
+        reason: str,
+        before: str = "",
+        after: str = "",
+        shards: int = 0,
+    ) -> Change:
+        """Return the transaction."""
+        writes = [
+            ports.Write(keys.server(server), codec.encode_server(row))
+            for server, row in self._rows_with_digests().items()
+        ]
+        writes += [ports.Write(key, chunk.encode()) for key, chunk in self._chunks_by_key.items()]
+        writes += [ports.Write(key, value) for key, value in self._plain_by_key.items()]
+        return Change(
+            expected_versions_by_key=dict(self._expected_by_key),
+            writes=tuple(writes),
+            action=action,
+            subject=subject,
+            reason=reason,
+            before=before,
+            after=after,
+            shards=shards,
+        )
+
+
+def chunk_number(
+    view: cluster_view.ClusterView, service: ids.ServiceName, shard: ids.ShardId
+) -> int:
+    """Return the number of the chunk that holds a base or hot shard."""
+    if shard < model.HOT_SHARD_BASE:
+        return shardmap.chunk_of(shard)
+    for number, (_, chunk) in enumerate(view.chunks(service)):
+        if shard in chunk.hot_by_shard:
+            return number
+    raise errors.CelerystackError(f"unknown hot shard {shard}", step="change_builder.chunk_number")
--- a/src/celerystack/control/committer.py
+++ b/src/celerystack/control/committer.py
@@ -9,7 +9,7 @@
 from twisted.internet import interfaces
 
 from celerystack import errors
-from celerystack.control import changes, table_sync
+from celerystack.control import change_builder, table_sync
 from celerystack.observe import audit
 from celerystack.peers import sync
 from celerystack.platform import transactor as transactors
@@ -31,7 +31,7 @@
         tables: table_sync.TableSync,
         rows: sync.RowSync,
         operator: str,
-        on_commit: Callable[[changes.Change], None],
+        on_commit: Callable[[change_builder.Change], None],
         on_failure: Callable[[errors.PlatformError], None],
     ) -> None:
         self._clock = clock
@@ -42,7 +42,7 @@
         self._on_commit = on_commit
         self._on_failure = on_failure
 
-    async def commit(self, change: changes.Change) -> bool:
+    async def commit(self, change: change_builder.Change) -> bool:
         """Commit a change; returns whether it took effect.
 
         After a conflict, and when the result is unknown, the affected rows are read again, so that
--- a/src/celerystack/control/entry_vm.py
+++ b/src/celerystack/control/entry_vm.py
@@ -163,7 +163,7 @@
         self.routes = routes.Routes(
             self.view,
             may_send=self.views.may_send,
-            usable=self.placer.is_usable,
+            usable=self.placer.servers.is_usable,
             on_route=self.traffic.count,
         )
         self.losses = losses_task.LossesTask(self._clock, view=self.view, mesh=self.mesh)
--- a/src/celerystack/control/metrics_task.py
+++ b/src/celerystack/control/metrics_task.py
@@ -5,7 +5,7 @@
 from twisted.internet import interfaces
 
 from celerystack import errors, ids, model, periodic, timing
-from celerystack.control import changes, placer_task
+from celerystack.control import change_builder, placer_task
 from celerystack.control import view as cluster_view
 from celerystack.lease import lessor as lessors
 from celerystack.observe import audit, metrics
@@ -50,7 +50,7 @@
         """Stop sampling."""
         self._loop.stop()
 
-    def committed(self, change: changes.Change) -> None:
+    def committed(self, change: change_builder.Change) -> None:
         """Count the moves of a committed change."""
         kind = _KINDS_BY_ACTION.get(change.action)
         if kind is not None:
--- a/src/celerystack/control/placer_task.py
+++ b/src/celerystack/control/placer_task.py
@@ -8,7 +8,14 @@
 from twisted.internet import defer, interfaces
 
 from celerystack import ids, model, periodic
-from celerystack.control import changes, committer, membership_task, traffic_task
+from celerystack.control import (
+    change_builder,
+    changes,
+    committer,
+    membership_task,
+    server_status,
+    traffic_task,
+)
 from celerystack.control import view as cluster_view
 from celerystack.lease import lessor as lessors
 from celerystack.peers import mesh as peer_mesh
@@ -36,6 +43,11 @@
     ----------
     released : callable
         Whether the entry VMs have stopped sending to a server that checks no tokens.
+
+    Attributes
+    ----------
+    servers : ServerStatus
+        Which servers may receive or release shards.
     """
 
     def __init__(
@@ -55,16 +67,16 @@
         self._mesh = mesh
         self._lessor = lessor
         self._commits = commits
-        self._membership = membership
+        self.servers = server_status.ServerStatus(
+            clock, view=view, mesh=mesh, lessor=lessor, membership=membership
+        )
         self._released = released
         self._traffic = traffic
         self._balance_at_by_service: dict[ids.ServiceName, float] = {}
         self._policies_by_service: dict[ids.ServiceName, hotkeys.HotKeyPolicy] = {}
-        self._usable_since_by_server: dict[ids.ServerId, tuple[ids.Incarnation, float]] = {}
         self._first_seen_by_service: dict[ids.ServiceName, float] = {}
         self._budgets_by_service: dict[ids.ServiceName, churn.ChurnBudget] = {}
         self._busy: set[ids.ServiceName] = set()
-        self._started_at = clock.seconds()
         self._watched: set[ids.ServerId] = set()
         self._loop = periodic.Periodic(clock, self._tick, interval_s=TICK_S)
         self.stopping = False
@@ -88,46 +100,6 @@
             for service in self._first_seen_by_service
         }
 
-    def is_usable(self, server: ids.ServerId) -> bool:
-        """Return whether a server may receive shards or new requests."""
-        row = self._view.server_rows_by_id.get(server)
-        return (
-            row is not None
-            and row.state is model.ServerState.ACTIVE
-            and bool(row.incarnation)
-            and self._view.declared(server) is not None
-            and not self.is_leaving(server)
-        )
-
-    def may_receive(self, server: model.BackendServer) -> bool:
-        """Return whether shards may be given to a server now.
-
-        A server beyond a partition, or one that has just fallen silent, could not be granted them,
-        and taking them back would cost another lease time.
-        """
-        if not self.is_usable(server.server) or self._is_silent(server.server):
-            return False
-        now = self._clock.seconds()
-        reachable = self._lessor.reachable(server.server, now)
-        if self._lessor.is_acting(server.server):
-            return reachable
-        return reachable or self._is_connected(server.zone)
-
-    def _is_silent(self, server: ids.ServerId) -> bool:
-        """Return whether a lessor says that a server does not reply.
-
-        A new token for such a server would void the promises of a takeover and delay it.
-        """
-        beats = [peer.heartbeat for peer in self._mesh.live_peers()]
-        return any(beat is not None and server in beat.silent_servers for beat in beats)
-
-    def _is_connected(self, zone: ids.ZoneName) -> bool:
-        return any(entry_vm.zone == zone for entry_vm in self._mesh.live_entry_vms())
-
-    def is_leaving(self, server: ids.ServerId) -> bool:
-        """Return whether a server must give up its shards."""
-        return self._view.is_draining(server) or server in self._membership.leaving_servers
-
     def receivers(self, lost: ids.ServerId) -> ShardTargets:
         """Return the receiver of each shard that a lost server owns."""
         targets: ShardTargets = {}
@@ -141,16 +113,12 @@
         owned = [shard for shard, owner in owners.items() if owner == lost]
         if not owned:
             return {}
-        former = {shard: self._zone(lost) for shard in owned}
+        former = {shard: self.servers.zone(lost) for shard in owned}
         free: dict[ids.ShardId, ids.ServerId | None] = dict.fromkeys(owned)
         plan = self._plan(service, {**owners, **free}, former, budget=0, without=lost)
         chosen = {a.shard: a.target for a in plan.assigns}
         return {(service, shard): chosen.get(shard) for shard in owned}
 
-    def _zone(self, server: ids.ServerId) -> ids.ZoneName:
-        declared = self._view.declared(server)
-        return declared.zone if declared is not None else ids.ZoneName("")
-
     def _owners(self, service: ids.ServiceName) -> dict[ids.ShardId, ids.ServerId | None]:
         return {
             shard: chunk.owner(shard)
@@ -182,7 +150,7 @@
         }
         state = assign.build_state(
             servers=[
-                self._placement_server(server, lost=server.server == without)
+                self.servers.placement_server(server, lost=server.server == without)
                 for server in self._view.servers_of(service)
             ],
             owner_by_shard=planned,
@@ -193,23 +161,8 @@
         )
         return assign.plan(state, self._clock.seconds())
 
-    def _placement_server(
-        self, server: model.BackendServer, *, lost: bool
-    ) -> assign.PlacementServer:
-        row = self._view.server_rows_by_id.get(server.server)
-        _, since = self._usable_since_by_server.get(server.server, ("", float("-inf")))
-        return assign.PlacementServer(
-            server=server.server,
-            zone=server.zone,
-            weight=server.weight,
-            usable=self.may_receive(server),
-            draining=self.is_leaving(server.server),
-            lost=lost or row is None or row.state is model.ServerState.LOST,
-            usable_since=since,
-        )
-
     def _tick(self) -> None:
-        self._note_usable()
+        self.servers.note_usable()
         self._watched = set()
         live = self._mesh.live_entry_vms()
         for name, service in self._view.configuration.services_by_name.items():
@@ -220,17 +173,6 @@
             else:
                 self._first_seen_by_service.pop(name, None)
 
-    def _note_usable(self) -> None:
-        now = self._clock.seconds()
-        for server, row in self._view.server_rows_by_id.items():
-            known = self._usable_since_by_server.get(server)
-            if row.state is model.ServerState.LOST or not row.incarnation:
-                self._usable_since_by_server.pop(server, None)
-            elif known is None or known[0] != row.incarnation:
-                # Servers that were there before this process are taken as warm.
-                since = now if now - self._started_at > assign.RAMP_S else float("-inf")
-                self._usable_since_by_server[server] = (row.incarnation, since)
-
     def _consider(self, service: model.Service) -> None:
         moves = self._moves(service.name)
         self._watched |= {ids.ServerId(source) for source, _ in moves.values()}
@@ -242,7 +184,7 @@
 
     def _next_change(
         self, service: model.Service, moves: dict[ids.ShardId, tuple[str, str]]
-    ) -> changes.Change | None:
+    ) -> change_builder.Change | None:
         if not self._view.chunks(service.name):
             return changes.create_map(self._view, service)
         owners = self._owners(service.name)
@@ -262,7 +204,7 @@
         base_by_key = {
             split.key_hash: split.base
             for split in hot.splits
-            if self._can_release(owners[split.base] or ids.ServerId(""))
+            if self.servers.can_release(owners[split.base] or ids.ServerId(""))
         }
         if base_by_key:
             return changes.split_hot_keys(self._view, service.name, base_by_key)
@@ -281,7 +223,7 @@
         """Return whether to plan now; balancing alone is planned every `BALANCE_S`."""
         now = self._clock.seconds()
         current = set(owners.values())
-        urgent = moves or None in current or any(self.is_leaving(s) for s in current if s)
+        urgent = moves or None in current or any(self.servers.is_leaving(s) for s in current if s)
         if not urgent and now < self._balance_at_by_service.get(service, 0.0):
             return False
         self._balance_at_by_service[service] = now + BALANCE_S
@@ -300,7 +242,7 @@
         load_by_server = {
             server.server: 0.0
             for server in self._view.servers_of(service.name)
-            if self.may_receive(server)
+            if self.servers.may_receive(server)
         }
         for shard, owner in owners.items():
             declared = self._view.declared(owner) if owner is not None else None
@@ -331,9 +273,9 @@
     ) -> bool:
         if moves or any(owner is not None for owner in owners.values()):
             return False
-        servers = self._view.servers_of(service.name)
+        names = [server.server for server in self._view.servers_of(service.name)]
         waited = self._clock.seconds() - self._first_seen_by_service[service.name]
-        everyone = all(self.is_usable(s.server) or self.is_leaving(s.server) for s in servers)
+        everyone = all(self.servers.is_usable(n) or self.servers.is_leaving(n) for n in names)
         return not everyone and waited < FIRST_ASSIGNMENT_WAIT_S
 
     def _finished_moves(
@@ -344,18 +286,20 @@
             for shard, (source, target) in moves.items()
             if self._has_released(ids.ServerId(source))
         }
-        orphans = [shard for shard, target in released.items() if not self.is_usable(target)]
+        orphans = [
+            shard for shard, target in released.items() if not self.servers.is_usable(target)
+        ]
         if orphans:
             owners: dict[ids.ShardId, ids.ServerId | None] = dict.fromkeys(orphans)
             released |= self._replan(service, owners)
-        return {shard: t for shard, t in released.items() if self.is_usable(t)}
+        return {shard: t for shard, t in released.items() if self.servers.is_usable(t)}
 
     def _replan(
         self, service: ids.ServiceName, owners: dict[ids.ShardId, ids.ServerId | None]
     ) -> dict[ids.ShardId, ids.ServerId]:
         state = assign.build_state(
             servers=[
-                self._placement_server(server, lost=False)
+                self.servers.placement_server(server, lost=False)
                 for server in self._view.servers_of(service)
             ],
             owner_by_shard={**self._owners(service), **owners},
@@ -373,32 +317,19 @@
 
     def _start_moves(
         self, service: model.Service, wanted: tuple[assign.MoveShard, ...], *, room: int
-    ) -> changes.Change | None:
+    ) -> change_builder.Change | None:
         chosen = wanted[: max(0, room)]
         # A source must be able to acknowledge its release, or its shards would be held for nothing.
-        chosen = tuple(move for move in chosen if self._can_release(move.source))
+        chosen = tuple(move for move in chosen if self.servers.can_release(move.source))
         if not chosen:
             return None
-        balancing = [move for move in chosen if not self.is_leaving(move.source)]
+        balancing = [move for move in chosen if not self.servers.is_leaving(move.source)]
         budget = self._budgets_by_service[service.name]
         budget.spend(assign.churn_cost(balancing), self._clock.seconds())
         targets = {move.shard: move.target for move in chosen}
         reason = "balance" if balancing else "drain"
         return changes.start_moves(self._view, service.name, targets, reason=reason)
 
-    def _is_answering(self, server: ids.ServerId) -> bool:
-        return self._lessor.reachable(server, self._clock.seconds())
-
-    def _can_release(self, source: ids.ServerId) -> bool:
-        row = self._view.server_rows_by_id.get(source)
-        return (
-            row is not None
-            and row.state is model.ServerState.ACTIVE
-            and self._is_connected(self._zone(source))
-            and not self._is_silent(source)
-            and (not self._lessor.is_acting(source) or self._is_answering(source))
-        )
-
     def _budget(self, service: model.Service, shards: int) -> churn.ChurnBudget:
         if service.name not in self._budgets_by_service:
             self._budgets_by_service[service.name] = churn.ChurnBudget(
@@ -406,7 +337,7 @@
             )
         return self._budgets_by_service[service.name]
 
-    def _run(self, service: ids.ServiceName, change: changes.Change) -> None:
+    def _run(self, service: ids.ServiceName, change: change_builder.Change) -> None:
         self._busy.add(service)
         committed = defer.ensureDeferred(self._commits.commit(change))
         committed.addErrback(lambda failure: _log.error("commit: %s", failure.getTraceback()))
--- /dev/null
+++ b/src/celerystack/control/server_status.py
@@ -0,0 +1,120 @@
+"""Which servers may receive or release shards now."""
+
+from __future__ import annotations
+
+from twisted.internet import interfaces
+
+from celerystack import ids, model
+from celerystack.control import membership_task
+from celerystack.control import view as cluster_view
+from celerystack.lease import lessor as lessors
+from celerystack.peers import mesh as peer_mesh
+from celerystack.placement import assign
+
+
+class ServerStatus:
+    """Joins rows, replies, heartbeats of peers and the membership list."""
+
+    def __init__(
+        self,
+        clock: interfaces.IReactorTime,
+        *,
+        view: cluster_view.ClusterView,
+        mesh: peer_mesh.Mesh,
+        lessor: lessors.Lessor,
+        membership: membership_task.MembershipTask,
+    ) -> None:
+        self._clock = clock
+        self._view = view
+        self._mesh = mesh
+        self._lessor = lessor
+        self._membership = membership
+        self._started_at = clock.seconds()
+        self._usable_since_by_server: dict[ids.ServerId, tuple[ids.Incarnation, float]] = {}
+
+    def is_usable(self, server: ids.ServerId) -> bool:
+        """Return whether a server may receive shards or new requests."""
+        row = self._view.server_rows_by_id.get(server)
+        return (
+            row is not None
+            and row.state is model.ServerState.ACTIVE
+            and bool(row.incarnation)
+            and self._view.declared(server) is not None
+            and not self.is_leaving(server)
+        )
+
+    def may_receive(self, server: model.BackendServer) -> bool:
+        """Return whether shards may be given to a server now.
+
+        A server beyond a partition, or one that has just fallen silent, could not be granted them,
+        and taking them back would cost another lease time.
+        """
+        if not self.is_usable(server.server) or self._is_silent(server.server):
+            return False
+        now = self._clock.seconds()
+        reachable = self._lessor.reachable(server.server, now)
+        if self._lessor.is_acting(server.server):
+            return reachable
+        return reachable or self._is_connected(server.zone)
+
+    def is_leaving(self, server: ids.ServerId) -> bool:
+        """Return whether a server must give up its shards."""
+        return self._view.is_draining(server) or server in self._membership.leaving_servers
+
+    def can_release(self, source: ids.ServerId) -> bool:
+        """Return whether a planned move from a server can be expected to end."""
+        row = self._view.server_rows_by_id.get(source)
+        return (
+            row is not None
+            and row.state is model.ServerState.ACTIVE
+            and self._is_connected(self.zone(source))
+            and not self._is_silent(source)
+            and (not self._lessor.is_acting(source) or self._is_answering(source))
+        )
+
+    def zone(self, server: ids.ServerId) -> ids.ZoneName:
+        """Return the zone of a declared server; empty if it is not declared."""
+        declared = self._view.declared(server)
+        return declared.zone if declared is not None else ids.ZoneName("")
+
+    def placement_server(
+        self, server: model.BackendServer, *, lost: bool
+    ) -> assign.PlacementServer:
+        """Return a server as placement sees it; ``lost`` if it is being taken over."""
+        row = self._view.server_rows_by_id.get(server.server)
+        _, since = self._usable_since_by_server.get(server.server, ("", float("-inf")))
+        return assign.PlacementServer(
+            server=server.server,
+            zone=server.zone,
+            weight=server.weight,
+            usable=self.may_receive(server),
+            draining=self.is_leaving(server.server),
+            lost=lost or row is None or row.state is model.ServerState.LOST,
+            usable_since=since,
+        )
+
+    def note_usable(self) -> None:
+        """Note since when servers are usable; to be called several times a second."""
+        now = self._clock.seconds()
+        for server, row in self._view.server_rows_by_id.items():
+            known = self._usable_since_by_server.get(server)
+            if row.state is model.ServerState.LOST or not row.incarnation:
+                self._usable_since_by_server.pop(server, None)
+            elif known is None or known[0] != row.incarnation:
+                # Servers that were there before this process are taken as warm.
+                since = now if now - self._started_at > assign.RAMP_S else float("-inf")
+                self._usable_since_by_server[server] = (row.incarnation, since)
+
+    def _is_silent(self, server: ids.ServerId) -> bool:
+        """Return whether a lessor says that a server does not reply.
+
+        A new token for such a server would void the promises of a takeover and delay it.
+        """
+        beats = [peer.heartbeat for peer in self._mesh.live_peers()]
+        return any(beat is not None and server in beat.silent_servers for beat in beats)
+
+    def _is_connected(self, zone: ids.ZoneName) -> bool:
+        return any(entry_vm.zone == zone for entry_vm in self._mesh.live_entry_vms())
+
+    def _is_answering(self, server: ids.ServerId) -> bool:
+        return self._lessor.reachable(server, self._clock.seconds())
--- a/src/celerystack/control/status.py
+++ b/src/celerystack/control/status.py
@@ -41,6 +41,6 @@
         "token": row.token if row else 0,
         "lessors": [entry.vm for entry in row.lessors] if row else [],
         "shards": len(process.view.granted(server)),
-        "leaving": process.placer.is_leaving(server),
+        "leaving": process.placer.servers.is_leaving(server),
         "last_reply_s": round(now - last, 3) if last is not None else None,
     }
--- a/src/celerystack/control/steward_task.py
+++ b/src/celerystack/control/steward_task.py
@@ -8,7 +8,14 @@
 from twisted.internet import defer, interfaces
 
 from celerystack import ids, model, periodic
-from celerystack.control import changes, committer, ended_vms, membership_task, table_sync
+from celerystack.control import (
+    change_builder,
+    changes,
+    committer,
+    ended_vms,
+    membership_task,
+    table_sync,
+)
 from celerystack.control import view as cluster_view
 from celerystack.lease import evidence, stewardship, takeover
 from celerystack.lease import lessor as lessors
@@ -261,7 +268,7 @@
             zone_loss=service.zone_loss if service else model.ZoneLossPolicy.WAIT,
         )
 
-    def _run(self, server: ids.ServerId, change: changes.Change) -> None:
+    def _run(self, server: ids.ServerId, change: change_builder.Change) -> None:
         self._busy.add(server)
         committed = defer.ensureDeferred(self._commits.commit(change))
         committed.addErrback(lambda failure: _log.error("commit: %s", failure.getTraceback()))
--- a/tests/control/test_committer.py
+++ b/tests/control/test_committer.py
@@ -6,7 +6,7 @@
 from twisted.internet import defer
 
 from celerystack import ids
-from celerystack.control import changes, committer
+from celerystack.control import change_builder, committer
 from celerystack.observe import audit
 from celerystack.state import keys
 from tests import fakes
@@ -36,7 +36,7 @@
 
     def commit(self, value: bytes, *, seconds: float = 0.1) -> list[bool]:
         """Commit one row on the version that the first entry VM knows."""
-        builder = changes.ChangeBuilder(self.first.view)
+        builder = change_builder.ChangeBuilder(self.first.view)
         builder.put_plain(KEY, value)
         change = builder.build(action=audit.Action.DRAIN, subject=KEY, reason="test")
         results: list[bool] = []
--- a/tests/control/test_placer_task.py
+++ b/tests/control/test_placer_task.py
@@ -7,7 +7,7 @@
 from twisted.internet import defer, task
 
 from celerystack import ids, model
-from celerystack.control import changes, placer_task, traffic_task
+from celerystack.control import change_builder, changes, placer_task, traffic_task
 from celerystack.peers import mesh, messages
 from celerystack.state import codec, keys
 from tests.control import worlds
@@ -70,7 +70,7 @@
         self.lessor = FakeLessor(self.world)
         self.membership = types.SimpleNamespace(leaving_servers=frozenset())
         self.released = True
-        self.committed: list[changes.Change] = []
+        self.committed: list[change_builder.Change] = []
         self.held: defer.Deferred | None = None
         self.placer = placer_task.PlacerTask(
             self.clock,
@@ -83,7 +83,7 @@
             released=lambda server: self.released,
         )
 
-    async def _commit(self, change: changes.Change) -> bool:
+    async def _commit(self, change: change_builder.Change) -> bool:
         self.committed.append(change)
         if self.held is not None:
             await self.held
@@ -147,13 +147,15 @@
         self.start(B1, B2)
         declared = self.world.view.declared
         self.lessor.replying = set()
-        self.assertFalse(self.placer.may_receive(declared(B1)), "silent to its own lessor")
-        self.assertTrue(self.placer.may_receive(declared(B2)), "an entry VM of z2 is connected")
+        self.assertFalse(self.placer.servers.may_receive(declared(B1)), "silent to its own lessor")
+        self.assertTrue(
+            self.placer.servers.may_receive(declared(B2)), "an entry VM of z2 is connected"
+        )
         self.mesh.live = [ME]
-        self.assertFalse(self.placer.may_receive(declared(B2)), "beyond a partition")
+        self.assertFalse(self.placer.servers.may_receive(declared(B2)), "beyond a partition")
         self.assertEqual({}, self.placer.receivers(B1))
         self.lessor.replying = {B2}
-        self.assertTrue(self.placer.may_receive(declared(B2)), "replies to this entry VM")
+        self.assertTrue(self.placer.servers.may_receive(declared(B2)), "replies to this entry VM")
 
     def test_shards_of_a_lost_server_without_receiver_have_none(self) -> None:
         """Guards against a takeover that names a receiver beyond a partition, or the lost one."""
@@ -241,7 +243,7 @@
         self.membership.leaving_servers = frozenset({B2})
         self.run_for(1.0)
         self.assertEqual([B1] * 4, self.owners())
-        self.assertFalse(self.placer.may_receive(self.world.view.declared(B2)))
+        self.assertFalse(self.placer.servers.may_receive(self.world.view.declared(B2)))
 
     def test_silent_server_is_left_to_its_takeover(self) -> None:
         """Guards against new tokens that void the promises of a takeover in progress.
@@ -253,7 +255,7 @@
         self.drain(B2)
         self.run_for(1.0)
         self.assertEqual([], self.actions())
-        self.assertFalse(self.placer.may_receive(self.world.view.declared(B2)))
+        self.assertFalse(self.placer.servers.may_receive(self.world.view.declared(B2)))
 
     def test_drain_of_an_unconnected_source_does_not_start(self) -> None:
         """Guards against holding the requests of shards that their owner cannot release."""
--- a/tests/control/worlds.py
+++ b/tests/control/worlds.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from celerystack import ids, model
-from celerystack.control import changes, view
+from celerystack.control import change_builder, changes, view
 from celerystack.platform import ports
 from celerystack.state import cache, codec, keys
 
@@ -63,7 +63,7 @@
         self._versions_by_key[key] = version
         self.cache.merge([ports.Row(key, ids.RowVersion(version), value)])
 
-    def commit(self, change: changes.Change) -> None:
+    def commit(self, change: change_builder.Change) -> None:
         for key, expected in change.expected_versions_by_key.items():
             if self._versions_by_key.get(key, 0) != expected:
                 raise ConflictError(key)
--- a/tests/differential/test_shards_digest.py
+++ b/tests/differential/test_shards_digest.py
@@ -8,7 +8,7 @@
 
 from celerystack import ids, model
 from celerystack.config import derive
-from celerystack.control import changes
+from celerystack.control import change_builder, changes
 from celerystack.state import codec, grants, keys, shardmap
 from tests.control import worlds
 
@@ -58,7 +58,7 @@
 
     def change(
         self, kind: str, service: ids.ServiceName, numbers: set[int], server: ids.ServerId
-    ) -> changes.Change | None:
+    ) -> change_builder.Change | None:
         """Return the change of one step; None if no shard is in a fitting state."""
         chunk = self.chunk(service)
         known = chunk.shards()
@@ -100,7 +100,7 @@
                 )
         return None
 
-    def _take_over(self, lost: ids.ServerId, numbers: set[int]) -> changes.Change:
+    def _take_over(self, lost: ids.ServerId, numbers: set[int]) -> change_builder.Change:
         targets: dict = {}
         for service in SERVICES:
             for shard in self.chunk(service).owned_by(lost):
--- a/tests/golden/control_world.py
+++ b/tests/golden/control_world.py
@@ -13,7 +13,7 @@
 from celerystack import errors, ids, model
 from celerystack.backend import messages as order_messages
 from celerystack.control import (
-    changes,
+    change_builder,
     committer,
     lessor_task,
     membership_task,
@@ -184,7 +184,7 @@
         wall = types.SimpleNamespace(time=lambda: WALL_S + self.clock.seconds() - START_S)
         numbers = itertools.count(1)
         yield mock.patch.object(committer, "time", wall)
-        yield mock.patch.object(changes, "time", wall)
+        yield mock.patch.object(change_builder, "time", wall)
         yield mock.patch.object(
             transactor, "new_transaction_id", lambda: f"transaction-{next(numbers)}"
         )
