Move the test doubles next to the other stand-ins

Cause: in-memory platform, scripted backend server, lease model and control world are stand-ins that several test packages share, and lay between the tests. Change: they are in standins/ now; imports follow.

--- a/tests/golden/control_world.py
+++ b/standins/control_world.py
@@ -28,8 +28,8 @@
 from celerystack.peers import mesh, messages, sync
 from celerystack.platform import ports, transactor
 from celerystack.state import cache, codec, keys
-from tests import fakes
-from tests.lease import model_server
+from standins import memory_platform as fakes
+from standins.lease_model import model_server
 
 LATENCY_S = 0.001
 ORDER_TIMEOUT_S = 0.4
--- a/tests/lease/sim_faults.py
+++ b/standins/lease_model/sim_faults.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from celerystack import ids
-from tests.lease import sim_shards, sim_world
+from standins.lease_model import sim_shards, sim_world
 
 LONGEST_LIST_LAG_S = 2 * sim_world.LIST_LAG_S
 """A lost machine is not replaced under its name before the membership list has dropped it."""
--- a/tests/lease/sim_shards.py
+++ b/standins/lease_model/sim_shards.py
@@ -6,7 +6,7 @@
 
 from celerystack import ids, model
 from celerystack.lease import rendezvous
-from tests.lease import sim_core
+from standins.lease_model import sim_core
 
 SERVICE = ids.ServiceName("rota-view")
 
--- a/tests/lease/sim_variants.py
+++ b/standins/lease_model/sim_variants.py
@@ -8,7 +8,7 @@
 from celerystack.backend import messages as orders
 from celerystack.lease import lessor, stewardship, takeover
 from celerystack.peers import messages as peer_messages
-from tests.lease import model_server, sim_faults, sim_world
+from standins.lease_model import model_server, sim_faults, sim_world
 
 
 class RenewalFromReceipt(model_server.ModelServer):
--- a/tests/lease/sim_vm.py
+++ b/standins/lease_model/sim_vm.py
@@ -10,10 +10,10 @@
 from celerystack.backend import messages as orders
 from celerystack.lease import evidence, stewardship, takeover
 from celerystack.peers import messages as peer_messages
-from tests.lease import sim_core, sim_shards
+from standins.lease_model import sim_core, sim_shards
 
 if TYPE_CHECKING:
-    from tests.lease import sim_world
+    from standins.lease_model import sim_world
 
 TICK_S = 0.05
 POLL_S = 0.5
--- a/tests/lease/sim_world.py
+++ b/standins/lease_model/sim_world.py
@@ -11,7 +11,7 @@
 from celerystack import ids, model
 from celerystack.backend import messages as orders
 from celerystack.lease import lessor, stewardship, takeover
-from tests.lease import model_server, sim_core, sim_shards, sim_vm
+from standins.lease_model import model_server, sim_core, sim_shards, sim_vm
 
 ZONE = ids.ZoneName("zone-1")
 LIST_LAG_S = 0.4
--- a/tests/backend/test_client.py
+++ b/tests/backend/test_client.py
@@ -9,7 +9,7 @@
 
 from celerystack import errors
 from celerystack.backend import client, http
-from tests.backend import fakes
+from standins import scripted_backend as fakes
 
 GET = http.HttpRequest(method=b"GET", target=b"/x", headers=((b"Host", b"h"),))
 
--- a/tests/backend/test_kept_connections.py
+++ b/tests/backend/test_kept_connections.py
@@ -6,7 +6,8 @@
 import struct
 
 from celerystack import errors
-from tests.backend import fakes, test_client
+from standins import scripted_backend as fakes
+from tests.backend import test_client
 
 
 class BlockingServer:
--- a/tests/backend/test_orders.py
+++ b/tests/backend/test_orders.py
@@ -10,7 +10,7 @@
 
 from celerystack import errors, ids, model
 from celerystack.backend import messages, orders
-from tests.backend import fakes
+from standins import scripted_backend as fakes
 
 REPLY = {
     "result": "ok",
--- a/tests/backend/test_streaming.py
+++ b/tests/backend/test_streaming.py
@@ -9,7 +9,8 @@
 
 from celerystack import errors
 from celerystack.backend import exchange
-from tests.backend import fakes, test_client
+from standins import scripted_backend as fakes
+from tests.backend import test_client
 
 MIB = 1 << 20
 
--- a/tests/commands/test_apply.py
+++ b/tests/commands/test_apply.py
@@ -13,7 +13,7 @@
 from celerystack.config import base_file, derive
 from celerystack.queries import diff, reading
 from celerystack.state import cache, codec, keys
-from tests import fakes
+from standins import memory_platform as fakes
 
 A = '[service.a]\nprefixes = ["/a/"]\n'
 B = '[service.b]\nprefixes = ["/b/"]\n'
--- a/tests/commands/test_operator_commands.py
+++ b/tests/commands/test_operator_commands.py
@@ -6,7 +6,7 @@
 from celerystack.commands import drain, release, undrain
 from celerystack.config import change
 from celerystack.state import codec, keys
-from tests import fakes
+from standins import memory_platform as fakes
 
 CONFIG = (
     '[service.rota-view]\nprefixes = ["/rota/view/"]\n'
--- a/tests/control/test_committer.py
+++ b/tests/control/test_committer.py
@@ -9,8 +9,8 @@
 from celerystack.control import change_builder, committer
 from celerystack.observe import audit
 from celerystack.state import keys
-from tests import fakes
-from tests.golden import control_world
+from standins import control_world
+from standins import memory_platform as fakes
 
 KEY = keys.drain(ids.ServerId("b1"))
 
--- a/tests/control/test_cut_streams.py
+++ b/tests/control/test_cut_streams.py
@@ -7,7 +7,7 @@
 from celerystack import ids
 from celerystack.config import derive
 from celerystack.state import codec, keys
-from tests.golden import control_world
+from standins import control_world
 
 SERVERS = ("b1", "b2", "b3")
 CONFIG = '[service.browse]\nprefixes = ["/browse/"]\nshards = 6\nchecks_token = true\n' + "".join(
--- a/tests/control/test_table_sync.py
+++ b/tests/control/test_table_sync.py
@@ -7,8 +7,8 @@
 from celerystack import ids, timing
 from celerystack.config import derive
 from celerystack.state import codec, keys
-from tests import fakes
-from tests.golden import control_world
+from standins import control_world
+from standins import memory_platform as fakes
 
 KEY = keys.drain(ids.ServerId("b1"))
 OUTAGE_BOUND_S = 2.0
--- a/tests/golden/test_caller_session.py
+++ b/tests/golden/test_caller_session.py
@@ -10,7 +10,7 @@
 
 from celerystack import ids, model
 from celerystack.requests import callerhttp, claims, dispatch, quarantine
-from tests.backend import fakes as backend_fakes
+from standins import scripted_backend as backend_fakes
 from tests.golden import transcripts
 from tests.requests import cases, fakes
 
--- a/tests/golden/test_control_session.py
+++ b/tests/golden/test_control_session.py
@@ -7,7 +7,8 @@
 from celerystack import ids
 from celerystack.config import derive
 from celerystack.state import codec, keys
-from tests.golden import control_world, transcripts
+from standins import control_world
+from tests.golden import transcripts
 
 SERVER = """
 [server.{name}]
--- a/tests/golden/test_operator_session.py
+++ b/tests/golden/test_operator_session.py
@@ -16,7 +16,7 @@
 from celerystack.control import changes, view
 from celerystack.platform import ports, transactor
 from celerystack.state import cache
-from tests import fakes
+from standins import memory_platform as fakes
 from tests.golden import transcripts
 
 SERVICES = """[service.rota-view]
--- a/tests/lease/test_evidence.py
+++ b/tests/lease/test_evidence.py
@@ -4,7 +4,7 @@
 
 from celerystack import ids, model
 from celerystack.lease import evidence
-from tests.lease import builders
+from standins.lease_model import builders
 
 OTHER_ZONE = ids.ZoneName("zone-2")
 
--- a/tests/lease/test_lessor.py
+++ b/tests/lease/test_lessor.py
@@ -4,7 +4,7 @@
 
 from celerystack import ids, model
 from celerystack.backend import messages as orders
-from tests.lease import builders
+from standins.lease_model import builders
 
 
 class GrantTest(testtools.TestCase):
--- a/tests/lease/test_model_server.py
+++ b/tests/lease/test_model_server.py
@@ -4,7 +4,7 @@
 
 from celerystack import ids, model, timing
 from celerystack.backend import messages
-from tests.lease import builders, model_server
+from standins.lease_model import builders, model_server
 
 OK, NO_GRANT = messages.OrderResult.OK, messages.OrderResult.NO_GRANT
 
--- a/tests/lease/test_promises.py
+++ b/tests/lease/test_promises.py
@@ -5,7 +5,7 @@
 from celerystack import timing
 from celerystack.backend import messages as orders
 from celerystack.lease import lessor
-from tests.lease import builders
+from standins.lease_model import builders
 
 LEASE_BOUND_S = timing.LEASE_S * (1 + timing.CLOCK_DRIFT)
 
--- a/tests/lease/test_simulation.py
+++ b/tests/lease/test_simulation.py
@@ -9,7 +9,7 @@
 
 import testtools
 
-from tests.lease import sim_faults, sim_variants, sim_world
+from standins.lease_model import sim_faults, sim_variants, sim_world
 
 RECOVERY_S = 5.0
 
--- a/tests/lease/test_stewardship.py
+++ b/tests/lease/test_stewardship.py
@@ -4,7 +4,7 @@
 
 from celerystack import ids, model, timing
 from celerystack.lease import records, stewardship
-from tests.lease import builders
+from standins.lease_model import builders
 
 A, B, C, D = builders.A, builders.B, builders.C, builders.D
 NOW = 0.0
--- a/tests/lease/test_takeover.py
+++ b/tests/lease/test_takeover.py
@@ -7,7 +7,7 @@
 from celerystack import ids, model
 from celerystack.lease import evidence, records, takeover
 from celerystack.peers import messages
-from tests.lease import builders
+from standins.lease_model import builders
 
 A, B, C, D, E = builders.A, builders.B, builders.C, builders.D, builders.E
 
--- a/tests/platform/test_transactor.py
+++ b/tests/platform/test_transactor.py
@@ -7,7 +7,7 @@
 from celerystack import errors, ids
 from celerystack.observe import audit
 from celerystack.platform import ports, transactor
-from tests import fakes
+from standins import memory_platform as fakes
 
 KEY = ids.RowKey("server/a")
 OTHER = ids.RowKey("server/b")
--- a/tests/requests/cases.py
+++ b/tests/requests/cases.py
@@ -5,7 +5,7 @@
 from twisted.trial import unittest
 
 from celerystack import model
-from tests.backend import fakes as backend_fakes
+from standins import scripted_backend as backend_fakes
 from tests.requests import fakes
 
 
--- a/tests/requests/test_claiming.py
+++ b/tests/requests/test_claiming.py
@@ -4,7 +4,7 @@
 
 from celerystack import errors
 from celerystack.peers import messages
-from tests.backend import fakes as backend_fakes
+from standins import scripted_backend as backend_fakes
 from tests.requests import cases, fakes
 
 ID = ((b"X-Request-Id", b"r1"),)
--- a/tests/requests/test_frontend.py
+++ b/tests/requests/test_frontend.py
@@ -7,7 +7,7 @@
 from twisted.internet import reactor
 
 from celerystack.requests import callerhttp
-from tests.backend import fakes as backend_fakes
+from standins import scripted_backend as backend_fakes
 from tests.requests import cases
 
 GOOD = b"GET /atlas/browse/k1 HTTP/1.1\r\nHost: h\r\n\r\n"
--- a/tests/requests/test_outcomes.py
+++ b/tests/requests/test_outcomes.py
@@ -8,7 +8,7 @@
 from twisted.internet import reactor
 
 from celerystack import ids, model
-from tests.backend import fakes as backend_fakes
+from standins import scripted_backend as backend_fakes
 from tests.requests import cases, fakes
 
 REFUSALS = (b"stale-epoch", b"no-lease", b"draining", b"shedding", b"deadline")
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -17,7 +17,7 @@
 ROOT = pathlib.Path(__file__).parents[1]
 REMOTE_SCRIPT = """
 import sys, types
-from tests import fakes
+from standins import memory_platform as fakes
 from twisted.internet import reactor
 from celerystack import run
 table = types.ModuleType("celerystack.platform.table")
