--- a/src/celerystack/requests/choice.py
+++ b/src/celerystack/requests/choice.py
@@ -21,6 +21,9 @@
 FAILURE_FACTOR = 10.0
 """A response without answer counts as this multiple of the median latency at least. Otherwise a
 server that fails fast looks like the fastest one."""
+LATENCY_MAX_S = 60.0
+"""Failures raise the median that the next failures are multiplied with; without a bound the average
+grows until no score can be compared."""
 OTHER_ZONE_FACTOR = 1.5
 """Factor on the score of servers in other zones."""
 
@@ -122,7 +125,7 @@
         observed.outstanding = max(0, observed.outstanding - 1)
         median = self._median_s(list(self._observed_by_server.values()))
         if outcome is not model.Outcome.ANSWERED:
-            latency_s = max(latency_s, FAILURE_FACTOR * median)
+            latency_s = min(max(latency_s, FAILURE_FACTOR * median), LATENCY_MAX_S)
         current = self._latency_s(observed, median, now)
         observed.latency_s = current + (latency_s - current) / AVERAGE_SAMPLES
         observed.at = now
--- a/tests/requests/test_choice.py
+++ b/tests/requests/test_choice.py
@@ -187,3 +187,17 @@
         counts[server] += 1
     assert set(counts.values()) == {10}
     assert chooser.choose_queue([], 0.0) is None
+
+
+def test_failures_of_all_servers_leave_a_choice():
+    """Guards against averages that grow without bound while every server sheds.
+
+    The scores became NaN, no server compared as the least, and requests ended as internal errors.
+    """
+    servers = servers_in("z", "z")
+    chooser = chooser_in("z")
+    for round_number in range(2000):
+        for server in servers:
+            chooser.started(server.server, round_number)
+            chooser.finished(server.server, 0.01, LOST, round_number)
+    assert chooser.choose_queue(servers, 2000.0) in servers
