--- a/src/celerystack/control/view.py
+++ b/src/celerystack/control/view.py
@@ -4,8 +4,8 @@
 
 import dataclasses
 import logging
+import types
 from collections.abc import Callable, Mapping
-from types import MappingProxyType
 
 from celerystack import errors, ids, model
 from celerystack.config import derive, loader
@@ -102,7 +102,7 @@
         self,
         server: ids.ServerId,
         *,
-        changed: Mapping[ids.RowKey, shardmap.ShardMapChunk] = MappingProxyType({}),
+        changed: Mapping[ids.RowKey, shardmap.ShardMapChunk] = types.MappingProxyType({}),
     ) -> list[model.ShardGrant]:
         """Return the shards that the known maps, replaced by ``changed``, give to a server.
 
--- a/tests/control/test_changes.py
+++ b/tests/control/test_changes.py
@@ -9,7 +9,8 @@
 from celerystack.platform import ports
 from celerystack.state import keys
 from tests.control import worlds
-from tests.control.worlds import B1, B2, BROWSE, D1
+
+B1, B2, BROWSE, D1 = worlds.B1, worlds.B2, worlds.BROWSE, worlds.D1
 
 
 class ChangesTest(testtools.TestCase):
--- a/tests/control/test_placer_task.py
+++ b/tests/control/test_placer_task.py
@@ -11,7 +11,8 @@
 from celerystack.peers import mesh, messages
 from celerystack.state import codec, keys
 from tests.control import worlds
-from tests.control.worlds import B1, B2, BROWSE, D1
+
+B1, B2, BROWSE, D1 = worlds.B1, worlds.B2, worlds.BROWSE, worlds.D1
 
 ME = model.EntryVm(vm="e2", incarnation="i2", zone="z1", peer_address="127.0.1.1:1")
 FAR = model.EntryVm(vm="e1", incarnation="i1", zone="z2", peer_address="127.0.2.1:1")
--- a/tests/control/test_routes.py
+++ b/tests/control/test_routes.py
@@ -6,7 +6,8 @@
 from celerystack.control import changes, routes
 from celerystack.state import keys, shardmap
 from tests.control import worlds
-from tests.control.worlds import B1, B2, BROWSE, D1
+
+B1, B2, BROWSE, D1 = worlds.B1, worlds.B2, worlds.BROWSE, worlds.D1
 
 KEY_HASH = shardmap.key_hash("k1")
 SHARD = shardmap.base_shard(KEY_HASH, 4)
--- a/tests/control/test_traffic_task.py
+++ b/tests/control/test_traffic_task.py
@@ -9,7 +9,8 @@
 from celerystack.control import traffic_task
 from celerystack.peers import messages
 from tests.control import worlds
-from tests.control.worlds import BROWSE
+
+BROWSE = worlds.BROWSE
 
 VMS = [
     model.EntryVm(vm=f"e{n}", incarnation=f"i{n}", zone="z1", peer_address=f"127.0.1.1:{n}")
--- a/tests/control/test_views_task.py
+++ b/tests/control/test_views_task.py
@@ -7,7 +7,8 @@
 from celerystack.control import views_task
 from celerystack.peers import mesh, messages
 from tests.control import worlds
-from tests.control.worlds import B1, D1
+
+B1, D1 = worlds.B1, worlds.D1
 
 ME = model.EntryVm(vm="e2", incarnation="i2", zone="z1", peer_address="127.0.1.1:1")
 LESSOR = model.EntryVm(vm="e1", incarnation="i1", zone="z1", peer_address="127.0.1.1:2")
--- a/tests/requests/test_caller_idle.py
+++ b/tests/requests/test_caller_idle.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import testtools
-from twisted.internet import task
-from twisted.internet.testing import StringTransport
+from twisted.internet import task, testing
 
 from celerystack.requests import callerhttp
 
@@ -24,7 +23,7 @@
             now=self.clock.seconds,
         )
         self.channel = factory.buildProtocol(None)
-        self.transport = StringTransport()
+        self.transport = testing.StringTransport()
         self.channel.makeConnection(self.transport)
 
     def answer(self):
--- a/tests/requests/test_fast_path.py
+++ b/tests/requests/test_fast_path.py
@@ -5,7 +5,7 @@
 import json
 
 import testtools
-from twisted.internet.testing import StringTransport
+from twisted.internet import testing
 
 from measurements import fast_path, fast_path_server
 from standins import lease_state
@@ -18,7 +18,7 @@
         super().setUp()
         lease = lease_state.LeaseState(incarnation="one", checked=True)
         self.server = fast_path_server.LeanServer(lease, ANSWER)
-        self.transport = StringTransport()
+        self.transport = testing.StringTransport()
         self.transport.setTcpNoDelay = lambda _: None
         self.server.makeConnection(self.transport)
 
