Wait for the report of a loss on kept connections too

The logs show its third run 5 ms before the second loss was judged: a kept connection that breaks before any byte of the answer was not counted as broken, so the caller got its answer at once. Ruled out: lost reports; every entry VM judged the losses. Change: every connection that the server broke off delays the answer, now by 80 ms, which includes the check whether the server still accepts connections.

--- a/src/celerystack/requests/forwarder.py
+++ b/src/celerystack/requests/forwarder.py
@@ -26,7 +26,7 @@
 SERVERS_BROKEN_MAX = 2
 """Servers that one call may lose: a request that crashes servers would go on to the next one."""
 
-REPORT_S = dispatch.LOSS_WINDOW_S + 0.01
+REPORT_S = dispatch.LOSS_WINDOW_S + 0.03
 QUARANTINED = "the request is quarantined: servers were lost while it ran"
 
 
@@ -249,7 +249,7 @@
         except errors.NotRunError as error:
             return replies.Outdated() if pending.outdated else replies.NotSent(error.reason)
         except errors.OutcomeUnknownError as error:
-            progress.servers_broken += pending.ending is exchange.Ending.BROKEN
+            progress.servers_broken += pending.ending is not exchange.Ending.INTACT
             self._note_abandoned(target.server.server, pending)
             return replies.Lost(error.reason)
         except defer.CancelledError:
