Declare the order connections once; derive the state of a claim from the outcome

Cause: a reading of the whole change found the number of connections reserved for orders in two modules, and two matches over replies with the same result. Change: the configuration schema uses limits.shares; the claim's state is the outcome's value, which has the same texts. Behaviour is unchanged.

--- a/src/celerystack/config/schema.py
+++ b/src/celerystack/config/schema.py
@@ -9,11 +9,10 @@
 from marshmallow import fields, validate
 
 from celerystack import model, settings
+from celerystack.limits import shares
 
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,63}")
-ORDER_CONNECTIONS = 6
-"""Connections of each server that routers reserve for orders (design, section 5)."""
-CONNECTIONS_MIN = ORDER_CONNECTIONS + 1
+CONNECTIONS_MIN = shares.ORDER_CONNECTIONS + 1
 CONNECTIONS_MAX = 65_535
 DEADLINE_MS_MAX = 600_000
 SLOTS_MAX = 10_000
--- a/src/celerystack/requests/forwarder.py
+++ b/src/celerystack/requests/forwarder.py
@@ -147,7 +147,7 @@
         state = messages.ClaimState.UNKNOWN
         try:
             reply = await self._run(call, fingerprint, progress)
-            state = _claim_state(reply)
+            state = messages.ClaimState(replies.outcome_of(reply).value)
         except defer.CancelledError:
             if not progress.may_have_run:
                 state = messages.ClaimState.NOT_RUN
@@ -342,13 +342,3 @@
             return model.Outcome.UNKNOWN
         case _:
             return model.Outcome.NOT_RUN
-
-
-def _claim_state(reply: replies.Reply) -> messages.ClaimState:
-    match reply:
-        case replies.Answered():
-            return messages.ClaimState.ANSWERED
-        case replies.NotRun():
-            return messages.ClaimState.NOT_RUN
-        case _:
-            return messages.ClaimState.UNKNOWN
