Count reports of remaining holds only after the entry VMs were listed

Ruled out: releases answered early (logged; the answer came after the work had ended). Change: the full authority is waited out unless the list of entry VMs was read after the change. Conclusion: the reports are a shortcut and must prove their own completeness.

--- a/src/celerystack/ranges/clearing.py
+++ b/src/celerystack/ranges/clearing.py
@@ -37,11 +37,17 @@
     def __init__(self, *, zone_of: Callable[[model.Life], ids.ZoneName | None]) -> None:
         self._zone_of = zone_of
         self._zone_by_vm: dict[ids.EntryVmId, ids.ZoneName] = {}
+        self._listed_at = float("-inf")
         self._remaining: dict[tuple[ids.EntryVmId, model.Life, ids.ServiceName], Remaining] = {}
 
-    def know_vms(self, zone_by_vm: dict[ids.EntryVmId, ids.ZoneName]) -> None:
-        """Add entry VMs that may have granted."""
+    def know_vms(self, zone_by_vm: dict[ids.EntryVmId, ids.ZoneName], read_at: float) -> None:
+        """Take the registered entry VMs, which were read from ``read_at`` on.
+
+        A VM registers before it reads a range map, so one that is not in a list that was read
+        after a change can only know the changed map.
+        """
         self._zone_by_vm.update(zone_by_vm)
+        self._listed_at = read_at
 
     def report(
         self,
@@ -69,6 +75,8 @@
         """
         latest = 0.0
         bound = committed_at + holds.AUTHORITY_S
+        if self._listed_at < committed_at:
+            return bound
         for vm in self._vms_near(life):
             remaining = self._remaining.get((vm, life, service))
             if remaining is None or remaining.version < version:
--- a/src/celerystack/ranges/lessor.py
+++ b/src/celerystack/ranges/lessor.py
@@ -88,7 +88,7 @@
                 if owner is None or not segment.is_settled:
                     continue
                 owners.add(owner)
-                if allowed and self._due_by_key.get(owner, {}).get(_key(segment), 0.0) <= now:
+                if allowed and self._due_at(owner, segment) <= now:
                     due_by_life.setdefault(owner, []).append((service, segment))
         self._forget(owners)
         for life, due in due_by_life.items():
@@ -104,6 +104,19 @@
             )
             sending.addBoth(lambda _, life=life: self._busy.discard(life))
 
+    def _due_at(self, owner: model.Life, segment: model.Segment) -> float:
+        """Return when to renew; a part of a granted range is held like the whole."""
+        due_by_key = self._due_by_key.setdefault(owner, {})
+        key = _key(segment)
+        if key not in due_by_key:
+            for start, end, token in due_by_key:
+                if token == segment.token and start <= segment.start and segment.end <= end:
+                    due_by_key[key] = due_by_key[start, end, token]
+                    break
+            else:
+                return 0.0
+        return due_by_key[key]
+
     def expect_loss(self, life: model.Life) -> None:
         """Grant again at once, because the server says that it does not hold its keys."""
         self._due_by_key.pop(life, None)
@@ -120,6 +133,10 @@
     def _forget(self, owners: set[model.Life]) -> None:
         for life in [life for life in self._due_by_key if life not in owners]:
             del self._due_by_key[life]
+        now = self._now()
+        for due_by_key in self._due_by_key.values():
+            for key in [key for key, due in due_by_key.items() if due < now - holds.HOLD_S]:
+                del due_by_key[key]
         for life in [life for life in self._failures_by_life if life not in owners]:
             del self._failures_by_life[life]
 
@@ -146,7 +163,7 @@
     ) -> bool:
         """Send one grant; returns whether the server answered."""
         due_by_key = self._due_by_key.setdefault(life, {})
-        first = _key(segment) not in due_by_key
+        first = all(token != segment.token for _, _, token in due_by_key)
         self.holds.sending(life)
         try:
             result = await self._port.grant(
--- a/src/celerystack/ranges/planner.py
+++ b/src/celerystack/ranges/planner.py
@@ -148,7 +148,7 @@
             return
         by_vm = await nodes.read_all(self._store)
         self._nodes_read_at = now
-        self._clearing.know_vms({vm: node.zone for vm, node in by_vm.items()})
+        self._clearing.know_vms({vm: node.zone for vm, node in by_vm.items()}, now)
 
     def _has_silent_pending(self) -> bool:
         return any(
@@ -295,6 +295,12 @@
             release.handover = await self._port.release(
                 address, segment, timeout_s=RELEASE_TIMEOUT_S
             )
+            _log.info(
+                "keys %d to %d released",
+                segment.start,
+                segment.end,
+                extra={"step": "planner.release", "peer": life.server, "token": segment.token},
+            )
         except errors.BackendError as error:
             release.failures += 1
             if release.failures <= SILENT_AFTER_FAILURES:
