Move hot ranges by measured load, isolate a dominant key, thin what a server cannot run

Change: balancing moves the neighbours away from a key that exceeds a server and the key at most to a much faster one; the planner tells all entry VMs which part of the requests an overloaded server has room for, and the rest is rejected at once.

--- a/src/celerystack/fleet/messages.py
+++ b/src/celerystack/fleet/messages.py
@@ -62,6 +62,8 @@
         Entry VMs that reported lately.
     pending : tuple of Life
         Lives of which the planner wants to know the remaining holds.
+    admitted_by_server : dict
+        For overloaded servers, the part of the requests for their keys that they have room for.
     """
 
     vm: ids.EntryVmId
@@ -72,6 +74,7 @@
     versions_by_service: dict[ids.ServiceName, int]
     vms_by_zone: dict[ids.ZoneName, tuple[ids.EntryVmId, ...]]
     pending: tuple[model.Life, ...]
+    admitted_by_server: dict[ids.ServerId, float]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -120,6 +123,7 @@
                 message.versions_by_service,
                 message.vms_by_zone,
                 [_life(life) for life in message.pending],
+                message.admitted_by_server,
             ]
             return msgpack.packb(["beacon", *fields])
         case RangesPart():
@@ -175,7 +179,7 @@
 
 
 def _beacon(*fields: Any) -> Beacon:
-    vm, term, echo_boot, echo_stamp, age, versions, vms, pending = fields
+    vm, term, echo_boot, echo_stamp, age, versions, vms, pending, admitted = fields
     return Beacon(
         vm=vm,
         term=int(term),
@@ -185,6 +189,7 @@
         versions_by_service=versions,
         vms_by_zone={zone: tuple(names) for zone, names in vms.items()},
         pending=tuple(codec.decode_life(life) for life in pending),
+        admitted_by_server={server: float(part) for server, part in admitted.items()},
     )
 
 
--- a/src/celerystack/gateway/dispatch.py
+++ b/src/celerystack/gateway/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -22,6 +23,8 @@
 RETRY_AFTER_MINIMUM_S = 0.05
 RETRY_AFTER_RECOVERING_S = 1.0
 RETRY_AFTER_UNREADY_S = 0.3
+RETRY_AFTER_OVERLOAD_S = (0.15, 0.35)
+"""Callers of an overloaded server are told different times, so that they do not return at once."""
 CONNECTIONS_SHARE = 0.7
 """Part of a server's connections that all entry VMs together may use."""
 CONNECTIONS_MINIMUM = 3
@@ -45,6 +48,9 @@
     def expect_loss(self, life: model.Life) -> None:
         """Take notice that a server says it does not hold its keys."""
 
+    def admit(self, server: ids.ServerId) -> bool:
+        """Return whether an overloaded server has room for one more request."""
+
     def count_request(self, service: ids.ServiceName, key: int) -> None:
         """Count a request for the balance of keys."""
 
@@ -191,6 +197,9 @@
             segment = self._ownership.find(call.service, call.key or 0)
             owner = self._owner_lane(segment)
             if owner is not None and owner.life not in tried:
+                if not tried and not self._ownership.admit(owner.life.server):
+                    spread_s = random.uniform(*RETRY_AFTER_OVERLOAD_S)
+                    return self._refuse("the key's server is overloaded", spread_s)
                 return owner
             wait_until = give_up
             if owner is not None:
--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -45,6 +45,7 @@
         self.expect_loss = coordination.lessor.expect_loss
         self.count_request = coordination.count_request
         self.count_answer = coordination.count_answer
+        self.admit = coordination.admission.admit
 
     @property
     def entry_vms(self) -> int:
--- a/src/celerystack/gateway/retries.py
+++ b/src/celerystack/gateway/retries.py
@@ -1,4 +1,4 @@
-"""This VM's part of the retry budget that all entry VMs share."""
+"""One VM's part of the retry budget that all entry VMs share."""
 
 from __future__ import annotations
 
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -11,6 +11,7 @@
 
 from celerystack import errors, ids
 from celerystack.fleet import messages, nodes, rows, servers
+from celerystack.limits import thinning
 from celerystack.ranges import codec, knowledge, lessor, model, orders, planner, seat
 
 _log = logging.getLogger(__name__)
@@ -61,7 +62,7 @@
 
 
 class Coordinator:
-    """This entry VM's part in the ownership of keys.
+    """Takes part in the ownership of keys for one entry VM.
 
     Parameters
     ----------
@@ -113,6 +114,7 @@
             now=now,
         )
         self._datagrams = _Datagrams(self._received)
+        self.admission = thinning.Thinning()
         self._peers: dict[ids.EntryVmId, _Peer] = {}
         self._parts: dict[tuple[ids.ServiceName, int], dict[int, messages.RangesPart]] = {}
         self._heard_at = now()
@@ -227,6 +229,7 @@
         if now - self._nodes_read_at >= NODES_READ_S:
             await self._read_nodes()
         await self.planner.tick()
+        self.known.confirm(self.known.versions(), self.seat.confirmed_at)
 
     async def _read_nodes(self) -> None:
         by_vm = await nodes.read_all(self._store)
@@ -267,6 +270,8 @@
         versions = self.known.versions()
         vms_by_zone = self._alive(now)
         pending = self.planner.pending_lives()
+        admitted = self.planner.admitted_by_server()
+        self.admission.update(admitted)
         self._take_vms(vms_by_zone)
         self._pending = pending
         for vm, peer in self._peers.items():
@@ -281,6 +286,7 @@
                 versions_by_service=versions,
                 vms_by_zone=vms_by_zone,
                 pending=pending,
+                admitted_by_server=admitted,
             )
             self._datagrams.send(messages.encode(beacon), peer.node.address)
             if now - peer.reported_at < ALIVE_S:
@@ -373,6 +379,7 @@
         self._heard_at = self._now()
         self._planner_address = address
         self._pending = beacon.pending
+        self.admission.update(beacon.admitted_by_server)
         self._take_vms(beacon.vms_by_zone)
         if beacon.echo_boot == self._boot and beacon.echo_stamp >= 0:
             self.known.confirm(beacon.versions_by_service, beacon.echo_stamp - beacon.confirm_age_s)
--- a/src/celerystack/ranges/holds.py
+++ b/src/celerystack/ranges/holds.py
@@ -17,7 +17,7 @@
 """Lease time of one grant; outlives the loss of the renewing entry VMs and a change of planner."""
 RENEW_S = 1.25
 CALL_TIMEOUT_S = 0.8
-"""An unanswered order is aborted with its connection after this time, and so cannot arrive later."""
+"""An unanswered order is aborted with its connection then, and so cannot arrive later."""
 CLOCK_DRIFT = 0.02
 """Largest relative amount by which a server's clock runs slow."""
 HOLD_BOUND_S = HOLD_S * (1 + CLOCK_DRIFT) + 0.1
--- a/src/celerystack/ranges/plan.py
+++ b/src/celerystack/ranges/plan.py
@@ -14,7 +14,14 @@
 """A server above this multiple of the mean utilization gives keys away."""
 UTILIZATION_MINIMUM = 0.45
 """Below this utilization a server answers fast enough, however uneven the load is."""
-MOVES_PER_PLAN = 6
+DOMINANT_SHARE = 0.6
+"""A key that alone takes this part of a server's capacity gets the server for itself."""
+FASTER_RATIO = 1.25
+TAKE_OVER_UTILIZATION = 0.6
+"""A server takes on neighbours of a dominant key up to this utilization."""
+NEIGHBOUR_RATE_MINIMUM = 0.3
+"""Rate in requests/s below which a range is not worth a move."""
+MOVES_PER_PLAN = 8
 MERGE_ABOVE = 6
 """Segments of one server from which adjacent ones are joined under a new token."""
 
@@ -153,6 +160,12 @@
     return dataclasses.replace(ranges, segments=segments)
 
 
+def utilizations(ranges: model.RangeMap, situation: Situation) -> dict[model.Life, float]:
+    """Return the measured load of each candidate as a share of what it can run."""
+    draft = _Draft(ranges, situation)
+    return {life: draft.utilization(life) for life in draft.rate_by_life}
+
+
 def _drop_ended(draft: _Draft) -> None:
     ended = draft.situation.has_ended
     for place, segment in enumerate(draft.segments):
@@ -182,8 +195,11 @@
 
 def _balance(draft: _Draft) -> None:
     """Move the hottest narrow ranges of overloaded servers to the least loaded ones."""
-    capacity = sum(c.capacity for c in draft.situation.candidates_by_life.values())
-    mean = sum(draft.rate_by_life.values()) / capacity
+    candidates = draft.situation.candidates_by_life
+    capacity = sum(candidate.capacity for candidate in candidates.values())
+    # More than a server can run is rejected, whatever the other servers do.
+    served = sum(min(rate, candidates[life].capacity) for life, rate in draft.rate_by_life.items())
+    mean = served / capacity
     full: set[model.Life] = set()
     for _ in range(MOVES_PER_PLAN):
         hot = max(
@@ -196,7 +212,7 @@
         bound = max(UTILIZATION_MINIMUM, OVERLOAD_RATIO * mean)
         if draft.utilization(hot) <= bound and not _needs_keys(draft, mean):
             return
-        if not _move_one(draft, hot):
+        if not _relieve(draft, hot):
             full.add(hot)
 
 
@@ -205,28 +221,80 @@
     return any(draft.utilization(life) < 0.25 * mean for life in draft.rate_by_life)
 
 
-def _move_one(draft: _Draft, hot: model.Life) -> bool:
-    cold = draft.coldest(0.0)
+def _relieve(draft: _Draft, hot: model.Life) -> bool:
+    """Take load from a server; returns False if nothing can be moved."""
     candidates = draft.situation.candidates_by_life
-    if cold is None or cold == hot or not candidates[hot].reachable:
+    if not candidates[hot].reachable:
         return False
-    gap = draft.utilization(hot) - draft.utilization(cold)
-    target = gap / (1 / candidates[hot].capacity + 1 / candidates[cold].capacity)
-    window = _find_window(draft, hot, target)
+    dominant = _dominant_key(draft, hot)
+    if dominant is not None and _move_to_fastest(draft, hot, *dominant):
+        return True
+    cold = draft.coldest(0.0)
+    if cold is None or cold == hot:
+        return False
+    if dominant is not None:
+        # The server serves what it can of this key, and its neighbours elsewhere do not wait.
+        window = _find_neighbours(draft, hot, dominant[1], _room(draft, cold))
+    else:
+        gap = draft.utilization(hot) - draft.utilization(cold)
+        target = gap / (1 / candidates[hot].capacity + 1 / candidates[cold].capacity)
+        window = _find_window(draft, hot, target)
     if window is None:
         return False
-    place, start, end = window
+    _move(draft, *window, cold)
+    return True
+
+
+def _room(draft: _Draft, life: model.Life) -> float:
+    """Return the rate that a server can still take on."""
+    free = TAKE_OVER_UTILIZATION - draft.utilization(life)
+    return max(0.0, free) * draft.situation.candidates_by_life[life].capacity
+
+
+def _dominant_key(draft: _Draft, life: model.Life) -> tuple[int, int, float] | None:
+    """Return segment, key and rate of a key that is most of what a server can run."""
+    load = draft.situation.load
+    bound = DOMINANT_SHARE * draft.situation.candidates_by_life[life].capacity
+    for place, segment in enumerate(draft.segments):
+        if segment.owner != life or not segment.is_settled:
+            continue
+        first, last = load.places(segment.start, segment.end)
+        for index in range(first, last):
+            if load.rates[index] > bound:
+                return place, load.keys[index], load.rates[index]
+    return None
+
+
+def _move_to_fastest(draft: _Draft, hot: model.Life, place: int, key: int, rate: float) -> bool:
+    """Move a dominant key to a much faster server that has none."""
+    candidates = draft.situation.candidates_by_life
+    if rate < candidates[hot].capacity:
+        return False
+    free = [
+        life
+        for life, candidate in candidates.items()
+        if candidate.reachable and draft.utilization(life) < DOMINANT_SHARE
+    ]
+    fastest = max(free, key=lambda life: candidates[life].capacity, default=None)
+    if fastest is None or candidates[fastest].capacity < FASTER_RATIO * candidates[hot].capacity:
+        return False
+    _move(draft, place, key, key, fastest)
+    return True
+
+
+def _move(draft: _Draft, place: int, start: int, end: int, target: model.Life) -> None:
+    """Cut a range out of a segment and give it to another server."""
     segment = draft.segments[place]
     moved = dataclasses.replace(segment, start=start, end=end)
-    draft.rate_by_life[hot] -= draft.rate(moved)
+    if segment.owner in draft.rate_by_life:
+        draft.rate_by_life[segment.owner] -= draft.rate(moved)
     parts = []
     if start > segment.start:
         parts.append(dataclasses.replace(segment, end=start - 1))
-    parts.append(draft.reassign(moved, cold))
+    parts.append(draft.reassign(moved, target))
     if end < segment.end:
         parts.append(dataclasses.replace(segment, start=end + 1))
     draft.segments[place : place + 1] = parts
-    return True
 
 
 def _find_window(draft: _Draft, hot: model.Life, target: float) -> tuple[int, int, int] | None:
@@ -235,7 +303,7 @@
     best_width = model.KEY_MAX + 2
     load = draft.situation.load
     for place, segment in enumerate(draft.segments):
-        if segment.owner != hot or not segment.is_settled:
+        if segment.owner != hot or not segment.is_settled or target <= 0:
             continue
         first, last = load.places(segment.start, segment.end)
         high, total = first, 0.0
@@ -252,6 +320,27 @@
     return best
 
 
+def _find_neighbours(
+    draft: _Draft, hot: model.Life, keep: int, room: float
+) -> tuple[int, int, int] | None:
+    """Return the busiest range of ``hot`` without the key ``keep`` that fits into ``room``."""
+    best: tuple[int, int, int] | None = None
+    best_rate = NEIGHBOUR_RATE_MINIMUM
+    load = draft.situation.load
+    for place, segment in enumerate(draft.segments):
+        if segment.owner != hot or not segment.is_settled:
+            continue
+        stretches = [(segment.start, segment.end)]
+        if segment.start <= keep <= segment.end:
+            stretches = [(segment.start, keep - 1), (keep + 1, segment.end)]
+        for start, end in stretches:
+            while start < end and load.rate(start, end) > room:
+                end = (start + end) // 2
+            if start <= end and best_rate < load.rate(start, end) <= room:
+                best, best_rate = (place, start, end), load.rate(start, end)
+    return best
+
+
 def _join_fragments(draft: _Draft) -> None:
     """Join adjacent settled segments of servers that have many, under a new token."""
     count_by_life: dict[model.Life | None, int] = {}
--- a/src/celerystack/ranges/planner.py
+++ b/src/celerystack/ranges/planner.py
@@ -19,6 +19,7 @@
     orders,
     plan,
     seat,
+    speeds,
 )
 
 _log = logging.getLogger(__name__)
@@ -26,11 +27,8 @@
 CONFIRM_S = 0.8
 RELEASE_TIMEOUT_S = 1.0
 SILENT_AFTER_FAILURES = 2
-MEAN_SERVICE_S = 0.12
-"""Service time that is assumed of a server before any answer of it was measured."""
-SPEED_WEIGHT = 0.3
-SPEED_RANGE = 2.5
-"""Largest factor by which a measured service time may differ from the mean of the service."""
+ADMITTED_UTILIZATION = 0.92
+"""Part of a server's capacity up to which requests for its keys are admitted."""
 NODES_REFRESH_S = 1.0
 
 _ReleaseKey = tuple[ids.ServiceName, int, int, int, model.Life]
@@ -80,7 +78,9 @@
         self._releases: dict[_ReleaseKey, _Release] = {}
         self._committed_at: dict[tuple[ids.ServiceName, int], tuple[int, float]] = {}
         self._load_by_service: dict[ids.ServiceName, keyload.KeyLoad] = {}
-        self._speed_by_server: dict[ids.ServerId, float] = {}
+        self.speeds = speeds.Speeds()
+        self._utilization_by_server: dict[ids.ServerId, float] = {}
+        self._situations: dict[ids.ServiceName, plan.Situation] = {}
         self._unreachable_by_vm: dict[ids.EntryVmId, tuple[model.Life, ...]] = {}
         self._nodes_read_at = 0.0
         self._acquired_at = 0.0
@@ -116,10 +116,7 @@
         for service, keys in report.keys_by_service.items():
             self._load_by_service.setdefault(service, keyload.KeyLoad()).add(keys, now)
         for server, (count, mean_s) in report.speed_by_server.items():
-            if count and mean_s > 0:
-                old = self._speed_by_server.get(server, mean_s)
-                weight = min(1.0, SPEED_WEIGHT * count)
-                self._speed_by_server[server] = old + weight * (mean_s - old)
+            self.speeds.add(server, count, mean_s, self._utilization_by_server.get(server, 0.0))
         self._unreachable_by_vm[report.vm] = report.unreachable
 
     def pending_lives(self) -> tuple[model.Life, ...]:
@@ -131,6 +128,19 @@
         self._clearing.forget(pending)
         return tuple(sorted(pending))
 
+    def admitted_by_server(self) -> dict[ids.ServerId, float]:
+        """Return the part of the requests for which each overloaded server has room."""
+        admitted: dict[ids.ServerId, float] = {}
+        for service, situation in self._situations.items():
+            known = self._known.by_service.get(service)
+            if known is None:
+                continue
+            for life, utilization in plan.utilizations(known.ranges, situation).items():
+                self._utilization_by_server[life.server] = utilization
+                if utilization > ADMITTED_UTILIZATION:
+                    admitted[life.server] = ADMITTED_UTILIZATION / utilization
+        return admitted
+
     async def _load(self) -> None:
         """Read all maps; they are current as of now, and only this VM changes them."""
         started = self._now()
@@ -161,8 +171,10 @@
         known = self._known.by_service.get(service)
         if known is None:
             known = knowledge.Known(model.empty(service), rows.ABSENT, self._now())
+        situation = self._situation(service)
+        self._situations[service] = situation
         changed = plan.settle(known.ranges, self._cleared(known))
-        changed = plan.plan(changed, self._situation(service))
+        changed = plan.plan(changed, situation)
         if changed != known.ranges:
             await self._commit(changed, known)
         self._start_releases(service)
@@ -193,21 +205,15 @@
         now = self._now()
         records = self._directory.usable(service)
         silent = self._silent_lives()
-        speeds = [
-            speed
-            for record in records
-            if (speed := self._speed_by_server.get(record.entry.server)) is not None
-        ]
-        mean_s = sum(speeds) / len(speeds) if speeds else MEAN_SERVICE_S
-        candidates = {}
-        for record in records:
-            speed = self._speed_by_server.get(record.entry.server, mean_s)
-            speed = min(max(speed, mean_s / SPEED_RANGE), mean_s * SPEED_RANGE)
-            candidates[record.entry.life] = plan.Candidate(
+        speed_by_server = self.speeds.of([record.entry.server for record in records])
+        candidates = {
+            record.entry.life: plan.Candidate(
                 life=record.entry.life,
-                capacity=max(1, record.entry.slots) / speed,
+                capacity=max(1, record.entry.slots) / speed_by_server[record.entry.server],
                 reachable=record.entry.life not in silent,
             )
+            for record in records
+        }
         load = self._load_by_service.setdefault(service, keyload.KeyLoad())
         return plan.Situation(
             candidates_by_life=candidates,
--- /dev/null
+++ b/tests/ranges/test_plan.py
@@ -0,0 +1,139 @@
+"""Tests of the assignment of key ranges, by load pattern."""
+
+import testtools
+
+from celerystack import ids
+from celerystack.ranges import keyload, model, plan
+
+SERVICE = ids.ServiceName("rota")
+
+
+def life(name, born_ms=1):
+    return model.Life(ids.ServerId(name), born_ms)
+
+
+def candidates(**capacity_by_name):
+    return {
+        life(name): plan.Candidate(life=life(name), capacity=capacity)
+        for name, capacity in capacity_by_name.items()
+    }
+
+
+def situation(found, *, rates=None, ended=(), silent=()):
+    counts = [(key, rate * keyload.DECAY_S) for key, rate in sorted((rates or {}).items())]
+    return plan.Situation(
+        candidates_by_life=found,
+        has_ended=ended.__contains__,
+        is_silent=silent.__contains__,
+        load=keyload.Snapshot(counts, keys=model.KEY_MAX + 1),
+    )
+
+
+def settled(*parts):
+    """Return a map of (end, owner) parts from key 0 on, all under token 1."""
+    segments = []
+    start = 0
+    for end, owner in parts:
+        token = ids.Token(len(segments) + 1)
+        segments.append(model.Segment(start=start, end=end, token=token, owner=owner))
+        start = end + 1
+    return model.RangeMap(
+        service=SERVICE, next_token=ids.Token(len(segments) + 1), segments=tuple(segments)
+    )
+
+
+HALF = model.KEY_MAX // 2
+
+
+class AssignmentTest(testtools.TestCase):
+    def test_first_plan_gives_every_server_keys(self):
+        """Guards against servers without work from the start."""
+        found = candidates(a=16, b=16, c=16)
+        planned = plan.plan(model.empty(SERVICE), situation(found))
+        self.assertEqual(set(found), {segment.owner for segment in planned.segments})
+
+    def test_first_plan_waits_for_nobody(self):
+        """Guards against keys that wait although nobody can hold them."""
+        planned = plan.plan(model.empty(SERVICE), situation(candidates(a=16, b=16)))
+        self.assertTrue(all(segment.is_settled for segment in planned.segments))
+
+    def test_keys_of_a_leaving_server_stay_pending_on_it(self):
+        """Guards against a grant to the new owner while the old one still holds the keys."""
+        ranges = settled((HALF, life("a")), (model.KEY_MAX, life("b")))
+        planned = plan.plan(ranges, situation(candidates(b=16)))
+        moved = planned.find(0)
+        self.assertEqual(((life("a"),), life("b")), (moved.pending, moved.owner))
+
+    def test_keys_of_a_leaving_server_get_a_higher_token(self):
+        """Guards against a delayed renewal that the old owner would still accept."""
+        ranges = settled((HALF, life("a")), (model.KEY_MAX, life("b")))
+        planned = plan.plan(ranges, situation(candidates(b=16)))
+        self.assertGreaterEqual(planned.find(0).token, ranges.next_token)
+
+    def test_keys_of_an_ended_life_are_free_at_once(self):
+        """Guards against waiting for a hold of a process that has ended."""
+        ranges = settled((HALF, life("a")), (model.KEY_MAX, life("b")))
+        found = candidates(b=16) | {life("a", 2): plan.Candidate(life=life("a", 2), capacity=16)}
+        planned = plan.plan(ranges, situation(found, ended={life("a")}))
+        self.assertEqual((), planned.find(0).pending)
+
+    def test_keys_of_a_silent_server_are_recovering(self):
+        """Guards against callers that wait for a hand-over which will not come."""
+        ranges = settled((HALF, life("a")), (model.KEY_MAX, life("b")))
+        planned = plan.plan(ranges, situation(candidates(b=16), silent={life("a")}))
+        self.assertIs(model.Phase.RECOVERING, planned.find(0).phase)
+
+    def test_owner_that_changes_twice_leaves_both_pending(self):
+        """Guards against forgetting the first holder when the second leaves before its grant."""
+        ranges = settled((HALF, life("a")), (model.KEY_MAX, life("b")))
+        once = plan.plan(ranges, situation(candidates(b=16)))
+        twice = plan.plan(once, situation(candidates(c=16)))
+        self.assertEqual({life("a"), life("b")}, set(twice.find(0).pending))
+
+    def test_no_usable_server_changes_nothing(self):
+        """Guards against giving up assignments while no server is known."""
+        ranges = settled((model.KEY_MAX, life("a")))
+        self.assertEqual(ranges, plan.plan(ranges, situation({})))
+
+
+class BalanceTest(testtools.TestCase):
+    def test_even_load_moves_nothing(self):
+        """Guards against churn without need."""
+        ranges = settled((HALF, life("a")), (model.KEY_MAX, life("b")))
+        rates = {100: 5.0, 40_000: 5.0}
+        self.assertEqual(ranges, plan.plan(ranges, situation(candidates(a=16, b=16), rates=rates)))
+
+    def test_hot_neighbours_are_spread(self):
+        """Guards against the pattern of busy keys close to one another on one server."""
+        ranges = settled((HALF, life("a")), (model.KEY_MAX, life("b")))
+        rates = {1000 + step: 1.0 for step in range(20)}
+        planned = plan.plan(ranges, situation(candidates(a=16, b=16), rates=rates))
+        moved = [key for key in rates if planned.find(key).owner == life("b")]
+        self.assertTrue(6 <= len(moved) <= 14, moved)
+
+    def test_one_hot_key_is_left_alone_on_its_server(self):
+        """Guards against neighbours that wait behind a key that exceeds a server."""
+        ranges = settled((HALF, life("a")), (model.KEY_MAX, life("b")))
+        rates = {1000: 50.0, 900: 2.0, 1100: 2.0}
+        planned = plan.plan(ranges, situation(candidates(a=16, b=16), rates=rates))
+        owners = {key: planned.find(key).owner for key in rates}
+        self.assertEqual({1000: life("a"), 900: life("b"), 1100: life("b")}, owners)
+
+    def test_one_hot_key_goes_to_a_much_faster_server(self):
+        """Guards against serving a key on a slow server although a fast one is free."""
+        ranges = settled((HALF, life("a")), (model.KEY_MAX, life("b")))
+        planned = plan.plan(ranges, situation(candidates(a=10, b=24), rates={1000: 50.0}))
+        self.assertEqual(life("b"), planned.find(1000).owner)
+
+    def test_one_hot_key_does_not_wander(self):
+        """Guards against a hand-over every round between equally fast servers."""
+        ranges = settled((HALF, life("a")), (model.KEY_MAX, life("b")))
+        planned = plan.plan(ranges, situation(candidates(a=16, b=16), rates={1000: 50.0}))
+        self.assertEqual(life("a"), planned.find(1000).owner)
+
+    def test_new_server_gets_keys(self):
+        """Guards against servers that join and get no request."""
+        ranges = settled((HALF, life("a")), (model.KEY_MAX, life("b")))
+        rates = dict.fromkeys(range(0, model.KEY_MAX, 4000), 0.5)
+        planned = plan.plan(ranges, situation(candidates(a=16, b=16, c=16), rates=rates))
+        self.assertIn(life("c"), {segment.owner for segment in planned.segments})
