Grant only to the process that is meant; stop reading before a shutdown ends

Ruled out: late orders (the grants were answered at once), the drain time itself. Change: grants name the server they are for; after a broken connection a life must show itself in the registry before it is granted anything again, unless the store is away; 2.5 s after SIGTERM idle connections are closed, and the process waits for what it has read until shortly before the kill.

--- a/src/celerystack/fleet/servers.py
+++ b/src/celerystack/fleet/servers.py
@@ -106,6 +106,10 @@
         missing = [server for server in self.by_id if server not in found]
         self.apply_changes(found.values(), missing, now)
 
+    def is_current(self, now: float) -> bool:
+        """Return whether the entries were read lately."""
+        return self._read_at is not None and now - self._read_at <= OUTAGE_S
+
     def usable(self, service: ids.ServiceName) -> list[ServerRecord]:
         """Return the servers of a service that take requests."""
         return [
--- a/src/celerystack/gateway/frontend.py
+++ b/src/celerystack/gateway/frontend.py
@@ -78,9 +78,14 @@
         if port is not None:
             port.stopListening()
 
-    def drained(self) -> defer.Deferred[None]:
-        """Return a Deferred that fires when no call is being received or answered."""
-        return self._factory.drained()
+    def close_idle(self) -> None:
+        """Close the connections on which no request is being received or answered."""
+        self._factory.close_idle()
+
+    @property
+    def active_count(self) -> int:
+        """Requests that are being received or answered."""
+        return self._factory.active_count
 
     def _received(self, request: callerhttp.CallerRequest) -> None:
         try:
--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -29,10 +29,11 @@
 
 _log = logging.getLogger(__name__)
 
-SHUTDOWN_MARGIN_S = 0.7
+SHUTDOWN_MARGIN_S = 0.35
 """The process ends this long before it would be killed."""
 KEEP_LISTENING_S = 2.5
 """New connections still arrive after SIGTERM, until the platform has noticed."""
+DRAIN_CHECK_S = 0.05
 
 
 class Ownership:
@@ -160,12 +161,18 @@
         await self.coordinator.stop()
         await self._sleep(KEEP_LISTENING_S)
         self.frontend.stop_accepting()
-        drained = self.frontend.drained()
-        drained.addTimeout(max(0.1, end - self._now()), self._reactor)
-        try:
-            await drained
-        except defer.TimeoutError:
-            _log.warning("requests were still in flight at the end", extra={"step": "stop"})
+        while self._now() < end:
+            # What was read is answered; a request that crosses the close was not read.
+            self.frontend.close_idle()
+            if not self.frontend.active_count:
+                break
+            await self._sleep(DRAIN_CHECK_S)
+        else:
+            _log.warning(
+                "%d requests were still in flight at the end",
+                self.frontend.active_count,
+                extra={"step": "stop"},
+            )
         _log.info("stopped", extra={"step": "stop"})
         sys.stdout.flush()
 
--- a/src/celerystack/platform/orders.py
+++ b/src/celerystack/platform/orders.py
@@ -18,6 +18,7 @@
 CONNECT_TIMEOUT_S = 0.4
 IDLE_S = 8.0
 _HANDOVER = b"celerystack-handover"
+_EXPECTED = b"Celerystack-Expected-Instance"
 
 
 class HttpOrders:
@@ -39,7 +40,9 @@
         fields = _range(segment) | {"hold_time": wire.milliseconds(hold_s)}
         if segment.handover:
             fields["handover"] = segment.handover
-        sent = self._send(address, GRANT_CONNECTIONS, "/grant", fields, timeout_s)
+        # A server that started at the address of a lost one must not take the old one's keys.
+        expected = () if segment.owner is None else ((_EXPECTED, segment.owner.server.encode()),)
+        sent = self._send(address, GRANT_CONNECTIONS, "/grant", fields, timeout_s, expected)
         return sent.addCallback(self._read_grant, address)
 
     def release(
@@ -50,12 +53,22 @@
         return sent.addCallback(self._read_release, address)
 
     def _send(
-        self, address: str, connections: int, path: str, fields: dict[str, object], timeout_s: float
+        self,
+        address: str,
+        connections: int,
+        path: str,
+        fields: dict[str, object],
+        timeout_s: float,
+        more: http.HeaderList = (),
     ) -> defer.Deferred[http.HttpResponse]:
         request = http.HttpRequest(
             method=b"POST",
             target=path.encode(),
-            headers=((b"Host", address.encode()), (b"Content-Type", b"application/json")),
+            headers=(
+                (b"Host", address.encode()),
+                (b"Content-Type", b"application/json"),
+                *more,
+            ),
             body=json.dumps(fields).encode(),
         )
         return self._pool(address, connections).exchange(request, deadline=self._now() + timeout_s)
@@ -83,6 +96,8 @@
                 return orders.GrantResult.TOKEN_TOO_OLD
             case 400:
                 return orders.GrantResult.INVALID
+            case 421:
+                return orders.GrantResult.OTHER_SERVER
         raise errors.OutcomeUnknownError(
             f"unexpected status {response.status}", step="orders.grant", peer=address
         )
--- a/src/celerystack/ranges/lessor.py
+++ b/src/celerystack/ranges/lessor.py
@@ -65,6 +65,7 @@
         self._due_by_key: dict[model.Life, dict[_SegmentKey, float]] = {}
         self._busy: set[model.Life] = set()
         self._failures_by_life: dict[model.Life, int] = {}
+        self._failed_at_by_life: dict[model.Life, float] = {}
 
     @property
     def unreachable(self) -> tuple[model.Life, ...]:
@@ -95,6 +96,8 @@
             record = self._directory.record_of(life)
             if record is None or record.gone or life in self._busy or not self._is_lessor(record):
                 continue
+            if not self._is_confirmed(life, record):
+                continue
             self._busy.add(life)
             sending = defer.Deferred.fromCoroutine(self._grant_all(life, record, due))
             sending.addErrback(
@@ -130,6 +133,17 @@
             return False
         return rank(self._vm, self.vms, record.entry.server) < LESSORS_PER_SERVER
 
+    def _is_confirmed(self, life: model.Life, record: servers.ServerRecord) -> bool:
+        """Return whether it is this life that would answer.
+
+        After a broken connection another life may listen at the address, even under the same id.
+        Its own entry must show that this one still lives, unless the store is away.
+        """
+        failed_at = self._failed_at_by_life.get(life)
+        if failed_at is None or record.seen_at > failed_at:
+            return True
+        return not self._directory.is_current(self._now())
+
     def _forget(self, owners: set[model.Life]) -> None:
         for life in [life for life in self._due_by_key if life not in owners]:
             del self._due_by_key[life]
@@ -139,6 +153,8 @@
                 del due_by_key[key]
         for life in [life for life in self._failures_by_life if life not in owners]:
             del self._failures_by_life[life]
+        for life in [life for life in self._failed_at_by_life if life not in owners]:
+            del self._failed_at_by_life[life]
 
     async def _grant_all(
         self,
@@ -175,6 +191,7 @@
         except errors.BackendError as error:
             failures = self._failures_by_life.get(life, 0) + 1
             self._failures_by_life[life] = failures
+            self._failed_at_by_life[life] = self._now()
             due_by_key[_key(segment)] = self._now() + RETRY_S
             if failures <= FAILURES_TO_UNREACHABLE:
                 _log.warning(
@@ -185,7 +202,11 @@
             return False
         finally:
             self.holds.ended(life, self._now())
-        self._failures_by_life.pop(life, None)
+        if result is orders.GrantResult.OTHER_SERVER:
+            self._failed_at_by_life[life] = self._now()
+        else:
+            self._failures_by_life.pop(life, None)
+            self._failed_at_by_life.pop(life, None)
         due_by_key[_key(segment)] = self._now() + holds.RENEW_S
         if first or result is not orders.GrantResult.GRANTED:
             _log.info(
--- a/src/celerystack/ranges/orders.py
+++ b/src/celerystack/ranges/orders.py
@@ -16,6 +16,7 @@
     GRANTED = "granted"
     TOKEN_TOO_OLD = "token too old"
     INVALID = "invalid"
+    OTHER_SERVER = "another server has the address"
 
 
 class OrderPort(Protocol):
@@ -28,7 +29,7 @@
     def grant(
         self, address: str, segment: model.Segment, *, hold_s: float, timeout_s: float
     ) -> defer.Deferred[GrantResult]:
-        """Grant the keys of a segment to the server at ``address``."""
+        """Grant the keys of a segment to its owner, which is expected at ``address``."""
 
     def release(
         self, address: str, segment: model.Segment, *, timeout_s: float
--- a/src/celerystack/requests/callerhttp.py
+++ b/src/celerystack/requests/callerhttp.py
@@ -289,6 +289,17 @@
         self._active.discard(request)
         self.check_drained()
 
+    @property
+    def active_count(self) -> int:
+        """Requests that are being received or answered."""
+        return len(self._active)
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is being received or answered."""
+        for channel in list(self.channels):
+            if not channel.requests:
+                channel.loseConnection()
+
     def drained(self) -> defer.Deferred[None]:
         """Return a Deferred that fires when no request is being received or answered."""
         result: defer.Deferred[None] = defer.Deferred()
--- /dev/null
+++ b/tests/ranges/test_lessor.py
@@ -0,0 +1,80 @@
+"""Tests of granting and renewing keys."""
+
+import testtools
+from twisted.internet import task
+
+from celerystack import ids
+from celerystack.fleet import servers
+from celerystack.ranges import holds, knowledge, lessor
+from tests.ranges import fakes
+
+VM = ids.EntryVmId("vm-1")
+
+
+class LessorTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = task.Clock()
+        self.clock.advance(100.0)
+        self.known = knowledge.Knowledge()
+        self.directory = servers.Directory()
+        self.orders = fakes.Orders()
+        self.directory.apply_all([fakes.entry("a")], self.clock.seconds())
+        self.lessor = lessor.Lessor(
+            vm=VM,
+            zone=fakes.ZONE,
+            known=self.known,
+            directory=self.directory,
+            port=self.orders,
+            now=self.clock.seconds,
+        )
+        self.known.adopt(fakes.whole(fakes.life("a")), 7, self.clock.seconds())
+
+    def test_settled_keys_are_granted_at_once(self):
+        """Guards against keys that wait for a timer."""
+        self.lessor.tick()
+        self.assertEqual(1, len(self.orders.granted))
+
+    def test_renewed_before_the_hold_ends(self):
+        """Guards against a lapse between renewals."""
+        self.lessor.tick()
+        self.clock.advance(holds.RENEW_S)
+        self.lessor.tick()
+        self.assertEqual(2, len(self.orders.granted))
+
+    def test_nothing_is_granted_on_stale_knowledge(self):
+        """Guards against a second owner after the VM was cut off from store and planner."""
+        self.clock.advance(holds.AUTHORITY_S - holds.HOLD_BOUND_S)
+        self.lessor.tick()
+        self.assertEqual([], self.orders.granted)
+
+    def test_no_grant_after_a_broken_connection_until_the_life_shows_itself(self):
+        """Guards against granting a lost server's keys to the next process at its address."""
+        self.orders.failing = True
+        self.lessor.tick()
+        self.clock.advance(0.5)
+        self.directory.apply_changes([], [], self.clock.seconds())
+        self.lessor.tick()
+        self.assertEqual(1, len(self.orders.granted))
+
+    def test_grant_after_a_broken_connection_when_the_entry_was_renewed(self):
+        """Guards against keys that lapse after one reset connection."""
+        self.orders.failing = True
+        self.lessor.tick()
+        self.clock.advance(0.5)
+        self.directory.apply_changes([fakes.entry("a")], [], self.clock.seconds())
+        self.lessor.tick()
+        self.assertEqual(2, len(self.orders.granted))
+
+    def test_later_life_gets_nothing_of_an_earlier_one(self):
+        """Guards against renewing under the old token for a restarted server."""
+        self.directory.apply_changes([fakes.entry("a", 2)], [], self.clock.seconds())
+        self.lessor.tick()
+        self.assertEqual([], self.orders.granted)
+
+    def test_unanswered_grant_counts_from_the_abort_of_its_connection(self):
+        """Guards against a bound that starts when the grant was sent."""
+        self.orders.failing = True
+        self.lessor.tick()
+        remaining_s = self.lessor.remaining_s(fakes.life("a"))
+        self.assertAlmostEqual(holds.HOLD_BOUND_S, remaining_s)
