--- a/src/celerystack/fleet/messages.py
+++ b/src/celerystack/fleet/messages.py
@@ -31,6 +31,8 @@
         Keys of the requests that arrived since the last report.
     speed_by_server : dict
         Answers and their mean service time in seconds since the last report.
+    broken : tuple of (Fingerprint, Life)
+        Requests whose connection broke before any answer since the last report.
     """
 
     vm: ids.EntryVmId
@@ -42,6 +44,7 @@
     unreachable: tuple[model.Life, ...]
     keys_by_service: dict[ids.ServiceName, list[int]]
     speed_by_server: dict[ids.ServerId, tuple[int, float]]
+    broken: tuple[tuple[ids.Fingerprint, model.Life], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -64,6 +67,8 @@
         Lives of which the planner wants to know the remaining holds.
     admitted_by_server : dict
         For overloaded servers, the part of the requests for their keys that they have room for.
+    quarantined : tuple of Fingerprint
+        Requests that crash servers.
     """
 
     vm: ids.EntryVmId
@@ -75,6 +80,7 @@
     vms_by_zone: dict[ids.ZoneName, tuple[ids.EntryVmId, ...]]
     pending: tuple[model.Life, ...]
     admitted_by_server: dict[ids.ServerId, float]
+    quarantined: tuple[ids.Fingerprint, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -111,6 +117,7 @@
                 [_life(life) for life in message.unreachable],
                 message.keys_by_service,
                 message.speed_by_server,
+                [[suspect, *_life(life)] for suspect, life in message.broken],
             ]
             return msgpack.packb(["report", *fields])
         case Beacon():
@@ -124,6 +131,7 @@
                 message.vms_by_zone,
                 [_life(life) for life in message.pending],
                 message.admitted_by_server,
+                list(message.quarantined),
             ]
             return msgpack.packb(["beacon", *fields])
         case RangesPart():
@@ -164,7 +172,7 @@
 
 
 def _report(*fields: Any) -> Report:
-    vm, zone, boot, stamp, versions, remaining, unreachable, keys, speeds = fields
+    vm, zone, boot, stamp, versions, remaining, unreachable, keys, speeds, broken = fields
     return Report(
         vm=vm,
         zone=zone,
@@ -175,11 +183,14 @@
         unreachable=tuple(codec.decode_life(life) for life in unreachable),
         keys_by_service=keys,
         speed_by_server={server: (int(n), float(mean)) for server, (n, mean) in speeds.items()},
+        broken=tuple(
+            (ids.Fingerprint(bytes(suspect)), codec.decode_life([s, b])) for suspect, s, b in broken
+        ),
     )
 
 
 def _beacon(*fields: Any) -> Beacon:
-    vm, term, echo_boot, echo_stamp, age, versions, vms, pending, admitted = fields
+    vm, term, echo_boot, echo_stamp, age, versions, vms, pending, admitted, rejected = fields
     return Beacon(
         vm=vm,
         term=int(term),
@@ -190,6 +201,7 @@
         vms_by_zone={zone: tuple(names) for zone, names in vms.items()},
         pending=tuple(codec.decode_life(life) for life in pending),
         admitted_by_server={server: float(part) for server, part in admitted.items()},
+        quarantined=tuple(ids.Fingerprint(bytes(suspect)) for suspect in rejected),
     )
 
 
--- a/src/celerystack/gateway/calls.py
+++ b/src/celerystack/gateway/calls.py
@@ -93,9 +93,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lost:
-    """An attempt that may have run and has no usable answer."""
+    """An attempt that may have run and has no usable answer.
+
+    ``broken`` means that the connection was lost before any byte of an answer.
+    """
 
     detail: str
+    broken: bool = False
 
 
 Attempt = Answered | NotRun | Lost
--- a/src/celerystack/gateway/dispatch.py
+++ b/src/celerystack/gateway/dispatch.py
@@ -13,6 +13,7 @@
 from celerystack.backend import client
 from celerystack.fleet import servers
 from celerystack.gateway import calls, config, lane, retries
+from celerystack.limits import crashers
 from celerystack.ranges import model
 
 _log = logging.getLogger(__name__)
@@ -23,6 +24,7 @@
 RETRY_AFTER_MINIMUM_S = 0.05
 RETRY_AFTER_RECOVERING_S = 1.0
 RETRY_AFTER_UNREADY_S = 0.3
+RETRY_AFTER_QUARANTINE_S = 30.0
 RETRY_AFTER_OVERLOAD_S = (0.15, 0.35)
 """Callers of an overloaded server are told different times, so that they do not return at once."""
 CONNECTIONS_SHARE = 0.7
@@ -33,7 +35,9 @@
 
 
 class Ownership(Protocol):
-    """What the dispatcher needs to know of key ranges."""
+    """What the dispatcher needs to know of key ranges and from the other entry VMs."""
+
+    quarantine: crashers.Quarantine
 
     @property
     def entry_vms(self) -> int:
@@ -102,6 +106,8 @@
         policy = self._policies.get(call.service)
         if policy is None:
             return self._refuse("the service is not configured", RETRY_AFTER_UNREADY_S)
+        if self._ownership.quarantine.rejects(call.method, call.target, call.body):
+            return self._refuse("the request crashes servers", RETRY_AFTER_QUARANTINE_S)
         self._budget.on_request(call.service, self._now())
         if policy.sharded:
             if call.key is None:
@@ -131,8 +137,10 @@
                 case calls.NotRun(why=why, detail=detail):
                     self._note_not_run(call, chosen, why)
                     detail = f"{why.value} {detail}"
-                case calls.Lost(detail=detail):
+                case calls.Lost(detail=detail, broken=broken):
                     runs += 1
+                    if broken:
+                        self._note_broken(call, chosen)
                     fallback = self._lost(call, detail)
             final = self._final(call, policy, attempt, runs, fallback)
             if final is not None:
@@ -151,6 +159,14 @@
         if why is calls.NotRunReason.KEY_NOT_HELD:
             self._ownership.expect_loss(chosen.life)
 
+    def _note_broken(self, call: calls.Call, chosen: lane.Lane) -> None:
+        suspect = crashers.fingerprint(call.method, call.target, call.body)
+        self._ownership.quarantine.broke_off(suspect, chosen.life)
+
+    def refusing(self) -> list[model.Life]:
+        """Return the servers that lately accepted no connection."""
+        return [life for life, one in self._lanes_by_life.items() if one.is_refusing]
+
     def _final(
         self,
         call: calls.Call,
--- a/src/celerystack/gateway/lane.py
+++ b/src/celerystack/gateway/lane.py
@@ -71,6 +71,7 @@
         self._heard_at = now()
         self._failures = 0
         self._suspect_until = 0.0
+        self._refused_at = float("-inf")
         self.latency_s = FIRST_LATENCY_S
 
     @property
@@ -102,6 +103,11 @@
         oldest = max(min(self._started_at.values()), self._heard_at)
         return now - oldest > max(SILENT_MINIMUM_S, SILENT_FACTOR * self.latency_s)
 
+    @property
+    def is_refusing(self) -> bool:
+        """Whether the server lately accepted no connection."""
+        return self._now() - self._refused_at < SUSPECT_S
+
     def note_failure(self) -> None:
         """Record that the server could not be reached or broke an exchange off."""
         self._failures += 1
@@ -183,12 +189,16 @@
                 until_close=True,
             )
         except errors.NotRunError as error:
+            self._refused_at = self._now()
             self.note_failure()
             return calls.NotRun(calls.NotRunReason.NOT_SENT, error.reason)
+        except errors.TruncatedAnswerError as error:
+            return calls.Lost(error.reason)
         except errors.BackendError as error:
-            if self._now() < call.deadline:
+            broken = self._now() < call.deadline
+            if broken:
                 self.note_failure()
-            return calls.Lost(error.reason)
+            return calls.Lost(error.reason, broken=broken)
         return self._learn(self._dialect.classify(call, self.life, response), started)
 
     def _learn(self, attempt: calls.Attempt, started: float) -> calls.Attempt:
--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 import prometheus_client
-from twisted.internet import defer
+from twisted.internet import defer, error
 from twisted.web import http as twisted_http
 
 from celerystack import ids
@@ -46,6 +46,7 @@
         self.expect_loss = coordination.lessor.expect_loss
         self.count_request = coordination.count_request
         self.count_answer = coordination.count_answer
+        self.quarantine = coordination.quarantine
         self.admit = coordination.admission.admit
 
     @property
@@ -107,6 +108,7 @@
             ),
             now=now,
         )
+        self.coordinator.report_unreachable(self.dispatcher.refusing)
         self.frontend = frontend.FrontEnd(
             reactor,
             dispatcher=self.dispatcher,
@@ -137,6 +139,14 @@
             self._reactor, self._check, limits=callerhttp.Limits(), now=self._now
         )
         self._reactor.listenTCP(port, checks, 64, host)
+        host, port = self.settings.metrics_address
+        scrapes = callerhttp.CallerFactory(
+            self._reactor, self._expose, limits=callerhttp.Limits(), now=self._now
+        )
+        try:
+            self._reactor.listenTCP(port, scrapes, 16, host)
+        except error.CannotListenError as caught:
+            _log.error("metrics are not served: %s", caught, extra={"step": "start"})
         self.feeds.start()
         self.coordinator.start()
 
@@ -185,6 +195,14 @@
         status = 200 if self.is_ready() else 503
         request.answer(status, twisted_http.RESPONSES[status], ((b"Content-Length", b"0"),), b"")
 
+    def _expose(self, request: callerhttp.CallerRequest) -> None:
+        body = prometheus_client.generate_latest(self.registry)
+        headers = (
+            (b"Content-Type", prometheus_client.CONTENT_TYPE_LATEST.encode()),
+            (b"Content-Length", b"%d" % len(body)),
+        )
+        request.answer(200, b"OK", headers, body)
+
     def _sharded(self) -> list[ids.ServiceName]:
         if self._config is None:
             return []
--- a/src/celerystack/gateway/settings.py
+++ b/src/celerystack/gateway/settings.py
@@ -27,6 +27,7 @@
     zone: ids.ZoneName
     caller_address: tuple[str, int]
     ready_address: tuple[str, int]
+    metrics_address: tuple[str, int]
     peer_address: tuple[str, int]
     store_address: tuple[str, int]
     drain_s: float
--- /dev/null
+++ b/src/celerystack/limits/crashers.py
@@ -0,0 +1,97 @@
+"""Finds requests that crash the servers which run them, over all entry VMs.
+
+An entry VM reports the fingerprint of a request whose connection broke before any answer. A
+fingerprint is quarantined when lives of several servers that it was sent to are down. One loss is
+not enough: every crash breaks off requests that have nothing to do with it.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable, Iterable
+
+from celerystack import ids
+from celerystack.ranges import model
+
+LOSSES_TO_QUARANTINE = 2
+SUSPECT_KEPT_S = 60.0
+QUARANTINE_S = 30.0
+SUSPECTS_MAX = 2000
+FINGERPRINT_BYTES = 8
+
+
+def fingerprint(method: bytes, target: bytes, body: bytes) -> ids.Fingerprint:
+    """Return a short hash of a request, equal for all of its repetitions."""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (method, target, body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return ids.Fingerprint(digest.digest())
+
+
+class Suspects:
+    """The planner's record of broken requests.
+
+    Parameters
+    ----------
+    is_down : callable
+        Whether a life has ended or does not accept connections.
+    """
+
+    def __init__(self, *, is_down: Callable[[model.Life], bool]) -> None:
+        self._is_down = is_down
+        self._seen_at_by_life: dict[ids.Fingerprint, dict[model.Life, float]] = {}
+        self._lost: dict[ids.Fingerprint, set[model.Life]] = {}
+        self._until_by_fingerprint: dict[ids.Fingerprint, float] = {}
+
+    def add(self, suspect: ids.Fingerprint, life: model.Life, now: float) -> None:
+        """Record that a request broke off at a life."""
+        if suspect not in self._seen_at_by_life and len(self._seen_at_by_life) >= SUSPECTS_MAX:
+            self._forget(next(iter(self._seen_at_by_life)))
+        self._seen_at_by_life.setdefault(suspect, {})[life] = now
+
+    def quarantined(self, now: float) -> tuple[ids.Fingerprint, ...]:
+        """Return the fingerprints that are rejected."""
+        for suspect, seen_at_by_life in list(self._seen_at_by_life.items()):
+            if max(seen_at_by_life.values()) < now - SUSPECT_KEPT_S:
+                self._forget(suspect)
+                continue
+            lost = self._lost.setdefault(suspect, set())
+            fresh = {life for life in seen_at_by_life if life not in lost and self._is_down(life)}
+            lost |= fresh
+            if fresh and len(lost) >= LOSSES_TO_QUARANTINE:
+                self._until_by_fingerprint[suspect] = now + QUARANTINE_S
+        return tuple(
+            suspect for suspect, until in self._until_by_fingerprint.items() if until > now
+        )
+
+    def _forget(self, suspect: ids.Fingerprint) -> None:
+        del self._seen_at_by_life[suspect]
+        self._lost.pop(suspect, None)
+        self._until_by_fingerprint.pop(suspect, None)
+
+
+class Quarantine:
+    """An entry VM's side: what it saw, and what the planner told it to reject."""
+
+    def __init__(self) -> None:
+        self._seen: dict[tuple[ids.Fingerprint, model.Life], None] = {}
+        self._rejected: frozenset[ids.Fingerprint] = frozenset()
+
+    def broke_off(self, suspect: ids.Fingerprint, life: model.Life) -> None:
+        """Record a request whose connection broke before any answer."""
+        if len(self._seen) < SUSPECTS_MAX:
+            self._seen[suspect, life] = None
+
+    def take_seen(self) -> list[tuple[ids.Fingerprint, model.Life]]:
+        """Return what was recorded since the last call."""
+        seen, self._seen = list(self._seen), {}
+        return seen
+
+    def update(self, rejected: Iterable[ids.Fingerprint]) -> None:
+        """Take the fingerprints to reject."""
+        self._rejected = frozenset(rejected)
+
+    def rejects(self, method: bytes, target: bytes, body: bytes) -> bool:
+        """Return whether a request must be rejected."""
+        return bool(self._rejected) and fingerprint(method, target, body) in self._rejected
--- a/src/celerystack/platform/__main__.py
+++ b/src/celerystack/platform/__main__.py
@@ -13,9 +13,6 @@
 
 _log = logging.getLogger(__name__)
 
-METRICS_PORT = 9464
-METRICS_PATH = b"/metrics"
-
 
 def _now() -> float:
     """Return a clock in seconds that neither steps nor stops while the VM is suspended."""
--- a/src/celerystack/platform/settings.py
+++ b/src/celerystack/platform/settings.py
@@ -12,6 +12,8 @@
 from celerystack.platform import wire
 
 FILE_VARIABLE = "CELERYSTACK_NODE_FILE"
+METRICS_PORT = 9464
+"""The deploy file names the same port."""
 DEFAULT_FILE = "/etc/celerystack/local.toml"
 
 
@@ -51,6 +53,7 @@
             zone=ids.ZoneName(str(identity["zone"])),
             caller_address=wire.address(listen["front"]),
             ready_address=wire.address(listen["ready"]),
+            metrics_address=(str(identity["ip_address"]), METRICS_PORT),
             peer_address=(str(identity["ip_address"]), int(network["internal_port_range"][0])),
             store_address=wire.address(store["address"]),
             drain_s=wire.seconds(terms["drain"]),
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -11,7 +11,7 @@
 
 from celerystack import errors, ids
 from celerystack.fleet import messages, nodes, rows, servers
-from celerystack.limits import thinning
+from celerystack.limits import crashers, thinning
 from celerystack.ranges import codec, knowledge, lessor, model, orders, planner, seat
 
 _log = logging.getLogger(__name__)
@@ -114,7 +114,9 @@
             now=now,
         )
         self._datagrams = _Datagrams(self._received)
+        self._unreachable: Callable[[], Iterable[model.Life]] = tuple
         self.admission = thinning.Thinning()
+        self.quarantine = crashers.Quarantine()
         self._peers: dict[ids.EntryVmId, _Peer] = {}
         self._parts: dict[tuple[ids.ServiceName, int], dict[int, messages.RangesPart]] = {}
         self._heard_at = now()
@@ -161,6 +163,10 @@
         if len(keys) < KEYS_PER_REPORT_MAX:
             keys.append(key)
 
+    def report_unreachable(self, lives: Callable[[], Iterable[model.Life]]) -> None:
+        """Add lives to the reports that do not accept connections for requests."""
+        self._unreachable = lives
+
     def count_answer(self, server: ids.ServerId, service_s: float) -> None:
         """Count an answer for the speed of its server."""
         count, mean = self._speed_by_server.get(server, (0, 0.0))
@@ -272,6 +278,8 @@
         pending = self.planner.pending_lives()
         admitted = self.planner.admitted_by_server()
         self.admission.update(admitted)
+        quarantined = self.planner.suspects.quarantined(now)
+        self.quarantine.update(quarantined)
         self._take_vms(vms_by_zone)
         self._pending = pending
         for vm, peer in self._peers.items():
@@ -287,6 +295,7 @@
                 vms_by_zone=vms_by_zone,
                 pending=pending,
                 admitted_by_server=admitted,
+                quarantined=quarantined,
             )
             self._datagrams.send(messages.encode(beacon), peer.node.address)
             if now - peer.reported_at < ALIVE_S:
@@ -380,6 +389,7 @@
         self._planner_address = address
         self._pending = beacon.pending
         self.admission.update(beacon.admitted_by_server)
+        self.quarantine.update(beacon.quarantined)
         self._take_vms(beacon.vms_by_zone)
         if beacon.echo_boot == self._boot and beacon.echo_stamp >= 0:
             self.known.confirm(beacon.versions_by_service, beacon.echo_stamp - beacon.confirm_age_s)
@@ -395,9 +405,10 @@
             stamp=self._now(),
             versions_by_service=self.known.versions(),
             remaining_by_life={life: self.lessor.remaining_s(life) for life in self._pending},
-            unreachable=self.lessor.unreachable,
+            unreachable=(*self.lessor.unreachable, *self._unreachable()),
             keys_by_service=keys,
             speed_by_server=speeds,
+            broken=tuple(self.quarantine.take_seen()),
         )
 
     def _take_part(self, part: messages.RangesPart) -> None:
--- a/src/celerystack/ranges/planner.py
+++ b/src/celerystack/ranges/planner.py
@@ -10,6 +10,7 @@
 
 from celerystack import errors, ids
 from celerystack.fleet import messages, nodes, rows, servers
+from celerystack.limits import crashers
 from celerystack.ranges import (
     clearing,
     codec,
@@ -82,6 +83,7 @@
         self._utilization_by_server: dict[ids.ServerId, float] = {}
         self._situations: dict[ids.ServiceName, plan.Situation] = {}
         self._unreachable_by_vm: dict[ids.EntryVmId, tuple[model.Life, ...]] = {}
+        self.suspects = crashers.Suspects(is_down=self._is_down)
         self._nodes_read_at = 0.0
         self._acquired_at = 0.0
         self._loaded = False
@@ -118,6 +120,11 @@
         for server, (count, mean_s) in report.speed_by_server.items():
             self.speeds.add(server, count, mean_s, self._utilization_by_server.get(server, 0.0))
         self._unreachable_by_vm[report.vm] = report.unreachable
+        for suspect, life in report.broken:
+            self.suspects.add(suspect, life, now)
+
+    def _is_down(self, life: model.Life) -> bool:
+        return self._directory.has_ended(life) or life in self._silent_lives()
 
     def pending_lives(self) -> tuple[model.Life, ...]:
         """Return the lives whose remaining holds decide when keys can be granted again."""
--- /dev/null
+++ b/standins/row_store.py
@@ -0,0 +1,154 @@
+"""Stand-in for the platform's row store, over HTTP on loopback.
+
+Faults are attributes: ``refusing`` answers 503, ``lose_answers`` drops the answers of that many
+writes after they took effect, ``late_writes`` holds that many writes back until `apply_late`, and
+`compact` forgets the history.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+import urllib.parse
+from typing import Any
+
+from twisted.internet import reactor
+
+from standins import scripted_backend
+
+_REASONS = {200: b"200 OK", 410: b"410 Gone", 412: b"412 Precondition Failed"}
+
+
+class RowStore:
+    """Rows, versions and history, served on a loopback port."""
+
+    def __init__(self) -> None:
+        self.http = scripted_backend.FakeServer()
+        self.http.handler = self._handle
+        self.address = self.http.address
+        self.version = 0
+        self.rows: dict[tuple[str, str], tuple[bytes, int]] = {}
+        self.history: list[tuple[int, str, str]] = []
+        self.oldest = 0
+        self.refusing = False
+        self.lose_answers = 0
+        self.late_writes = 0
+        self.calls: list[str] = []
+        self._late: list[dict[str, Any]] = []
+        self._waiting: set[Any] = set()
+
+    async def stop(self) -> None:
+        """Close the listener and all connections."""
+        for waiting in self._waiting:
+            if waiting.active():
+                waiting.cancel()
+        await self.http.stop()
+
+    def put(self, table: str, key: str, value: bytes) -> int:
+        """Write a row as another writer does; returns its version."""
+        self.version += 1
+        self.rows[table, key] = (value, self.version)
+        self.history.append((self.version, table, key))
+        return self.version
+
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row."""
+        self.version += 1
+        self.rows.pop((table, key), None)
+        self.history.append((self.version, table, key))
+
+    def compact(self) -> None:
+        """Forget all history."""
+        self.history.clear()
+        self.oldest = self.version
+
+    def apply_late(self) -> list[int]:
+        """Carry out the writes that were held back, if their conditions still hold."""
+        late, self._late = self._late, []
+        return [self._transact(body)[0] for body in late]
+
+    def _handle(self, request: scripted_backend.Received) -> None:
+        method, target, _ = request.line.decode().split(" ", 2)
+        path, _, query = target.partition("?")
+        self.calls.append(f"{method} {path}")
+        if self.refusing:
+            self._answer(request, 503, {})
+            return
+        fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+        match path:
+            case "/rows-get":
+                self._answer(request, 200, self._scan(fields["table_name"]))
+            case "/rows-feed":
+                deadline_ms = int(fields["wait_ms"])
+                self._feed(request, fields["table_name"], int(fields["after"]), deadline_ms)
+            case "/rows-tx":
+                self._write(request)
+            case _:
+                self._answer(request, 404, {})
+
+    def _write(self, request: scripted_backend.Received) -> None:
+        body = json.loads(request.body)
+        if self.late_writes:
+            self.late_writes -= 1
+            self._late.append(body)
+            request.connection.transport.abortConnection()
+            return
+        status, answer = self._transact(body)
+        if self.lose_answers and status == 200:
+            self.lose_answers -= 1
+            request.connection.transport.abortConnection()
+            return
+        self._answer(request, status, answer)
+
+    def _transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        for condition in body["precondition"]:
+            place = condition["table_name"], condition["key"]
+            if self.rows.get(place, (b"", 0))[1] != condition["row_version"]:
+                return 412, {"rows": [], "row_version": self.version}
+        self.version += 1
+        for put in body["put"]:
+            place = put["table_name"], put["key"]
+            self.rows[place] = (base64.b64decode(put["value"]), self.version)
+            self.history.append((self.version, *place))
+        for removed in body["remove"]:
+            place = removed["table_name"], removed["key"]
+            self.rows.pop(place, None)
+            self.history.append((self.version, *place))
+        return 200, {"row_version": self.version}
+
+    def _scan(self, table: str) -> dict[str, Any]:
+        rows = [self._row(table, key) for (own, key) in sorted(self.rows) if own == table]
+        return {"rows": rows, "has_more": False, "row_version": self.version}
+
+    def _feed(
+        self, request: scripted_backend.Received, table: str, after: int, left_ms: int
+    ) -> None:
+        if not request.connection.transport.connected:
+            return
+        if after < self.oldest:
+            self._answer(request, 410, {})
+            return
+        keys = {key for version, own, key in self.history if own == table and version > after}
+        if keys or left_ms <= 0:
+            rows = [self._row(table, key) for key in sorted(keys)]
+            self._answer(request, 200, {"rows": rows, "row_version": self.version})
+            return
+        step_ms = min(20, left_ms)
+        self._waiting = {waiting for waiting in self._waiting if waiting.active()}
+        self._waiting.add(
+            reactor.callLater(step_ms / 1000, self._feed, request, table, after, left_ms - step_ms)
+        )
+
+    def _row(self, table: str, key: str) -> dict[str, Any]:
+        row: dict[str, Any] = {"table_name": table, "part": "", "key": key}
+        if (table, key) not in self.rows:
+            return row | {"deleted": True, "row_version": self.version}
+        value, version = self.rows[table, key]
+        return row | {"value": base64.b64encode(value).decode(), "row_version": version}
+
+    def _answer(
+        self, request: scripted_backend.Received, status: int, fields: dict[str, Any]
+    ) -> None:
+        line = _REASONS.get(status, b"%d Status" % status)
+        body = json.dumps(fields).encode()
+        request.connection.transport.write(scripted_backend.answer(body, status=line))
--- /dev/null
+++ b/tests/limits/test_crashers.py
@@ -0,0 +1,69 @@
+"""Tests of finding requests that crash servers."""
+
+import testtools
+
+from celerystack import ids
+from celerystack.limits import crashers
+from celerystack.ranges import model
+
+REQUEST = crashers.fingerprint(b"GET", b"/a/1", b"")
+
+
+def life(name):
+    return model.Life(ids.ServerId(name), 1)
+
+
+class SuspectsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.down = set()
+        self.suspects = crashers.Suspects(is_down=self.down.__contains__)
+
+    def test_one_lost_server_quarantines_nothing(self):
+        """Guards against rejecting requests that were only near a crash."""
+        self.down.add(life("a"))
+        self.suspects.add(REQUEST, life("a"), 1.0)
+        self.assertEqual((), self.suspects.quarantined(1.0))
+
+    def test_second_lost_server_quarantines(self):
+        """Guards against a request that takes down one server after the other."""
+        self.down.update({life("a"), life("b")})
+        self.suspects.add(REQUEST, life("a"), 1.0)
+        self.suspects.add(REQUEST, life("b"), 2.0)
+        self.assertEqual((REQUEST,), self.suspects.quarantined(2.0))
+
+    def test_reset_connections_of_living_servers_do_not_count(self):
+        """Guards against rejecting popular requests while servers reset connections."""
+        for name in "abc":
+            self.suspects.add(REQUEST, life(name), 1.0)
+        self.assertEqual((), self.suspects.quarantined(1.0))
+
+    def test_loss_that_shows_later_counts(self):
+        """Guards against forgetting a suspect before its server is known to be down."""
+        self.suspects.add(REQUEST, life("a"), 1.0)
+        self.suspects.add(REQUEST, life("b"), 1.0)
+        self.suspects.quarantined(1.0)
+        self.down.update({life("a"), life("b")})
+        self.assertEqual((REQUEST,), self.suspects.quarantined(4.0))
+
+    def test_quarantine_ends(self):
+        """Guards against a request that is rejected for ever."""
+        self.down.update({life("a"), life("b")})
+        self.suspects.add(REQUEST, life("a"), 1.0)
+        self.suspects.add(REQUEST, life("b"), 1.0)
+        self.suspects.quarantined(1.0)
+        self.assertEqual((), self.suspects.quarantined(1.0 + crashers.QUARANTINE_S))
+
+
+class QuarantineTest(testtools.TestCase):
+    def test_rejects_every_repetition(self):
+        """Guards against a repetition that gets through because only its id differs."""
+        quarantine = crashers.Quarantine()
+        quarantine.update([REQUEST])
+        self.assertTrue(quarantine.rejects(b"GET", b"/a/1", b""))
+
+    def test_other_body_is_another_request(self):
+        """Guards against rejecting every request for a path."""
+        quarantine = crashers.Quarantine()
+        quarantine.update([REQUEST])
+        self.assertFalse(quarantine.rejects(b"GET", b"/a/1", b"x"))
--- /dev/null
+++ b/tests/system/range_world.py
@@ -0,0 +1,219 @@
+"""Entry VMs as processes on loopback, with stand-ins for store and servers in this process."""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+from twisted.internet import defer, protocol, reactor, task
+
+from standins import key_server, row_store, scripted_backend
+
+HEARTBEAT_S = 0.3
+HOST = "rota.example"
+SETTINGS = """
+[identity]
+node_name = "{vm}"
+zone = "{zone}"
+ip_address = "{ip}"
+[network]
+internal_port_range = [{udp}, {udp_end}]
+[network.listen_addresses]
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+[platform]
+heartbeat_interval = "300ms"
+[platform.platform]
+address = "{store}"
+[terms.parameters]
+drain = "2000ms"
+config_apply = "2000ms"
+grace_period = "6s"
+retry_budget_ratio = 0.2
+retry_window = "10s"
+retry_budget_slack = 60
+"""
+
+
+def config(version: int, **changes) -> bytes:
+    def route(name, service, kind):
+        return {
+            "name": name,
+            "host": HOST,
+            "prefix": f"/{name}/",
+            "kind": kind,
+            "timeout": "1500ms",
+            "target_latency": "400ms",
+            "priority": 1,
+            "service": service,
+            "max_attempts": 2,
+        }
+
+    def service(name, **more):
+        return {"name": name, "health_check_path": "/health", "max_connections": 100} | more
+
+    fields = {
+        "version": f"r{version}",
+        "routes": [
+            route("view", "rota", "safe"),
+            route("desk", "desk", "unsafe"),
+        ],
+        "services": [service("rota", sharded=True, warm_up="2s"), service("desk")],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1048576,
+            "header_timeout": "3000ms",
+            "idle_timeout": "15000ms",
+        },
+    }
+    return json.dumps(fields | changes).encode()
+
+
+class Caller(protocol.Protocol):
+    """Sends one request on a connection of its own and fires with status and headers."""
+
+    def __init__(self, data: bytes) -> None:
+        self._data = data
+        self._received = b""
+        self.done: defer.Deferred = defer.Deferred()
+
+    def connectionMade(self):  # noqa: N802
+        self.transport.write(self._data)
+
+    def dataReceived(self, data):  # noqa: N802
+        self._received += data
+        head, separator, body = self._received.partition(b"\r\n\r\n")
+        if not separator or self.done.called:
+            return
+        lines = head.decode().split("\r\n")
+        headers = {k.lower(): v for k, v in (line.split(": ", 1) for line in lines[1:])}
+        if len(body) >= int(headers.get("content-length", 0)):
+            self.done.callback((int(lines[0].split(" ")[1]), headers, body))
+            self.transport.loseConnection()
+
+    def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
+        if not self.done.called:
+            self.done.callback((0, {}, b""))
+
+
+class RangeWorld:
+    """A store, servers that write heartbeats, and entry VM processes."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._folder = folder
+        self.store = row_store.RowStore()
+        self.servers: dict[str, key_server.KeyServer] = {}
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.ports: dict[str, dict[str, object]] = {}
+        self._beat = task.LoopingCall(self._heartbeat)
+        self._beat.start(HEARTBEAT_S)
+        self._requests = 0
+
+    def _heartbeat(self) -> None:
+        for name, server in self.servers.items():
+            self.store.put("servers", name, server.entry())
+
+    def add_server(self, name: str, service: str, **options) -> key_server.KeyServer:
+        server = self.servers[name] = key_server.KeyServer(name, service, "z1", **options)
+        self.store.put("servers", name, server.entry())
+        return server
+
+    def lose_entry(self, name: str) -> None:
+        self.servers.pop(name)
+        self.store.remove("servers", name)
+
+    def start_vm(self, vm: str, ip: str) -> None:
+        ports = self.ports.setdefault(
+            vm,
+            {
+                "ip": ip,
+                "front": _free_port(ip),
+                "ready": _free_port(ip),
+                "udp": _free_port(ip, socket.SOCK_DGRAM),
+            },
+        )
+        path = self._folder / f"{vm}.toml"
+        path.write_text(
+            SETTINGS.format(
+                vm=vm, zone="z1", store=self.store.address, udp_end=int(ports["udp"]) + 1, **ports
+            )
+        )
+        source = str(pathlib.Path(__file__).parents[2] / "src")
+        environ = os.environ | {"CELERYSTACK_NODE_FILE": str(path), "PYTHONPATH": source}
+        with open(self._folder / f"{vm}.log", "ab") as log:
+            self.processes[vm] = subprocess.Popen(
+                [sys.executable, "-m", "celerystack.platform"],
+                env=environ,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def log_of(self, vm: str) -> str:
+        return (self._folder / f"{vm}.log").read_text()
+
+    async def until_ready(self, *vms: str, timeout: float = 15.0) -> None:
+        end = time.monotonic() + timeout
+        for vm in vms:
+            while (await self._get(vm, "ready", "/readiness"))[0] != 200:
+                if time.monotonic() > end:
+                    raise AssertionError(f"{vm} is not ready: {self.log_of(vm)[-3000:]}")
+                await scripted_backend.sleep(0.05)
+
+    async def request(
+        self, vm: str, path: str, *, key: int | None = None, method: str = "GET"
+    ) -> tuple[int, dict[str, str], bytes]:
+        self._requests += 1
+        headers = {
+            "Host": HOST,
+            "Celerystack-Request-Attempt-Id": f"request-{self._requests}",
+            "Celerystack-Deadline-Remaining-Ms": "1500",
+        }
+        if key is not None:
+            headers["Celerystack-Shard-Key"] = str(key)
+        if method == "POST":
+            headers["Content-Length"] = "0"
+        return await self._get(vm, "front", path, headers, method)
+
+    async def request_until(self, vm: str, path: str, *, key: int, timeout: float = 10.0):
+        """Repeat a request until it is served."""
+        end = time.monotonic() + timeout
+        while True:
+            status, headers, body = await self.request(vm, path, key=key)
+            if status == 200 or time.monotonic() > end:
+                return status, headers, body
+            await scripted_backend.sleep(0.1)
+
+    async def _get(self, vm, listener, path, headers=None, method="GET"):
+        ports = self.ports[vm]
+        headers = headers or {"Host": "x"}
+        lines = [f"{method} {path} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items()), "", ""]
+        data = "\r\n".join(lines).encode()
+        creator = protocol.ClientCreator(reactor, Caller, data)
+        try:
+            caller = await creator.connectTCP(ports["ip"], ports[listener])
+        except Exception:
+            return 0, {}, b""
+        caller.done.addTimeout(5, reactor, onTimeoutCancel=lambda *_: (0, {}, b""))
+        return await caller.done
+
+    async def stop(self) -> None:
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGKILL)
+                process.wait()
+        self._beat.stop()
+        for server in self.servers.values():
+            await server.stop()
+        await self.store.stop()
+
+
+def _free_port(ip: str, kind: int = socket.SOCK_STREAM) -> int:
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind((ip, 0))
+        return probe.getsockname()[1]
