--- a/src/celerystack/gateway/calls.py
+++ b/src/celerystack/gateway/calls.py
@@ -13,6 +13,32 @@
 from celerystack.requests import callerhttp
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Step:
+    """One decision about a call, for its log line.
+
+    Attributes
+    ----------
+    at : float
+        Clock time in seconds.
+    server : Life or None
+        Where the call was sent; None if it was not.
+    token : int
+        Fencing token of the key's range; 0 for a service that is not divided.
+    map_version : int
+        Row version of the range map that decided.
+    map_age_s : float
+        How long before it was last known to be current.
+    """
+
+    at: float
+    outcome: str
+    server: model.Life | None = None
+    token: int = 0
+    map_version: int = 0
+    map_age_s: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Call:
     """One attempt of a caller.
@@ -27,6 +53,8 @@
         When the caller stops waiting.
     deadline : float
         When this VM gives up: the caller's deadline or the route's timeout, whichever is first.
+    steps : list of Step
+        What was decided so far.
     """
 
     request_id: ids.RequestId
@@ -40,6 +68,7 @@
     arrived_at: float
     caller_deadline: float
     deadline: float
+    steps: list[Step] = dataclasses.field(default_factory=list)
 
     @property
     def aim(self) -> float:
--- a/src/celerystack/gateway/dispatch.py
+++ b/src/celerystack/gateway/dispatch.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import random
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -16,8 +15,6 @@
 from celerystack.limits import crashers
 from celerystack.ranges import model
 
-_log = logging.getLogger(__name__)
-
 MOVE_WAIT_S = 0.6
 """Longest time that a call waits for keys that are being handed over."""
 NOT_HELD_WAIT_S = 0.15
@@ -46,6 +43,9 @@
     def find(self, service: ids.ServiceName, key: int) -> model.Segment | None:
         """Return the segment of a key."""
 
+    def map_state(self, service: ids.ServiceName) -> tuple[int, float]:
+        """Return row version of a service's map, and when it was last known to be current."""
+
     def changed(self, service: ids.ServiceName) -> defer.Deferred[None]:
         """Return a Deferred that fires with the next change of a service's ranges."""
 
@@ -125,6 +125,7 @@
                 return fallback or chosen
             attempt = await chosen.run(call)
             tried.add(chosen.life)
+            self._record(call, policy, chosen, attempt)
             match attempt:
                 case calls.Refused():
                     return fallback or attempt
@@ -133,10 +134,8 @@
                         return attempt
                     runs += 1
                     fallback = attempt
-                    detail = f"the server answered {response.status}"
-                case calls.NotRun(why=why, detail=detail):
-                    self._note_not_run(call, chosen, why)
-                    detail = f"{why.value} {detail}"
+                case calls.NotRun(why=why):
+                    self._note_not_run(chosen, why)
                 case calls.Lost(detail=detail, broken=broken):
                     runs += 1
                     if broken:
@@ -145,17 +144,34 @@
             final = self._final(call, policy, attempt, runs, fallback)
             if final is not None:
                 return final
-            _log.info(
-                "sending again: %s",
-                detail,
-                extra={
-                    "step": "dispatch.retry",
-                    "request_id": call.request_id,
-                    "peer": chosen.life.server,
-                },
+
+    def _record(
+        self,
+        call: calls.Call,
+        policy: config.ServicePolicy,
+        chosen: lane.Lane,
+        attempt: calls.Attempt | calls.Refused,
+    ) -> None:
+        """Add an attempt, and what it was based on, to the call's log line."""
+        version, known_at = 0, 0.0
+        token = 0
+        now = self._now()
+        if policy.sharded:
+            version, known_at = self._ownership.map_state(call.service)
+            segment = self._ownership.find(call.service, call.key or 0)
+            token = 0 if segment is None else segment.token
+        call.steps.append(
+            calls.Step(
+                at=now,
+                outcome=_describe(attempt),
+                server=chosen.life,
+                token=token,
+                map_version=version,
+                map_age_s=now - known_at if version else 0.0,
             )
+        )
 
-    def _note_not_run(self, call: calls.Call, chosen: lane.Lane, why: calls.NotRunReason) -> None:
+    def _note_not_run(self, chosen: lane.Lane, why: calls.NotRunReason) -> None:
         if why is calls.NotRunReason.KEY_NOT_HELD:
             self._ownership.expect_loss(chosen.life)
 
@@ -302,3 +318,14 @@
 
     def _on_answer(self, answered: lane.Lane, latency_s: float) -> None:
         self._ownership.count_answer(answered.life.server, latency_s)
+
+
+def _describe(attempt: calls.Attempt | calls.Refused) -> str:
+    match attempt:
+        case calls.Answered(response=response):
+            return f"answered {response.status}"
+        case calls.NotRun(why=why, detail=detail):
+            return f"not run: {why.value} {detail}".rstrip()
+        case calls.Lost(detail=detail):
+            return f"may have run: {detail}"
+    return attempt.reason
--- a/src/celerystack/gateway/measures.py
+++ b/src/celerystack/gateway/measures.py
@@ -1,4 +1,4 @@
-"""Counters and latencies of the request path, and the log line of each request that failed."""
+"""Counters and latencies of the request path, and the log line of each request."""
 
 from __future__ import annotations
 
@@ -32,29 +32,47 @@
         )
 
     def finished(self, call: calls.Call, reply: calls.Reply, now: float) -> None:
-        """Count a reply; logs it unless the server answered."""
+        """Count a reply and log the request with its decisions."""
         latency_s = now - call.arrived_at
         match reply:
-            case calls.Answered():
+            case calls.Answered(response=response):
                 outcome = "answered"
+                text = f"{response.status}"
             case calls.Refused(reason=reason, status=status, retry_after_s=retry_after_s):
                 outcome = "refused"
-                _log.info(
-                    "%d after %.0f ms, retry after %.2f s: %s",
-                    status,
-                    latency_s * 1000,
-                    retry_after_s,
-                    reason,
-                    extra={"step": "refused", "request_id": call.request_id},
-                )
+                text = f"{status}, retry after {retry_after_s:.2f} s: {reason}"
             case calls.Failed(reason=reason, status=status):
                 outcome = "failed"
-                _log.info(
-                    "%d after %.0f ms: %s",
-                    status,
-                    latency_s * 1000,
-                    reason,
-                    extra={"step": "failed", "request_id": call.request_id},
-                )
+                text = f"{status}: {reason}"
+        _log.info(
+            "%s after %.0f of %.0f ms",
+            text,
+            latency_s * 1000,
+            (call.deadline - call.arrived_at) * 1000,
+            extra={
+                "step": outcome,
+                "request_id": call.request_id,
+                "service": call.service,
+                "key": call.key,
+                "steps": [_step(call, step) for step in call.steps],
+            },
+        )
         self._requests.labels(call.service, outcome).inc()
         self._latency.labels(call.service).observe(latency_s)
+
+
+def _step(call: calls.Call, step: calls.Step) -> dict[str, object]:
+    """Return a step as the fields of a log line."""
+    fields: dict[str, object] = {
+        "at_ms": round((step.at - call.arrived_at) * 1000),
+        "outcome": step.outcome,
+    }
+    if step.server is not None:
+        fields |= {"server": step.server.server, "born": step.server.born_ms}
+    if step.map_version:
+        fields |= {
+            "token": step.token,
+            "map": step.map_version,
+            "map_age_ms": round(step.map_age_s * 1000),
+        }
+    return fields
--- a/src/celerystack/observe/logs.py
+++ b/src/celerystack/observe/logs.py
@@ -21,7 +21,17 @@
 
 from celerystack import errors, settings
 
-FIELDS = ("request_id", "service", "step", "peer", "shard", "token", "suppressed")
+FIELDS = (
+    "request_id",
+    "service",
+    "step",
+    "peer",
+    "shard",
+    "key",
+    "token",
+    "steps",
+    "suppressed",
+)
 """Optional fields of a log record, in the order of output."""
 
 REPEAT_WINDOW_S = 10.0
@@ -155,6 +165,7 @@
     log_format: settings.LogFormat,
     log_level: settings.LogLevel,
     stream: TextIO | None = None,
+    handler: logging.Handler | None = None,
 ) -> logging.Handler:
     """Replace the handlers of the root logger by one that writes to ``stream``.
 
@@ -162,13 +173,15 @@
     ----------
     stream : TextIO or None
         None takes standard error.
+    handler : logging.Handler or None
+        Handler to install in place of one for a stream.
 
     Returns
     -------
     logging.Handler
         The installed handler.
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
+    handler = handler or logging.StreamHandler(stream or sys.stderr)
     match log_format:
         case settings.LogFormat.JSON:
             handler.setFormatter(JsonFormatter())
--- a/src/celerystack/platform/__main__.py
+++ b/src/celerystack/platform/__main__.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from celerystack import errors, settings
-from celerystack.observe import logs
+from celerystack.observe import logs, outlet
 
 _log = logging.getLogger(__name__)
 
@@ -23,10 +23,10 @@
     """Run until SIGTERM; returns the exit code."""
     from celerystack.platform import settings as node_settings
 
+    handler = outlet.NonBlockingHandler(sys.stdout.fileno())
+    handler.addFilter(outlet.VolumeFilter())
     logs.configure(
-        log_format=settings.LogFormat.JSON,
-        log_level=settings.LogLevel.INFO,
-        stream=sys.stdout,
+        log_format=settings.LogFormat.JSON, log_level=settings.LogLevel.INFO, handler=handler
     )
     try:
         configured = node_settings.load()
--- a/src/celerystack/ranges/knowledge.py
+++ b/src/celerystack/ranges/knowledge.py
@@ -44,6 +44,11 @@
         known = self.by_service.get(service)
         return None if known is None else known.ranges.find(key)
 
+    def state(self, service: ids.ServiceName) -> tuple[int, float]:
+        """Return the row version of a service's map and when it was last current; 0 if unknown."""
+        known = self.by_service.get(service)
+        return (0, 0.0) if known is None else (known.version, known.known_at)
+
     def adopt(self, ranges: model.RangeMap, version: int, known_at: float) -> None:
         """Take a map that was current at ``known_at``; older versions are ignored."""
         known = self.by_service.get(ranges.service)
--- a/src/celerystack/run.py
+++ b/src/celerystack/run.py
@@ -13,7 +13,7 @@
 from celerystack import clock, errors, settings
 from celerystack.commands import apply, drain, job, release, router, undrain
 from celerystack.observe import logs
-from celerystack.queries import check, diff, owner, show_audit, show_settings, status
+from celerystack.queries import check, diff, explain, owner, show_audit, show_settings, status
 
 SUBCOMMANDS: dict[str, Callable[..., job.Job]] = {
     "router": router.router,
@@ -25,6 +25,7 @@
     "release": release.release,
     "status": status.status,
     "owner": owner.owner,
+    "explain": explain.explain,
     "audit": show_audit.audit,
     "settings": show_settings.settings,
 }
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -1,6 +1,6 @@
 """A whole system on loopback addresses: platform, backend servers, entry VMs and callers.
 
-Zone ``z<n>`` has the addresses 127.0.n.x; the platform is at 127.0.9.1. Callers come from
+Zone ``z<n>`` has the addresses NETWORK.n.x; the platform is at NETWORK.9.1. Callers come from
 127.0.0.1, so a cut between zones does not concern them.
 """
 
@@ -18,7 +18,9 @@
 from standins import entry_vm, journal, layout, load, processes, records
 
 PLATFORM = "platform"
-PLATFORM_IP = "127.0.9.1"
+NETWORK = f"127.{layout.worker_number()}"
+"""Clusters of tests that run at the same time have networks of their own."""
+PLATFORM_IP = f"{NETWORK}.9.1"
 PEER_SECRET = "cluster-of-stand-ins-secret"
 READY_TIMEOUT_S = 20.0
 WARM_KEYS = 32
@@ -57,11 +59,11 @@
 
     def _backend_addresses(self) -> Iterator[tuple[str, str]]:
         for number, spec in enumerate(self.backends_by_name.values(), BACKEND_HOST_MIN):
-            yield spec.name, layout.free_address(f"127.0.{spec.zone}.{number}")
+            yield spec.name, layout.free_address(f"{NETWORK}.{spec.zone}.{number}")
 
     def _entry_vm_addresses(self) -> Iterator[tuple[str, layout.EntryVmAddresses]]:
         for number, spec in enumerate(self.entry_vms_by_name.values(), ENTRY_VM_HOST_MIN):
-            ip = f"127.0.{spec.zone}.{number}"
+            ip = f"{NETWORK}.{spec.zone}.{number}"
             ports = {name: layout.free_address(ip) for name in ("caller", "peer", "admin")}
             yield (
                 spec.name,
@@ -254,10 +256,10 @@
     def cut_zone(self, zone: int, *, platform: bool = True) -> None:
         """Cut a zone off from the other zones and, if wanted, from the platform."""
         others = sorted({spec.zone for spec in self.entry_vms_by_name.values()} - {zone})
-        outside = [f"127.0.{other}." for other in others] + [PLATFORM_IP] * platform
+        outside = [f"{NETWORK}.{other}." for other in others] + [PLATFORM_IP] * platform
         for spec in self.entry_vms_by_name.values():
             if self.processes.is_running(spec.name):
-                self.cut(spec.name, outside if spec.zone == zone else [f"127.0.{zone}."])
+                self.cut(spec.name, outside if spec.zone == zone else [f"{NETWORK}.{zone}."])
 
     def heal(self) -> None:
         """End all cuts."""
--- a/standins/layout.py
+++ b/standins/layout.py
@@ -6,6 +6,7 @@
 import dataclasses
 import http.client
 import json
+import os
 import random
 import socket
 import time
@@ -19,6 +20,11 @@
 HTTP_TIMEOUT_S = 2.0
 
 
+def worker_number() -> int:
+    """Return the number of this pytest worker; 0 if tests do not run in parallel."""
+    return int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ServiceSpec:
     """A service to declare; ``fields`` are further fields of its table."""
--- /dev/null
+++ b/tests/observe/test_outlet.py
@@ -0,0 +1,71 @@
+"""Tests of log output that must not block."""
+
+import logging
+import os
+
+import testtools
+
+from celerystack.observe import outlet
+
+
+def record(step="answered", message="x"):
+    made = logging.LogRecord("n", logging.INFO, "f", 1, message, (), None)
+    made.step = step
+    return made
+
+
+class NonBlockingHandlerTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+        self.handler = outlet.NonBlockingHandler(self.writer)
+
+    def test_full_pipe_does_not_block(self):
+        """Guards against a process that stops because nobody reads its log."""
+        for _ in range(200):
+            self.handler.emit(record(message="x" * 10_000))
+        self.assertGreater(self.handler.dropped, 0)
+
+    def test_dropped_lines_are_counted_in_a_later_line(self):
+        """Guards against lines that vanish without a trace."""
+        for _ in range(200):
+            self.handler.emit(record(message="x" * 10_000))
+        os.set_blocking(self.reader, False)
+        for _ in range(20):
+            while True:
+                try:
+                    os.read(self.reader, 65_536)
+                except BlockingIOError:
+                    break
+            self.handler.flush()
+        late = record()
+        self.handler.emit(late)
+        self.assertGreater(late.suppressed, 0)
+
+
+class VolumeFilterTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now = 10.0
+        self.filter = outlet.VolumeFilter(lambda: self.now)
+
+    def passed(self, count, step):
+        return sum(self.filter.filter(record(step)) for _ in range(count))
+
+    def test_lines_of_answers_are_bounded(self):
+        """Guards against a log that grows with the load."""
+        self.assertEqual(outlet.LINES_PER_S_MAX, self.passed(1000, "answered"))
+
+    def test_lines_of_failures_all_pass(self):
+        """Guards against a failed request that cannot be explained."""
+        self.assertEqual(1000, self.passed(1000, "failed"))
+
+    def test_next_line_counts_the_dropped_ones(self):
+        """Guards against an unnoticed gap in the log."""
+        self.passed(outlet.LINES_PER_S_MAX + 5, "answered")
+        self.now += 1.0
+        late = record()
+        self.filter.filter(late)
+        self.assertEqual(5, late.suppressed)
--- a/tests/standins/test_cluster.py
+++ b/tests/standins/test_cluster.py
@@ -78,7 +78,7 @@
             running.kill("ab-1")
             self.assertRaises(ConnectionRefusedError, layout.call, address, "GET", "/health")
             running.start_backend("ab-1")
-            running.cut("vm-1", ["127.0.1.", cluster.PLATFORM_IP])
+            running.cut("vm-1", [f"{cluster.NETWORK}.1.", cluster.PLATFORM_IP])
             running.heal()
             running.processes.terminate("vm-1", timeout_s=10)
             running.start_entry_vm("vm-1")
--- a/tests/system/test_binary.py
+++ b/tests/system/test_binary.py
@@ -34,7 +34,9 @@
         layout.BackendSpec(name=f"ab-{number}", service=service.name, zone=1) for number in (1, 2)
     ]
     with cluster.Cluster(tmp_path, services=[service], backends=backends, entry_vms=[]) as running:
-        caller, peer, admin = (layout.free_address("127.0.1.10") for _ in range(3))
+        caller, peer, admin = (
+            layout.free_address(f"127.{layout.worker_number()}.1.10") for _ in range(3)
+        )
         environment = {
             "PATH": os.environ["PATH"],
             "CELERYSTACK_VM": "vm-1",
--- a/tests/system/test_range_path.py
+++ b/tests/system/test_range_path.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import pathlib
 import signal
 import tempfile
@@ -10,13 +9,12 @@
 import pytest
 from twisted.trial import unittest
 
-from standins import scripted_backend
+from standins import layout, scripted_backend
 from tests.system import range_world
 
 pytestmark = pytest.mark.ranges
 
-NETWORK = f"127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 200}"
-"""Loopback addresses of this test process, so that several can run at once."""
+NETWORK = f"127.{100 + layout.worker_number()}.7"
 
 
 class RangePathTest(unittest.TestCase):
