Move fewer keys, in wider ranges; do not take overload for silence

After the restart of all VMs nothing was balanced any more and 18% was rejected: servers whose connections were all in use counted as silent, and silent servers give no keys away. Change: rates over 4 s, with a fast rate for keys that surge; whole segments and ends of segments move first; only failed connects count as unreachable, and only if two VMs report them lately.

--- a/src/celerystack/backend/client.py
+++ b/src/celerystack/backend/client.py
@@ -234,7 +234,11 @@
         """Fail the exchange that has waited longest; the others open connections of their own."""
         self._connecting -= 1
         if self._waiting:
-            error = self._not_run(f"cannot connect: {reason.getErrorMessage()}")
+            error = errors.ConnectFailedError(
+                f"cannot connect: {reason.getErrorMessage()}",
+                step="backend.exchange",
+                peer=self.address,
+            )
             self._waiting.popleft().fail(error)
         self._pump()
 
--- a/src/celerystack/errors.py
+++ b/src/celerystack/errors.py
@@ -75,6 +75,10 @@
     """The request was surely not run by the backend server."""
 
 
+class ConnectFailedError(NotRunError):
+    """The backend server accepted no connection."""
+
+
 class OutcomeUnknownError(BackendError):
     """The request may have been run by the backend server."""
 
--- a/src/celerystack/gateway/lane.py
+++ b/src/celerystack/gateway/lane.py
@@ -189,8 +189,9 @@
                 until_close=True,
             )
         except errors.NotRunError as error:
-            self._refused_at = self._now()
-            self.note_failure()
+            if isinstance(error, errors.ConnectFailedError):
+                self._refused_at = self._now()
+                self.note_failure()
             return calls.NotRun(calls.NotRunReason.NOT_SENT, error.reason)
         except errors.TruncatedAnswerError as error:
             return calls.Lost(error.reason)
--- a/src/celerystack/ranges/keyload.py
+++ b/src/celerystack/ranges/keyload.py
@@ -7,8 +7,14 @@
 import math
 from collections.abc import Iterable
 
-DECAY_S = 2.0
-"""Time constant of the rates; a hot group of keys shows within a second."""
+DECAY_S = 4.0
+"""Time constant of the rates. Shorter ones take the chance differences of a few requests for load
+and move keys back and forth."""
+FAST_DECAY_S = 0.7
+"""Time constant for keys that have just become hot."""
+SURGE_COUNT = 6.0
+SURGE_RATIO = 2.0
+"""A key surges with this many recent requests and this multiple of its usual rate."""
 DECAY_STEP_S = 0.1
 FORGET_BELOW = 0.02
 UNIFORM_SHARE = 0.1
@@ -17,41 +23,51 @@
 
 
 class KeyLoad:
-    """Decayed request counts by key."""
+    """Decayed request counts by key, slow and fast."""
 
     def __init__(self) -> None:
-        self._count_by_key: dict[int, float] = {}
+        self._slow: dict[int, float] = {}
+        self._fast: dict[int, float] = {}
         self._decayed_at = 0.0
 
     def add(self, keys: Iterable[int], now: float) -> None:
         """Count one request for each key."""
         self._decay(now)
         for key in keys:
-            self._count_by_key[key] = self._count_by_key.get(key, 0.0) + 1.0
+            self._slow[key] = self._slow.get(key, 0.0) + 1.0
+            self._fast[key] = self._fast.get(key, 0.0) + 1.0
 
     def _decay(self, now: float) -> None:
-        if now - self._decayed_at < DECAY_STEP_S:
+        elapsed_s = now - self._decayed_at
+        if elapsed_s < DECAY_STEP_S:
             return
-        factor = math.exp(-(now - self._decayed_at) / DECAY_S)
         self._decayed_at = now
-        self._count_by_key = {
-            key: count * factor
-            for key, count in self._count_by_key.items()
-            if count * factor >= FORGET_BELOW
-        }
+        self._slow = _decayed(self._slow, math.exp(-elapsed_s / DECAY_S))
+        self._fast = _decayed(self._fast, math.exp(-elapsed_s / FAST_DECAY_S))
 
     def snapshot(self, now: float, *, keys: int) -> Snapshot:
         """Return the rates as of now for a key space of ``keys`` keys."""
         self._decay(now)
-        return Snapshot(sorted(self._count_by_key.items()), keys=keys)
+        rate_by_key = {key: count / DECAY_S for key, count in self._slow.items()}
+        for key, count in self._fast.items():
+            rate = count / FAST_DECAY_S
+            if count >= SURGE_COUNT and rate > SURGE_RATIO * rate_by_key.get(key, 0.0):
+                rate_by_key[key] = rate
+        return Snapshot(sorted(rate_by_key.items()), keys=keys)
+
+
+def _decayed(count_by_key: dict[int, float], factor: float) -> dict[int, float]:
+    return {
+        key: count * factor for key, count in count_by_key.items() if count * factor >= FORGET_BELOW
+    }
 
 
 class Snapshot:
     """Rates of ranges at one moment, in requests/s."""
 
-    def __init__(self, counts: list[tuple[int, float]], *, keys: int) -> None:
-        self.keys = [key for key, _ in counts]
-        self.rates = [count / DECAY_S for _, count in counts]
+    def __init__(self, rates: list[tuple[int, float]], *, keys: int) -> None:
+        self.keys = [key for key, _ in rates]
+        self.rates = [rate for _, rate in rates]
         self._sums = [0.0, *itertools.accumulate(self.rates)]
         measured = self._sums[-1]
         self._per_key = max(UNIFORM_MINIMUM, UNIFORM_SHARE * measured) / keys
--- a/src/celerystack/ranges/plan.py
+++ b/src/celerystack/ranges/plan.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 from celerystack import ids
 from celerystack.ranges import keyload, model
 
 EVACUATION_PARTS = 4
 """Servers among which the keys of one leaving or lost server are spread."""
-OVERLOAD_RATIO = 1.25
+OVERLOAD_RATIO = 1.3
 """A server above this multiple of the mean utilization gives keys away."""
-UTILIZATION_MINIMUM = 0.45
+UTILIZATION_MINIMUM = 0.55
 """Below this utilization a server answers fast enough, however uneven the load is."""
 DOMINANT_SHARE = 0.6
 """A key that alone takes this part of a server's capacity gets the server for itself."""
@@ -22,7 +22,7 @@
 NEIGHBOUR_RATE_MINIMUM = 0.3
 """Rate in requests/s below which a range is not worth a move."""
 MOVES_PER_PLAN = 8
-MERGE_ABOVE = 6
+MERGE_ABOVE = 2
 """Segments of one server from which adjacent ones are joined under a new token."""
 
 
@@ -298,28 +298,50 @@
 
 
 def _find_window(draft: _Draft, hot: model.Life, target: float) -> tuple[int, int, int] | None:
-    """Return the narrowest range of ``hot`` with a rate near the target, and its segment."""
+    """Return a range of ``hot`` with a rate near the target, and its segment.
+
+    Whole segments come first, then ranges at an end of a segment, so that the map stays small.
+    """
     best: tuple[int, int, int] | None = None
-    best_width = model.KEY_MAX + 2
+    best_cuts = 3
     load = draft.situation.load
     for place, segment in enumerate(draft.segments):
         if segment.owner != hot or not segment.is_settled or target <= 0:
             continue
-        first, last = load.places(segment.start, segment.end)
-        high, total = first, 0.0
-        for low in range(first, last):
-            while high < last and total < 0.6 * target:
-                total += load.rates[high]
-                high += 1
-            if total < 0.6 * target:
-                break
-            width = load.keys[high - 1] - load.keys[low] + 1
-            if total <= 1.3 * target and width < best_width:
-                best, best_width = (place, load.keys[low], load.keys[high - 1]), width
-            total -= load.rates[low]
+        for cuts, start, end in _windows(load, segment, target):
+            if cuts < best_cuts:
+                best, best_cuts = (place, start, end), cuts
     return best
 
 
+def _windows(
+    load: keyload.Snapshot, segment: model.Segment, target: float
+) -> Iterator[tuple[int, int, int]]:
+    """Yield ranges with a rate near the target, with the number of cuts that each needs."""
+    least, most = 0.6 * target, 1.3 * target
+    if least <= load.rate(segment.start, segment.end) <= most:
+        yield 0, segment.start, segment.end
+        return
+    first, last = load.places(segment.start, segment.end)
+    total = 0.0
+    for index in range(first, last):
+        total += load.rates[index]
+        if total >= least:
+            if total <= most and load.keys[index] < segment.end:
+                yield 1, segment.start, load.keys[index]
+            break
+    total = 0.0
+    for index in range(last - 1, first - 1, -1):
+        total += load.rates[index]
+        if total >= least:
+            if total <= most and load.keys[index] > segment.start:
+                yield 1, load.keys[index], segment.end
+            break
+    for index in range(first, last):
+        if least <= load.rates[index] <= most:
+            yield 2, load.keys[index], load.keys[index]
+
+
 def _find_neighbours(
     draft: _Draft, hot: model.Life, keep: int, room: float
 ) -> tuple[int, int, int] | None:
--- a/src/celerystack/ranges/planner.py
+++ b/src/celerystack/ranges/planner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import logging
 from collections.abc import Callable, Iterable
@@ -31,6 +32,9 @@
 ADMITTED_UTILIZATION = 0.92
 """Part of a server's capacity up to which requests for its keys are admitted."""
 NODES_REFRESH_S = 1.0
+REPORT_VALID_S = 1.5
+SILENT_REPORTS = 2
+"""Entry VMs that must find a server unreachable; one alone may be cut off from it."""
 
 _ReleaseKey = tuple[ids.ServiceName, int, int, int, model.Life]
 
@@ -82,7 +86,7 @@
         self.speeds = speeds.Speeds()
         self._utilization_by_server: dict[ids.ServerId, float] = {}
         self._situations: dict[ids.ServiceName, plan.Situation] = {}
-        self._unreachable_by_vm: dict[ids.EntryVmId, tuple[model.Life, ...]] = {}
+        self._unreachable_by_vm: dict[ids.EntryVmId, tuple[float, tuple[model.Life, ...]]] = {}
         self.suspects = crashers.Suspects(is_down=self._is_down)
         self._nodes_read_at = 0.0
         self._acquired_at = 0.0
@@ -119,7 +123,7 @@
             self._load_by_service.setdefault(service, keyload.KeyLoad()).add(keys, now)
         for server, (count, mean_s) in report.speed_by_server.items():
             self.speeds.add(server, count, mean_s, self._utilization_by_server.get(server, 0.0))
-        self._unreachable_by_vm[report.vm] = report.unreachable
+        self._unreachable_by_vm[report.vm] = (now, report.unreachable)
         for suspect, life in report.broken:
             self.suspects.add(suspect, life, now)
 
@@ -230,7 +234,16 @@
         )
 
     def _silent_lives(self) -> set[model.Life]:
-        silent = {life for lives in self._unreachable_by_vm.values() for life in lives}
+        """Return the lives that do not answer several entry VMs, or this one's releases."""
+        now = self._now()
+        recent = [
+            set(lives)
+            for reported_at, lives in self._unreachable_by_vm.values()
+            if now - reported_at < REPORT_VALID_S
+        ]
+        needed = min(SILENT_REPORTS, len(recent))
+        counts = collections.Counter(life for lives in recent for life in lives)
+        silent = {life for life, count in counts.items() if count >= needed}
         for key, release in self._releases.items():
             if release.failures >= SILENT_AFTER_FAILURES and release.handover is None:
                 silent.add(key[4])
--- a/src/celerystack/ranges/speeds.py
+++ b/src/celerystack/ranges/speeds.py
@@ -31,10 +31,7 @@
         """
         if count <= 0 or latency_s <= 0:
             return
-        known_s = self._service_s_by_server.get(server)
-        if known_s is None:
-            self._service_s_by_server[server] = latency_s
-            return
+        known_s = self._service_s_by_server.get(server, ASSUMED_S)
         waiting = utilization > QUIET_UTILIZATION and latency_s < SLOWED_RATIO * known_s
         if waiting and latency_s > known_s:
             return
--- a/tests/ranges/test_plan.py
+++ b/tests/ranges/test_plan.py
@@ -20,12 +20,11 @@
 
 
 def situation(found, *, rates=None, ended=(), silent=()):
-    counts = [(key, rate * keyload.DECAY_S) for key, rate in sorted((rates or {}).items())]
     return plan.Situation(
         candidates_by_life=found,
         has_ended=ended.__contains__,
         is_silent=silent.__contains__,
-        load=keyload.Snapshot(counts, keys=model.KEY_MAX + 1),
+        load=keyload.Snapshot(sorted((rates or {}).items()), keys=model.KEY_MAX + 1),
     )
 
 
