--- a/src/celerystack/queries/explain.py
+++ b/src/celerystack/queries/explain.py
@@ -7,7 +7,7 @@
 import pathlib
 import sys
 from collections.abc import Iterable
-from typing import Any, TextIO
+from typing import Any
 
 from celerystack.commands import job
 
@@ -70,14 +70,14 @@
 
 def _read(files: Iterable[pathlib.Path]) -> Iterable[dict[str, Any]]:
     if not files:
-        yield from _parse(sys.stdin)
+        yield from parse(sys.stdin)
         return
     for file in files:
         with file.open(encoding="utf-8", errors="replace") as opened:
-            yield from _parse(opened)
+            yield from parse(opened)
 
 
-def _parse(lines: TextIO) -> Iterable[dict[str, Any]]:
+def parse(lines: Iterable[str]) -> Iterable[dict[str, Any]]:
     """Return the JSON objects in the lines; other lines are left out."""
     for line in lines:
         start = line.find("{")
--- a/tests/system/test_range_path.py
+++ b/tests/system/test_range_path.py
@@ -9,6 +9,7 @@
 import pytest
 from twisted.trial import unittest
 
+from celerystack.queries import explain
 from standins import layout, scripted_backend
 from tests.system import range_world
 
@@ -125,6 +126,20 @@
         self.assertEqual(502, status)
         self.assertEqual(1, sum(run == ("broken", None) for run in desk.ran))
 
+    async def test_log_explains_an_unknown_outcome(self):
+        """Guards against a failed request whose cause the logs do not show."""
+        world = await self.world()
+        desk = world.servers["desk-1"]
+        desk.http.handler = lambda request: request.connection.transport.abortConnection()
+        await world.request("vm-1", "/desk/a", method="POST")
+        await scripted_backend.sleep(0.1)
+        lines = list(explain.parse(world.log_of("vm-1").splitlines()))
+        own = [line for line in lines if line.get("step") == "failed"]
+        shown = "\n".join(explain.timeline(lines, own))
+        self.assertIn("may have run: the connection was lost", shown)
+        self.assertIn("server appeared", shown)
+        print(shown)
+
     async def test_sigterm_loses_no_request(self):
         """Guards against connections that are cut while a process shuts down."""
         world = await self.world()
