--- a/src/celerystack/platform/registry.py
+++ b/src/celerystack/platform/registry.py
@@ -29,11 +29,13 @@
         address = fields["address"]
         wire.address(address)
         for name in ("service", "zone"):
-            if not isinstance(fields[name], str):
+            if not isinstance(fields[name], str) or not fields[name]:
                 raise TypeError(f"{name} is not a text")
         for name in ("slots", "born", "sequence"):
             if not isinstance(fields[name], int) or isinstance(fields[name], bool):
                 raise TypeError(f"{name} is not a whole number")
+        if fields["slots"] < 1:
+            raise ValueError("a server without slots")
         return servers.ServerEntry(
             server=ids.ServerId(key),
             service=ids.ServiceName(fields["service"]),
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -12,7 +12,7 @@
 from celerystack import errors, ids
 from celerystack.fleet import messages, nodes, rows, servers
 from celerystack.limits import crashers, thinning
-from celerystack.ranges import codec, knowledge, lessor, model, orders, planner, seat
+from celerystack.ranges import codec, knowledge, lessor, model, orders, planner, seat, spread
 
 _log = logging.getLogger(__name__)
 
@@ -28,9 +28,7 @@
 """A seat whose row does not change for this time is free; longer than `planner.CONFIRM_S`."""
 ALIVE_S = 1.2
 NODES_READ_S = 2.0
-FALLBACK_READ_S = 1.0
 RESEND_S = 0.25
-SEGMENTS_PER_PART = 20
 KEYS_PER_REPORT_MAX = 400
 
 
@@ -121,7 +119,7 @@
         self.admission = thinning.Thinning()
         self.quarantine = crashers.Quarantine()
         self._peers: dict[ids.EntryVmId, _Peer] = {}
-        self._parts: dict[tuple[ids.ServiceName, int, int], dict[int, messages.RangesPart]] = {}
+        self._assembler = spread.Assembler()
         self._pushed: dict[ids.ServiceName, knowledge.Known] = {}
         self._heard_at = now()
         self._heard_term = 0
@@ -134,7 +132,6 @@
         self._next_plan = 0.0
         self._next_beacon = 0.0
         self._nodes_read_at = float("-inf")
-        self._fallback_at = 0.0
         self._patience_s = SILENCE_S + random.uniform(0.0, 0.4)
         self._stopping = False
 
@@ -329,7 +326,7 @@
         for service, version in versions.items():
             behind = peer.versions_by_service.get(service, 0) < version
             if behind and now - peer.sent_at_by_service.get(service, 0.0) >= RESEND_S:
-                self._send_parts(peer, self._ranges_parts(service), service)
+                self._send_parts(peer, self._whole(service), service)
 
     def _push(self, service: ids.ServiceName) -> None:
         """Send what changed to all entry VMs; those that lack the base get the whole map."""
@@ -337,43 +334,22 @@
         before = self._pushed.get(service)
         self._pushed[service] = known
         if before is None:
-            parts = self._ranges_parts(service)
+            parts = spread.encode_whole(known, term=self.seat.term)
         else:
             changed = model.changes(before.ranges, known.ranges)
-            parts = self._encode_parts(known, changed, base=before.version)
+            parts = spread.encode(known, changed, term=self.seat.term, base=before.version)
         for vm, peer in self._peers.items():
             if vm != self._node.vm:
                 self._send_parts(peer, parts, service)
 
+    def _whole(self, service: ids.ServiceName) -> list[bytes]:
+        return spread.encode_whole(self.known.by_service[service], term=self.seat.term)
+
     def _send_parts(self, peer: _Peer, parts: list[bytes], service: ids.ServiceName) -> None:
         peer.sent_at_by_service[service] = self._now()
         for part in parts:
             self._datagrams.send(part, peer.node.address)
 
-    def _ranges_parts(self, service: ids.ServiceName) -> list[bytes]:
-        known = self.known.by_service[service]
-        return self._encode_parts(known, known.ranges.segments, base=0)
-
-    def _encode_parts(
-        self, known: knowledge.Known, segments: tuple[model.Segment, ...], *, base: int
-    ) -> list[bytes]:
-        cuts = range(0, len(segments), SEGMENTS_PER_PART)
-        return [
-            messages.encode(
-                messages.RangesPart(
-                    term=self.seat.term,
-                    service=known.ranges.service,
-                    base=base,
-                    version=known.version,
-                    next_token=known.ranges.next_token,
-                    part=part,
-                    parts=len(cuts),
-                    segments=segments[cut : cut + SEGMENTS_PER_PART],
-                )
-            )
-            for part, cut in enumerate(cuts)
-        ]
-
     def _received(self, datagram: bytes, address: tuple[str, int]) -> None:
         try:
             message = messages.decode(datagram, peer=address[0])
@@ -435,34 +411,10 @@
     def _take_part(self, part: messages.RangesPart) -> None:
         if part.term < self._heard_term:
             return
-        known = self.known.by_service.get(part.service)
-        if known is not None and known.version >= part.version:
-            return
-        parts = self._parts.setdefault((part.service, part.version, part.base), {})
-        parts[part.part] = part
-        if len(parts) < part.parts:
-            return
-        del self._parts[part.service, part.version, part.base]
-        segments = tuple(s for number in range(part.parts) for s in parts[number].segments)
-        ranges = self._assemble(part, segments)
-        if ranges is None:
-            return
-        for key in [k for k in self._parts if k[0] == part.service and k[1] <= part.version]:
-            del self._parts[key]
-        # Not confirmed yet: the next beacon says at which time this version was current.
-        self.known.adopt(ranges, part.version, self._confirmed_before(part.service))
-
-    def _assemble(
-        self, part: messages.RangesPart, segments: tuple[model.Segment, ...]
-    ) -> model.RangeMap | None:
-        """Return the map of a complete set of parts; None if its base is not known."""
-        next_token = ids.Token(part.next_token)
-        if part.base == 0:
-            return model.RangeMap(service=part.service, next_token=next_token, segments=segments)
-        known = self.known.by_service.get(part.service)
-        if known is None or known.version != part.base:
-            return None
-        return model.apply_changes(known.ranges, segments, next_token)
+        ranges = self._assembler.add(part, self.known.by_service.get(part.service))
+        if ranges is not None:
+            # Not confirmed yet: the next beacon says at which time this version was current.
+            self.known.adopt(ranges, part.version, self._confirmed_before(part.service))
 
     def _confirmed_before(self, service: ids.ServiceName) -> float:
         known = self.known.by_service.get(service)
--- /dev/null
+++ b/src/celerystack/ranges/spread.py
@@ -0,0 +1,87 @@
+"""Spreads range maps from the planner to the other entry VMs, in datagrams."""
+
+from __future__ import annotations
+
+from celerystack import ids
+from celerystack.fleet import messages
+from celerystack.ranges import knowledge, model
+
+SEGMENTS_PER_PART = 20
+
+
+def encode(
+    known: knowledge.Known, segments: tuple[model.Segment, ...], *, term: int, base: int
+) -> list[bytes]:
+    """Return the datagrams of a map, or of its changes to the version ``base``."""
+    cuts = range(0, len(segments), SEGMENTS_PER_PART)
+    return [
+        messages.encode(
+            messages.RangesPart(
+                term=term,
+                service=known.ranges.service,
+                base=base,
+                version=known.version,
+                next_token=known.ranges.next_token,
+                part=part,
+                parts=len(cuts),
+                segments=segments[cut : cut + SEGMENTS_PER_PART],
+            )
+        )
+        for part, cut in enumerate(cuts)
+    ]
+
+
+def encode_whole(known: knowledge.Known, *, term: int) -> list[bytes]:
+    """Return the datagrams of a whole map."""
+    return encode(known, known.ranges.segments, term=term, base=0)
+
+
+class Assembler:
+    """Collects parts until a map is complete."""
+
+    def __init__(self) -> None:
+        self._parts: dict[tuple[ids.ServiceName, int, int], dict[int, messages.RangesPart]] = {}
+
+    def add(
+        self, part: messages.RangesPart, known: knowledge.Known | None
+    ) -> model.RangeMap | None:
+        """Return the map that a part completes; None if there is none.
+
+        Parameters
+        ----------
+        known : knowledge.Known or None
+            The map in use, to which changes may refer.
+        """
+        if known is not None and known.version >= part.version:
+            return None
+        key = part.service, part.version, part.base
+        parts = self._parts.setdefault(key, {})
+        parts[part.part] = part
+        if len(parts) < part.parts:
+            return None
+        del self._parts[key]
+        segments = tuple(s for number in range(part.parts) for s in parts[number].segments)
+        ranges = _rebuild(part, segments, known)
+        if ranges is not None:
+            self._forget(part)
+        return ranges
+
+    def _forget(self, done: messages.RangesPart) -> None:
+        """Drop the parts of this version and of older ones."""
+        outdated = [key for key in self._parts if key[0] == done.service and key[1] <= done.version]
+        for key in outdated:
+            del self._parts[key]
+
+
+def _rebuild(
+    part: messages.RangesPart,
+    segments: tuple[model.Segment, ...],
+    known: knowledge.Known | None,
+) -> model.RangeMap | None:
+    """Return the map of a complete set of parts; None if its base is not the map in use."""
+    next_token = ids.Token(part.next_token)
+    if part.base == 0:
+        return model.RangeMap(service=part.service, next_token=next_token, segments=segments)
+    if known is None or known.version != part.base:
+        return None
+    return model.apply_changes(known.ranges, segments, next_token)
--- /dev/null
+++ b/tests/gateway/test_lane.py
@@ -0,0 +1,109 @@
+"""Tests of what is learnt of a server from the fate of calls."""
+
+import testtools
+from twisted.internet import defer, task
+
+from celerystack import errors, ids
+from celerystack.backend import http
+from celerystack.fleet import servers
+from celerystack.gateway import calls, config, lane
+from tests.ranges import fakes
+
+ROUTE = config.Route(
+    name="r",
+    host="h",
+    prefix="/",
+    targets=(config.Target(service=fakes.SERVICE, weight=1.0),),
+    idempotent=True,
+    timeout_s=1.0,
+    target_latency_s=0.4,
+    attempts_max=2,
+    priority=1,
+)
+
+
+class Pool:
+    def __init__(self):
+        self.results = []
+
+    def exchange(self, request, **options):
+        result = self.results.pop(0)
+        return defer.fail(result) if isinstance(result, Exception) else result
+
+
+class Dialect:
+    def encode(self, call, server, remaining_s):
+        return http.HttpRequest(method=b"GET", target=b"/")
+
+    def belongs(self, call, headers):
+        return True
+
+    def classify(self, call, server, response):
+        return calls.Answered(response)
+
+
+class LaneTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = task.Clock()
+        self.clock.advance(10.0)
+        self.pool = Pool()
+        record = servers.ServerRecord(entry=fakes.entry("a"), seen_at=0.0, warm_at=0.0)
+        self.lane = lane.Lane(
+            self.clock,
+            record,
+            pool=self.pool,
+            dialect=Dialect(),
+            entry_vms=3,
+            on_answer=lambda *_: None,
+            now=self.clock.seconds,
+        )
+
+    def call(self):
+        now = self.clock.seconds()
+        return calls.Call(
+            request_id=ids.RequestId("r1"),
+            route=ROUTE,
+            service=fakes.SERVICE,
+            method=b"GET",
+            target=b"/",
+            headers=(),
+            body=b"",
+            key=None,
+            arrived_at=now,
+            caller_deadline=now + 1,
+            deadline=now + 1,
+        )
+
+    def run_call(self, result):
+        self.pool.results.append(result)
+        outcome = []
+        defer.Deferred.fromCoroutine(self.lane.run(self.call())).addCallback(outcome.append)
+        return outcome
+
+    def test_busy_connections_are_no_sign_of_a_silent_server(self):
+        """Guards against overload taken for silence, after which no key is moved away."""
+        self.run_call(errors.NotRunError("the deadline passed", step="s"))
+        self.assertFalse(self.lane.is_refusing)
+
+    def test_failed_connect_is_reported(self):
+        """Guards against keys that wait at a server which accepts no connection."""
+        self.run_call(errors.ConnectFailedError("refused", step="s"))
+        self.assertTrue(self.lane.is_refusing)
+
+    def test_broken_exchange_may_have_run(self):
+        """Guards against telling a caller that a request has not run."""
+        outcome = self.run_call(errors.OutcomeUnknownError("connection lost", step="s"))
+        self.assertEqual([calls.Lost("connection lost", broken=True)], outcome)
+
+    def test_server_without_any_answer_is_suspected(self):
+        """Guards against sending more and more requests to a server that fell silent."""
+        self.run_call(defer.Deferred())
+        self.clock.advance(lane.SILENT_MINIMUM_S + 0.1)
+        self.assertTrue(self.lane.is_suspect())
+
+    def test_places_are_given_back(self):
+        """Guards against a lane that admits less with every failure."""
+        for _ in range(20):
+            self.run_call(errors.OutcomeUnknownError("connection lost", step="s"))
+        self.assertTrue(self.lane.idle)
