Divide shared limits by the registered entry VMs, and assume many until the count is known

Cause: found by reading: after the loss of all entry VMs each one took itself for the only one until the first beacon, and a new planner counted only the VMs that had reported, so that together they could exceed the retry budget and the servers' connections. Change: the number of registered VMs counts; 50 are assumed before the first beacon; connection limits follow the count. Tests: tests/gateway/test_retries.py.

--- a/src/celerystack/fleet/messages.py
+++ b/src/celerystack/fleet/messages.py
@@ -64,7 +64,7 @@
     zone_vms : tuple of EntryVmId
         Entry VMs of the receiver's zone that reported lately.
     entry_vms : int
-        Number of all entry VMs that reported lately.
+        Number of all registered entry VMs.
     pending : tuple of Life
         Lives of which the planner wants to know the remaining holds.
     admitted_by_server : dict
--- a/src/celerystack/gateway/dispatch.py
+++ b/src/celerystack/gateway/dispatch.py
@@ -38,7 +38,7 @@
 
     @property
     def entry_vms(self) -> int:
-        """Number of entry VMs that are alive."""
+        """Number of entry VMs that share the servers and the retry budget."""
 
     def find(self, service: ids.ServiceName, key: int) -> model.Segment | None:
         """Return the segment of a key."""
@@ -95,6 +95,7 @@
         self._lanes_by_life: dict[model.Life, lane.Lane] = {}
         self._lanes_by_service: dict[ids.ServiceName, list[lane.Lane]] = {}
         self._directory_version = -1
+        self._sized_for = ownership.entry_vms
 
     def apply(self, policies: dict[ids.ServiceName, config.ServicePolicy]) -> None:
         """Take the services of a new configuration."""
@@ -274,6 +275,9 @@
 
     def _refresh(self) -> None:
         """Bring the lanes in line with the servers that are usable."""
+        vms = self._ownership.entry_vms
+        if vms != self._sized_for:
+            self._resize(vms)
         if self._directory_version == self._directory.version:
             return
         self._directory_version = self._directory.version
@@ -290,18 +294,28 @@
                 self._lanes_by_life[life] = self._open(record)
             else:
                 existing.record = record
-                existing.set_entry_vms(self._ownership.entry_vms)
         self._lanes_by_service = {}
         for one in self._lanes_by_life.values():
             self._lanes_by_service.setdefault(one.record.entry.service, []).append(one)
 
+    def _resize(self, vms: int) -> None:
+        """Divide the servers' connections among another number of entry VMs."""
+        self._sized_for = vms
+        for one in self._lanes_by_life.values():
+            one.set_entry_vms(vms)
+            one.pool.set_limit(self._connection_limit(one.record, vms))
+
+    def _connection_limit(self, record: servers.ServerRecord, vms: int) -> int:
+        policy = self._policies.get(record.entry.service)
+        allowed = 0.0 if policy is None else policy.connections_max * CONNECTIONS_SHARE
+        return max(CONNECTIONS_MINIMUM, int(allowed / vms))
+
     def _open(self, record: servers.ServerRecord) -> lane.Lane:
         vms = self._ownership.entry_vms
-        allowed = self._policies[record.entry.service].connections_max * CONNECTIONS_SHARE
         pool = client.ServerPool(
             self._reactor,
             address=record.entry.address,
-            limit=max(CONNECTIONS_MINIMUM, int(allowed / vms)),
+            limit=self._connection_limit(record, vms),
             connect_timeout_s=CONNECT_TIMEOUT_S,
             idle_max_s=IDLE_CONNECTION_S,
             now=self._now,
--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -52,7 +52,7 @@
 
     @property
     def entry_vms(self) -> int:
-        """Number of entry VMs that are alive."""
+        """Number of entry VMs that share the servers and the retry budget."""
         return self._coordination.entry_vms
 
 
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -30,6 +30,8 @@
 NODES_READ_S = 2.0
 RESEND_S = 0.25
 KEYS_PER_REPORT_MAX = 400
+UNKNOWN_COUNT = 50
+"""Assumed number of entry VMs before any beacon, so that no shared limit is exceeded."""
 
 
 class _Datagrams(protocol.DatagramProtocol):
@@ -128,6 +130,7 @@
         self._keys_by_service: dict[ids.ServiceName, list[int]] = {}
         self._speed_by_server: dict[ids.ServerId, tuple[int, float]] = {}
         self._registered = False
+        self._registered_count = UNKNOWN_COUNT
         self._busy = False
         self._next_plan = 0.0
         self._next_beacon = 0.0
@@ -137,10 +140,8 @@
 
     @property
     def entry_vms(self) -> int:
-        """Number of entry VMs that are known to be alive, at least 1."""
-        return max(1, self._alive_count)
-
-    _alive_count = 1
+        """Number of registered entry VMs, among which shared limits are divided."""
+        return self._registered_count
 
     def start(self) -> None:
         """Open the datagram port and begin."""
@@ -283,8 +284,9 @@
         self.admission.update(admitted)
         quarantined = self.planner.suspects.quarantined(now)
         self.quarantine.update(quarantined)
-        alive = sum(len(vms) for vms in vms_by_zone.values())
-        self._take_vms(vms_by_zone[self._node.zone], alive)
+        # A new planner has few reports yet; a count of the living would be too low.
+        registered = max(1, len(self._peers))
+        self._take_vms(vms_by_zone[self._node.zone], registered)
         self._pending = pending
         for vm, peer in self._peers.items():
             if vm == self._node.vm:
@@ -298,7 +300,7 @@
                 confirm_age_s=max(0.0, peer.reported_at - self.seat.confirmed_at),
                 versions_by_service=versions,
                 zone_vms=own_zone,
-                entry_vms=self._alive_count,
+                entry_vms=registered,
                 pending=pending,
                 admitted_by_server=admitted,
                 quarantined=quarantined,
@@ -317,10 +319,10 @@
                 vms_by_zone[peer.node.zone] = (*vms_by_zone.get(peer.node.zone, ()), vm)
         return vms_by_zone
 
-    def _take_vms(self, zone_vms: tuple[ids.EntryVmId, ...], alive: int) -> None:
+    def _take_vms(self, zone_vms: tuple[ids.EntryVmId, ...], registered: int) -> None:
         is_named = self._node.vm in zone_vms
         self.lessor.vms = zone_vms if is_named else (*zone_vms, self._node.vm)
-        self._alive_count = alive
+        self._registered_count = registered
 
     def _resend(self, peer: _Peer, versions: dict[ids.ServiceName, int], now: float) -> None:
         for service, version in versions.items():
