--- a/tests/ranges/fakes.py
+++ b/tests/ranges/fakes.py
@@ -5,7 +5,7 @@
 from twisted.internet import defer
 
 from celerystack import errors, ids
-from celerystack.fleet import servers
+from celerystack.fleet import rows, servers
 from celerystack.ranges import model, orders
 
 SERVICE = ids.ServiceName("rota")
@@ -58,3 +58,36 @@
                 errors.OutcomeUnknownError("connection lost", step="release", peer=address)
             )
         return defer.succeed("handover-1")
+
+
+class MemoryRows:
+    """A row store in memory; ``lose_next`` applies the next write and loses its answer."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.rows: dict[tuple[str, str], tuple[bytes, int]] = {}
+        self.lose_next = False
+
+    def scan(self, table):
+        found = tuple(
+            rows.Row(key=key, value=value, version=version)
+            for (own, key), (value, version) in sorted(self.rows.items())
+            if own == table
+        )
+        return defer.succeed(rows.Rows(rows=found, version=self.version))
+
+    def changes(self, table, after, *, wait_s):
+        return self.scan(table)
+
+    def transact(self, conditions, puts, removes):
+        for condition in conditions:
+            place = condition.table, condition.key
+            if self.rows.get(place, (b"", 0))[1] != condition.version:
+                return defer.fail(errors.TransactionConflictError("conflict", step="tx"))
+        self.version += 1
+        for put in puts:
+            self.rows[put.table, put.key] = (put.value, self.version)
+        if self.lose_next:
+            self.lose_next = False
+            return defer.fail(errors.AnswerLostError("no answer", step="tx"))
+        return defer.succeed(self.version)
--- /dev/null
+++ b/tests/ranges/test_planner.py
@@ -0,0 +1,146 @@
+"""Tests of carrying out changes of ownership."""
+
+import testtools
+from twisted.internet import task
+
+from celerystack import ids
+from celerystack.fleet import messages, nodes, servers
+from celerystack.ranges import holds, knowledge, planner, seat
+from tests.ranges import fakes
+from tests.ranges.test_seat import result_of
+
+VM = ids.EntryVmId("vm-1")
+
+
+class PlannerTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = task.Clock()
+        self.clock.advance(100.0)
+        self.store = fakes.MemoryRows()
+        self.known = knowledge.Knowledge()
+        self.directory = servers.Directory()
+        self.orders = fakes.Orders()
+        node = nodes.Node(vm=VM, zone=fakes.ZONE, address=("10.0.0.1", 7000))
+        result_of(nodes.register(self.store, node))
+        self.planner = self.started()
+        self.directory.apply_all([fakes.entry("a"), fakes.entry("b")], 100.0)
+        self.tick()
+
+    def started(self):
+        made = planner.Planner(
+            planner_seat=seat.Seat(vm=VM, boot=1, store=self.store, now=self.clock.seconds),
+            store=self.store,
+            known=self.known,
+            directory=self.directory,
+            port=self.orders,
+            sharded=lambda: [fakes.SERVICE],
+            on_commit=lambda _: None,
+            now=self.clock.seconds,
+        )
+        result_of(made.seat.take(result_of(made.seat.read())))
+        made.acquired()
+        return made
+
+    def tick(self, seconds=0.3):
+        self.clock.advance(seconds)
+        result_of(self.planner.tick())
+
+    def ranges(self):
+        return self.known.by_service[fakes.SERVICE].ranges
+
+    def drain(self, name):
+        leaving = fakes.entry(name, state=servers.ServerState.DRAINING)
+        self.directory.apply_changes([leaving], [], self.clock.seconds())
+
+    def report(self, *lives, remaining_s):
+        self.planner.on_report(
+            messages.Report(
+                vm=VM,
+                zone=fakes.ZONE,
+                boot=1,
+                stamp=self.clock.seconds(),
+                versions_by_service=self.known.versions(),
+                remaining_by_life=dict.fromkeys(lives, remaining_s),
+                unreachable=lives,
+                keys_by_service={},
+                speed_by_server={},
+            )
+        )
+
+    def test_first_map_is_settled(self):
+        """Guards against keys that wait for nobody at the first start."""
+        self.assertTrue(all(segment.is_settled for segment in self.ranges().segments))
+
+    def test_released_keys_go_on_with_their_handover(self):
+        """Guards against keys that are slow although their holder handed them over."""
+        self.drain("a")
+        self.tick()
+        self.tick()
+        moved = [s for s in self.ranges().segments if s.handover]
+        self.assertEqual({fakes.life("b")}, {segment.owner for segment in moved})
+
+    def test_release_carries_the_new_token(self):
+        """Guards against a delayed renewal that undoes a release under its own token."""
+        before = self.ranges().next_token
+        self.drain("a")
+        self.tick()
+        self.assertTrue(all(s.token >= before for _, s in self.orders.released))
+
+    def test_silent_holder_keeps_its_keys_for_the_whole_authority(self):
+        """Guards against a second owner while some entry VM may still renew."""
+        self.orders.failing = True
+        self.drain("a")
+        self.tick()
+        self.tick(holds.AUTHORITY_S - 1.0)
+        self.assertTrue(any(segment.pending for segment in self.ranges().segments))
+
+    def test_keys_of_a_silent_holder_come_back_after_the_authority(self):
+        """Guards against keys that are lost with their server."""
+        self.orders.failing = True
+        self.drain("a")
+        self.tick()
+        self.tick(holds.AUTHORITY_S + 0.1)
+        self.assertFalse(any(segment.pending for segment in self.ranges().segments))
+
+    def test_reports_of_all_vms_shorten_the_wait(self):
+        """Guards against waiting 16 s although every hold is known to end sooner."""
+        self.orders.failing = True
+        self.drain("a")
+        for _ in range(4):
+            self.report(fakes.life("a"), remaining_s=2.0)
+            self.tick()
+        self.assertTrue(any(segment.pending for segment in self.ranges().segments))
+        self.tick(2.1)
+        self.assertFalse(any(segment.pending for segment in self.ranges().segments))
+
+    def test_restarted_server_is_granted_under_a_new_token(self):
+        """Guards against a new life that runs under the old one's token."""
+        token_by_start = {s.start: s.token for s in self.ranges().segments}
+        self.directory.apply_changes([fakes.entry("a", 2)], [], self.clock.seconds())
+        self.tick()
+        for segment in self.ranges().segments:
+            if segment.start in token_by_start and segment.owner == fakes.life("a", 2):
+                self.assertGreater(segment.token, token_by_start[segment.start])
+
+    def test_new_planner_finishes_a_move_that_was_begun(self):
+        """Guards against keys that stay pending when the planner is lost."""
+        self.orders.failing = True
+        self.drain("a")
+        self.tick()
+        self.orders.failing = False
+        self.planner = self.started()
+        self.tick()
+        self.tick()
+        self.assertEqual({fakes.life("b")}, {segment.owner for segment in self.ranges().segments})
+        self.assertTrue(all(segment.is_settled for segment in self.ranges().segments))
+
+    def test_new_planner_waits_for_holds_of_the_old_ones_time(self):
+        """Guards against counting the wait from before the new planner knew anything."""
+        self.orders.failing = True
+        self.drain("a")
+        self.tick()
+        self.tick(holds.AUTHORITY_S - 2.0)
+        self.planner = self.started()
+        self.tick(3.0)
+        self.assertTrue(any(segment.pending for segment in self.ranges().segments))
