End a shutdown when the last byte of every answer has left

Ruled out: a cut by the server (its run ended with 200 14 ms before), the end of the grace period. Change: a connection counts until it is closed. Tests: tests/gateway/test_shutdown.py (the second failed on the old condition by construction: it looked at requests only).

--- a/src/celerystack/gateway/frontend.py
+++ b/src/celerystack/gateway/frontend.py
@@ -83,9 +83,9 @@
         self._factory.close_idle()
 
     @property
-    def active_count(self) -> int:
-        """Requests that are being received or answered."""
-        return self._factory.active_count
+    def open_count(self) -> int:
+        """Connections that are open or still have bytes of an answer to send."""
+        return len(self._factory.channels)
 
     def _received(self, request: callerhttp.CallerRequest) -> None:
         try:
--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -23,6 +23,7 @@
     measures,
     retries,
     settings,
+    shutdown,
 )
 from celerystack.ranges import coordinator, orders
 from celerystack.requests import callerhttp
@@ -33,7 +34,6 @@
 """The process ends this long before it would be killed."""
 KEEP_LISTENING_S = 2.5
 """New connections still arrive after SIGTERM, until the platform has noticed."""
-DRAIN_CHECK_S = 0.05
 
 
 class Ownership:
@@ -172,18 +172,7 @@
         await self.coordinator.stop()
         await self._sleep(KEEP_LISTENING_S)
         self.frontend.stop_accepting()
-        while self._now() < end:
-            # What was read is answered; a request that crosses the close was not read.
-            self.frontend.close_idle()
-            if not self.frontend.active_count:
-                break
-            await self._sleep(DRAIN_CHECK_S)
-        else:
-            _log.warning(
-                "%d requests were still in flight at the end",
-                self.frontend.active_count,
-                extra={"step": "stop"},
-            )
+        await shutdown.finish_connections(self.frontend, end=end, now=self._now, sleep=self._sleep)
         _log.info("stopped", extra={"step": "stop"})
         sys.stdout.flush()
 
--- a/src/celerystack/requests/callerhttp.py
+++ b/src/celerystack/requests/callerhttp.py
@@ -289,11 +289,6 @@
         self._active.discard(request)
         self.check_drained()
 
-    @property
-    def active_count(self) -> int:
-        """Requests that are being received or answered."""
-        return len(self._active)
-
     def close_idle(self) -> None:
         """Close the connections on which no request is being received or answered."""
         for channel in list(self.channels):
--- /dev/null
+++ b/tests/gateway/test_shutdown.py
@@ -0,0 +1,50 @@
+"""Tests of ending callers' connections at a shutdown."""
+
+import testtools
+from twisted.internet import defer, task
+
+from celerystack.gateway import shutdown
+
+
+class Connections:
+    """Connections of which one is answered, and closes when its last byte has left."""
+
+    def __init__(self):
+        self.open_count = 2
+        self.closed_idle = 0
+
+    def close_idle(self):
+        self.closed_idle += 1
+        self.open_count = min(self.open_count, 1)
+
+
+class FinishConnectionsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = task.Clock()
+        self.connections = Connections()
+        self.done = []
+        running = shutdown.finish_connections(
+            self.connections, end=3.0, now=self.clock.seconds, sleep=self.sleep
+        )
+        defer.Deferred.fromCoroutine(running).addCallback(self.done.append)
+
+    def sleep(self, seconds):
+        return task.deferLater(self.clock, seconds)
+
+    def test_idle_connections_are_closed_at_once(self):
+        """Guards against requests that arrive on a kept connection until the process is killed."""
+        self.assertEqual(1, self.connections.open_count)
+
+    def test_waits_until_the_last_byte_of_an_answer_has_left(self):
+        """Guards against a process that ends in the middle of a large answer."""
+        self.clock.pump([0.05] * 20)
+        self.assertEqual([], self.done)
+        self.connections.open_count = 0
+        self.clock.advance(0.05)
+        self.assertEqual([None], self.done)
+
+    def test_ends_in_time(self):
+        """Guards against a process that is killed because a caller does not read."""
+        self.clock.pump([0.05] * 70)
+        self.assertEqual([None], self.done)
