--- a/standins/scripted_backend.py
+++ b/standins/scripted_backend.py
@@ -3,15 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
-import time
 from collections.abc import Callable
 
 from twisted.internet import defer, protocol, reactor
 
-# The clock of the processes, which deadlines refer to. On the wall clock, which the reactor takes
-# by default, a timer may fire just before its deadline on the other one.
-reactor.seconds = time.monotonic
-
 
 @dataclasses.dataclass
 class Received:
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -11,6 +11,10 @@
 from celerystack.peers import messages
 from celerystack.requests import forwarder, frontend
 
+# The clock of the processes, which deadlines refer to. On the wall clock, which the reactor takes
+# by default, a timer may fire just before its deadline on the other one.
+reactor.seconds = time.monotonic
+
 ATLAS = model.Service(
     name=ids.ServiceName("atlas-browse"), prefixes=("/atlas/browse/",), checks_token=True
 )
