Pass on servers and configurations from the planner

Cause: each entry VM read the servers once a second and waited for the configuration itself, 2.0 calls/s per VM. Ruled out: a longer interval (draining marks have to act within 2 s); a long poll on the servers (heartbeats change the rows all the time). Change: the planner reads every 0.4 s and puts what changed since the receiver's reported position into its beacon, with a digest of all present servers. A VM reads itself if the news are older than 1 s, if the digest differs, if the log does not reach back, if a configuration was announced, or if a server has to show by its own entry that it lives. Peers and the sending of maps moved from the coordinator to a module of their own. Calls grow with the planner's work, not with the number of VMs, while it is heard.

--- a/src/celerystack/fleet/messages.py
+++ b/src/celerystack/fleet/messages.py
@@ -8,6 +8,7 @@
 import msgpack
 
 from celerystack import errors, ids
+from celerystack.fleet import relay, servers
 from celerystack.ranges import codec, model
 
 
@@ -33,6 +34,8 @@
         Answers and their mean service time in seconds since the last report.
     broken : tuple of (Fingerprint, Life)
         Requests whose connection broke before any answer since the last report.
+    position : RowVersion
+        Store version up to which the sender knows the servers.
     """
 
     vm: ids.EntryVmId
@@ -45,6 +48,7 @@
     keys_by_service: dict[ids.ServiceName, list[int]]
     speed_by_server: dict[ids.ServerId, tuple[int, float]]
     broken: tuple[tuple[ids.Fingerprint, model.Life], ...] = ()
+    position: ids.RowVersion = relay.UNKNOWN
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -71,6 +75,8 @@
         For overloaded servers, the part of the requests for their keys that they have room for.
     quarantined : tuple of Fingerprint
         Requests that crash servers.
+    news : News or None
+        What the planner read in the store, from the receiver's position on.
     """
 
     vm: ids.EntryVmId
@@ -84,6 +90,7 @@
     pending: tuple[model.Life, ...]
     admitted_by_server: dict[ids.ServerId, float]
     quarantined: tuple[ids.Fingerprint, ...] = ()
+    news: relay.News | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -113,6 +120,53 @@
     return [life.server, life.born_ms]
 
 
+def _encode_news(news: relay.News) -> list[Any]:
+    changes = [
+        [
+            change.present,
+            change.entry.server,
+            change.entry.service,
+            change.entry.address,
+            change.entry.zone,
+            change.entry.slots,
+            change.entry.state.value,
+            change.entry.cold_s,
+            change.entry.born_ms,
+        ]
+        for change in news.changes
+    ]
+    return [news.since, news.position, news.age_s, news.digest, news.config_row, changes]
+
+
+def _decode_news(*fields: Any) -> relay.News:
+    since, position, age, digest, config_row, changes = fields
+    return relay.News(
+        since=ids.RowVersion(int(since)),
+        position=ids.RowVersion(int(position)),
+        age_s=float(age),
+        digest=int(digest),
+        config_row=ids.RowVersion(int(config_row)),
+        changes=tuple(_decode_change(*change) for change in changes),
+    )
+
+
+def _decode_change(present: bool, *fields: Any) -> relay.Change:
+    server, service, address, zone, slots, state, cold_s, born_ms = fields
+    return relay.Change(
+        present=bool(present),
+        entry=servers.ServerEntry(
+            server=server,
+            service=service,
+            address=str(address),
+            zone=zone,
+            slots=int(slots),
+            state=servers.ServerState(state),
+            cold_s=float(cold_s),
+            born_ms=int(born_ms),
+        ),
+    )
+
+
 def encode(message: Message) -> bytes:
     """Return a message as msgpack: its kind and its fields in order."""
     match message:
@@ -128,6 +182,7 @@
                 message.keys_by_service,
                 message.speed_by_server,
                 [[suspect, *_life(life)] for suspect, life in message.broken],
+                message.position,
             ]
             return msgpack.packb(["report", *fields])
         case Beacon():
@@ -143,6 +198,7 @@
                 [_life(life) for life in message.pending],
                 message.admitted_by_server,
                 list(message.quarantined),
+                None if message.news is None else _encode_news(message.news),
             ]
             return msgpack.packb(["beacon", *fields])
         case RangesPart():
@@ -184,7 +240,7 @@
 
 
 def _report(*fields: Any) -> Report:
-    vm, zone, boot, stamp, versions, remaining, unreachable, keys, speeds, broken = fields
+    vm, zone, boot, stamp, versions, remaining, unreachable, keys, speeds, broken, position = fields
     return Report(
         vm=vm,
         zone=zone,
@@ -198,11 +254,12 @@
         broken=tuple(
             (ids.Fingerprint(bytes(suspect)), codec.decode_life([s, b])) for suspect, s, b in broken
         ),
+        position=ids.RowVersion(int(position)),
     )
 
 
 def _beacon(*fields: Any) -> Beacon:
-    vm, term, boot, stamp, age, versions, vms, count, pending, admitted, rejected = fields
+    vm, term, boot, stamp, age, versions, vms, count, pending, admitted, rejected, news = fields
     return Beacon(
         vm=vm,
         term=int(term),
@@ -215,6 +272,7 @@
         pending=tuple(codec.decode_life(life) for life in pending),
         admitted_by_server={server: float(part) for server, part in admitted.items()},
         quarantined=tuple(ids.Fingerprint(bytes(suspect)) for suspect in rejected),
+        news=None if news is None else _decode_news(*news),
     )
 
 
--- a/src/celerystack/fleet/servers.py
+++ b/src/celerystack/fleet/servers.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 import logging
+import zlib
 from collections.abc import Iterable
 
 from celerystack import ids
@@ -79,6 +80,11 @@
         """Whether new requests may be sent to it."""
         return not self.gone and self.entry.state is ServerState.READY
 
+    @property
+    def present(self) -> bool:
+        """Whether its entry is in the table, as far as is known."""
+        return not self.gone and not self.lapsed
+
 
 class Directory:
     """All servers, from the rows that they write."""
@@ -90,11 +96,14 @@
         self._read_at: float | None = None
         self._trusted_from = 0.0
         self._next_expiry = 0.0
+        self._changed_ids: set[ids.ServerId] = set()
+        self._digest = 0
+        self._digest_version = -1
 
     def apply_changes(
         self, entries: Iterable[ServerEntry], removed: Iterable[ids.ServerId], now: float
     ) -> None:
-        """Take changed entries and the ids of removed ones."""
+        """Take changed entries and the ids of removed ones, as they were read at ``now``."""
         self.note_answer(now)
         for entry in entries:
             self._update(entry, now)
@@ -137,8 +146,27 @@
         newest = self._newest_by_address.get(record.entry.address)
         return newest is not None and newest != life and newest.born_ms > life.born_ms
 
+    def take_changed(self) -> list[ServerRecord]:
+        """Return the servers that changed since the last call."""
+        changed, self._changed_ids = self._changed_ids, set()
+        return [self.by_id[server] for server in sorted(changed) if server in self.by_id]
+
+    def digest(self) -> int:
+        """Return a checksum of the present servers, their lives and states."""
+        if self._digest_version != self.version:
+            self._digest_version = self.version
+            present = sorted(
+                f"{record.entry.server}/{record.entry.born_ms}/{record.entry.state.value}"
+                for record in self.by_id.values()
+                if record.present
+            )
+            self._digest = zlib.crc32("\n".join(present).encode())
+        return self._digest
+
     def note_answer(self, now: float) -> None:
         """Take notice that the store answered a call."""
+        if self._read_at is not None and now < self._read_at:
+            return
         if self._read_at is not None and now - self._read_at > OUTAGE_S:
             self._trusted_from = now + RETURN_GRACE_S
         self._read_at = now
@@ -197,6 +225,7 @@
 
     def _changed(self, what: str, entry: ServerEntry) -> None:
         self.version += 1
+        self._changed_ids.add(entry.server)
         _log.info(
             "%s", what, extra={"step": "servers", "peer": entry.server, "service": entry.service}
         )
--- a/src/celerystack/gateway/feeds.py
+++ b/src/celerystack/gateway/feeds.py
@@ -1,4 +1,4 @@
-"""Follows the configuration and the servers in the store."""
+"""Follows the configuration and the servers, in the store or by the planner's news."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from twisted.internet import defer
 
 from celerystack import errors, ids
-from celerystack.fleet import rows, servers
+from celerystack.fleet import relay, rows, servers
 from celerystack.gateway import config
 
 _log = logging.getLogger(__name__)
@@ -19,6 +19,8 @@
 """Longest wait of one call for a change; bounds how long a silent connection goes unnoticed."""
 SERVERS_INTERVAL_S = 1.0
 """Heartbeats change the rows all the time, so that waiting for a change would never wait."""
+LEADING_INTERVAL_S = 0.4
+"""The planner reads more often, because its news take a while to arrive."""
 RETRY_S = 0.15
 
 
@@ -43,6 +45,8 @@
     ----------
     on_config : callable
         Called with each newer configuration.
+    doubts : callable
+        Whether the entries themselves must be read, because a server has to show that it lives.
     """
 
     def __init__(
@@ -52,19 +56,25 @@
         store: rows.RowStore,
         source: Source,
         directory: servers.Directory,
+        news: relay.Relay,
         on_config: Callable[[config.RoutingConfig], None],
+        doubts: Callable[[], bool],
         now: Callable[[], float],
     ) -> None:
         self._reactor = reactor
         self._store = store
         self._source = source
         self._directory = directory
+        self._news = news
         self._on_config = on_config
+        self._doubts = doubts
         self._now = now
         self._config_version = ids.ConfigVersion(-1)
         self._store_is_up = True
         self.servers_known = False
         self._unreadable: dict[ids.RowKey, str] = {}
+        self._pauses: list[defer.Deferred[None]] = []
+        news.on_news(self._wake)
 
     def start(self) -> None:
         """Follow both tables until the process ends."""
@@ -76,47 +86,86 @@
                 )
             )
 
+    def _pause(self, seconds: float) -> defer.Deferred[None]:
+        """Wait; news end the wait early."""
+        done: defer.Deferred[None] = defer.Deferred()
+        timer = self._reactor.callLater(seconds, self._end_pause, done)
+        done.addBoth(lambda _: timer.cancel() if timer.active() else None)
+        self._pauses.append(done)
+        return done
+
+    def _end_pause(self, done: defer.Deferred[None]) -> None:
+        self._pauses.remove(done)
+        done.callback(None)
+
+    def _wake(self) -> None:
+        for done in list(self._pauses):
+            self._end_pause(done)
+
     def _sleep(self, seconds: float) -> defer.Deferred[None]:
         done: defer.Deferred[None] = defer.Deferred()
         self._reactor.callLater(seconds, done.callback, None)
         return done
 
     async def _follow_config(self) -> None:
-        await self._follow(self._source.config_table, CONFIG_WAIT_S, 0.0, self._take_config)
-
-    async def _follow_servers(self) -> None:
-        await self._follow(self._source.servers_table, 0.0, SERVERS_INTERVAL_S, self._take_servers)
-
-    async def _follow(
-        self,
-        table: str,
-        wait_s: float,
-        interval_s: float,
-        take: Callable[[rows.Rows, bool], None],
-    ) -> None:
-        """Read a table whole, then its changes; again from the start if history was lost."""
         version: ids.RowVersion | None = None
         while True:
-            whole = version is None
+            valid_s = self._news.valid_s()
+            if version is not None and valid_s and not self._news.lacks_config:
+                await self._pause(valid_s)
+                continue
+            wait_s = 0.0 if self._news.lacks_config else CONFIG_WAIT_S
             try:
-                if version is None:
-                    answer = await self._store.scan(table)
-                else:
-                    answer = await self._store.changes(table, version, wait_s=wait_s)
-                self._note_store(None)
+                answer = await self._read(self._source.config_table, version, wait_s)
             except rows.HistoryLostError:
-                _log.info("the store lost its history; reading all rows", extra={"step": table})
                 version = None
                 continue
-            except errors.PlatformError as error:
-                self._note_store(error)
+            if answer is not None:
+                version = answer.version
+                self._take_config(answer)
+            if answer is None or self._news.lacks_config:
+                await self._sleep(RETRY_S)
+
+    async def _follow_servers(self) -> None:
+        while True:
+            valid_s = self._news.valid_s()
+            if valid_s and not self._doubts():
+                await self._pause(valid_s)
+                continue
+            started = self._now()
+            whole = self._news.must_scan
+            position = None if whole else self._news.position
+            try:
+                answer = await self._read(self._source.servers_table, position, 0.0)
+            except rows.HistoryLostError:
+                self._news.lose_history()
+                continue
+            if answer is None:
                 await self._sleep(RETRY_S)
                 continue
-            self._directory.note_answer(self._now())
-            version = answer.version
-            take(answer, whole)
-            if interval_s:
-                await self._sleep(interval_s)
+            if answer.version >= self._news.position:
+                self._take_servers(answer, whole)
+                self._news.note_read(answer.version, started, whole=whole)
+            await self._sleep(LEADING_INTERVAL_S if self._news.leading else SERVERS_INTERVAL_S)
+
+    async def _read(
+        self, table: str, after: ids.RowVersion | None, wait_s: float
+    ) -> rows.Rows | None:
+        """Return the changes of a table, or all its rows; None if the store failed."""
+        try:
+            if after is None:
+                answer = await self._store.scan(table)
+            else:
+                answer = await self._store.changes(table, after, wait_s=wait_s)
+        except rows.HistoryLostError:
+            _log.info("the store lost its history; reading all rows", extra={"step": table})
+            raise
+        except errors.PlatformError as error:
+            self._note_store(error)
+            return None
+        self._note_store(None)
+        self._directory.note_answer(self._now())
+        return answer
 
     def _note_store(self, error: errors.PlatformError | None) -> None:
         up = error is None
@@ -128,10 +177,11 @@
         else:
             _log.warning("the store does not answer: %s", error, extra={"step": "feeds"})
 
-    def _take_config(self, answer: rows.Rows, _whole: bool) -> None:
+    def _take_config(self, answer: rows.Rows) -> None:
         for row in answer.rows:
             if row.key != self._source.config_key or row.value is None:
                 continue
+            self._news.note_config(row.version)
             try:
                 wanted = self._source.decode_config(row.value)
             except errors.CorruptRowError as error:
--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -13,7 +13,7 @@
 from twisted.web import http as twisted_http
 
 from celerystack import ids
-from celerystack.fleet import nodes, rows, servers
+from celerystack.fleet import nodes, relay, rows, servers
 from celerystack.gateway import (
     calls,
     config,
@@ -82,6 +82,7 @@
         self.registry = prometheus_client.CollectorRegistry()
         self.measures = measures.Measures(self.registry)
         self.directory = servers.Directory()
+        news = relay.Relay(self.directory, now=now)
         self._config: config.RoutingConfig | None = None
         self.stopping = False
         self.coordinator = coordinator.Coordinator(
@@ -93,6 +94,7 @@
             store=store,
             port=port,
             directory=self.directory,
+            news=news,
             sharded=self._sharded,
             now=now,
         )
@@ -122,7 +124,9 @@
             store=store,
             source=source,
             directory=self.directory,
+            news=news,
             on_config=self._apply,
+            doubts=self.coordinator.lessor.has_doubts,
             now=now,
         )
 
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -10,9 +10,19 @@
 from twisted.internet import defer, protocol
 
 from celerystack import errors, ids
-from celerystack.fleet import messages, nodes, rows, servers
+from celerystack.fleet import messages, nodes, relay, rows, servers
 from celerystack.limits import crashers, thinning
-from celerystack.ranges import codec, knowledge, lessor, model, orders, planner, seat, spread
+from celerystack.ranges import (
+    codec,
+    fanout,
+    knowledge,
+    lessor,
+    model,
+    orders,
+    planner,
+    seat,
+    spread,
+)
 
 _log = logging.getLogger(__name__)
 
@@ -26,9 +36,7 @@
 """A planner that was not heard for this time is looked for in the store."""
 SEAT_WATCH_S = 1.0
 """A seat whose row does not change for this time is free; longer than `planner.CONFIRM_S`."""
-ALIVE_S = 1.2
 NODES_READ_S = 2.0
-RESEND_S = 0.25
 KEYS_PER_REPORT_MAX = 400
 UNKNOWN_COUNT = 50
 """Assumed number of entry VMs before any beacon, so that no shared limit is exceeded."""
@@ -52,18 +60,6 @@
             _log.debug("datagram not sent: %s", error, extra={"step": "fleet", "peer": address[0]})
 
 
-class _Peer:
-    """An entry VM as the planner sees it."""
-
-    def __init__(self, node: nodes.Node) -> None:
-        self.node = node
-        self.reported_at = float("-inf")
-        self.boot = 0
-        self.stamp = -1.0
-        self.versions_by_service: dict[ids.ServiceName, int] = {}
-        self.sent_at_by_service: dict[ids.ServiceName, float] = {}
-
-
 class Coordinator:
     """Takes part in the ownership of keys for one entry VM.
 
@@ -71,6 +67,8 @@
     ----------
     node : nodes.Node
         This VM.
+    news : relay.Relay
+        What this VM knows of the servers, as a position in the store.
     sharded : callable
         Returns the services that are divided by key.
     now : callable
@@ -86,6 +84,7 @@
         store: rows.RowStore,
         port: orders.OrderPort,
         directory: servers.Directory,
+        news: relay.Relay,
         sharded: Callable[[], Iterable[ids.ServiceName]],
         now: Callable[[], float],
     ) -> None:
@@ -94,6 +93,7 @@
         self._boot = boot
         self._store = store
         self._directory = directory
+        self._news = news
         self._now = now
         self.known = knowledge.Knowledge()
         self.known.on_change(lambda _: self.lessor.tick())
@@ -113,16 +113,22 @@
             directory=directory,
             port=port,
             sharded=sharded,
-            on_commit=self._push,
+            on_commit=lambda service: self._fanout.push(service),
             now=now,
         )
         self._datagrams = _Datagrams(self._received)
+        self._fanout = fanout.Fanout(
+            own=node,
+            known=self.known,
+            send=self._datagrams.send,
+            term=lambda: self.seat.term,
+            now=now,
+        )
+        news.on_read(self._announce)
         self._unreachable: Callable[[], Iterable[model.Life]] = tuple
         self.admission = thinning.Thinning()
         self.quarantine = crashers.Quarantine()
-        self._peers: dict[ids.EntryVmId, _Peer] = {}
         self._assembler = spread.Assembler()
-        self._pushed: dict[ids.ServiceName, knowledge.Known] = {}
         self._heard_at = now()
         self._heard_term = 0
         self._planner_address: tuple[str, int] | None = None
@@ -179,9 +185,9 @@
         self._reactor.callLater(TICK_S, self._tick)
         self._directory.expire(now)
         self.lessor.tick()
-        if self.seat.held and now >= self._next_beacon:
-            self._next_beacon = now + (BEACON_S if len(self._peers) < MANY_VMS else BEACON_MANY_S)
-            self._send_beacons(now)
+        self._news.lead(self.seat.held)
+        if now >= self._next_beacon:
+            self._announce()
         if not self._busy:
             self._busy = True
             running = defer.Deferred.fromCoroutine(self._work())
@@ -192,6 +198,14 @@
             )
             running.addBoth(self._worked)
 
+    def _announce(self) -> None:
+        """Send beacons if this VM is the planner: regularly, and after each read of the servers."""
+        if not self.seat.held:
+            return
+        now = self._now()
+        self._next_beacon = now + (BEACON_S if len(self._fanout) < MANY_VMS else BEACON_MANY_S)
+        self._send_beacons(now)
+
     def _worked(self, _: object) -> None:
         self._busy = False
 
@@ -227,7 +241,7 @@
 
     async def _begin_tenure(self) -> None:
         self.planner.acquired()
-        self._pushed.clear()
+        self._fanout.begin_tenure()
         self._heard_term = self.seat.term
         await self._read_nodes()
 
@@ -244,10 +258,7 @@
     async def _read_nodes(self) -> None:
         by_vm = await nodes.read_all(self._store)
         self._nodes_read_at = self._now()
-        for vm, node in by_vm.items():
-            peer = self._peers.get(vm)
-            if peer is None or peer.node != node:
-                self._peers[vm] = _Peer(node)
+        self._fanout.know(by_vm)
 
     async def _follow(self) -> None:
         now = self._now()
@@ -278,20 +289,17 @@
 
     def _send_beacons(self, now: float) -> None:
         versions = self.known.versions()
-        vms_by_zone = self._alive(now)
+        vms_by_zone = self._fanout.alive(now)
         pending = self.planner.pending_lives()
         admitted = self.planner.admitted_by_server()
         self.admission.update(admitted)
         quarantined = self.planner.suspects.quarantined(now)
         self.quarantine.update(quarantined)
         # A new planner has few reports yet; a count of the living would be too low.
-        registered = max(1, len(self._peers))
+        registered = max(1, len(self._fanout))
         self._take_vms(vms_by_zone[self._node.zone], registered)
         self._pending = pending
-        for vm, peer in self._peers.items():
-            if vm == self._node.vm:
-                continue
-            own_zone = vms_by_zone.get(peer.node.zone, ())
+        for peer in self._fanout.others():
             beacon = messages.Beacon(
                 vm=self._node.vm,
                 term=self.seat.term,
@@ -299,59 +307,22 @@
                 echo_stamp=peer.stamp,
                 confirm_age_s=max(0.0, peer.reported_at - self.seat.confirmed_at),
                 versions_by_service=versions,
-                zone_vms=own_zone,
+                zone_vms=vms_by_zone.get(peer.node.zone, ()),
                 entry_vms=registered,
                 pending=pending,
                 admitted_by_server=admitted,
                 quarantined=quarantined,
+                news=self._news.news_since(peer.position),
             )
             self._datagrams.send(messages.encode(beacon), peer.node.address)
-            if now - peer.reported_at < ALIVE_S:
-                self._resend(peer, versions, now)
+            self._fanout.resend(peer, now)
         self._take_report(self._own_report())
 
-    def _alive(self, now: float) -> dict[ids.ZoneName, tuple[ids.EntryVmId, ...]]:
-        vms_by_zone: dict[ids.ZoneName, tuple[ids.EntryVmId, ...]] = {
-            self._node.zone: (self._node.vm,)
-        }
-        for vm, peer in self._peers.items():
-            if vm != self._node.vm and now - peer.reported_at < ALIVE_S:
-                vms_by_zone[peer.node.zone] = (*vms_by_zone.get(peer.node.zone, ()), vm)
-        return vms_by_zone
-
     def _take_vms(self, zone_vms: tuple[ids.EntryVmId, ...], registered: int) -> None:
         is_named = self._node.vm in zone_vms
         self.lessor.vms = zone_vms if is_named else (*zone_vms, self._node.vm)
         self._registered_count = registered
 
-    def _resend(self, peer: _Peer, versions: dict[ids.ServiceName, int], now: float) -> None:
-        for service, version in versions.items():
-            behind = peer.versions_by_service.get(service, 0) < version
-            if behind and now - peer.sent_at_by_service.get(service, 0.0) >= RESEND_S:
-                self._send_parts(peer, self._whole(service), service)
-
-    def _push(self, service: ids.ServiceName) -> None:
-        """Send what changed to all entry VMs; those that lack the base get the whole map."""
-        known = self.known.by_service[service]
-        before = self._pushed.get(service)
-        self._pushed[service] = known
-        if before is None:
-            parts = spread.encode_whole(known, term=self.seat.term)
-        else:
-            changed = model.changes(before.ranges, known.ranges)
-            parts = spread.encode(known, changed, term=self.seat.term, base=before.version)
-        for vm, peer in self._peers.items():
-            if vm != self._node.vm:
-                self._send_parts(peer, parts, service)
-
-    def _whole(self, service: ids.ServiceName) -> list[bytes]:
-        return spread.encode_whole(self.known.by_service[service], term=self.seat.term)
-
-    def _send_parts(self, peer: _Peer, parts: list[bytes], service: ids.ServiceName) -> None:
-        peer.sent_at_by_service[service] = self._now()
-        for part in parts:
-            self._datagrams.send(part, peer.node.address)
-
     def _received(self, datagram: bytes, address: tuple[str, int]) -> None:
         try:
             message = messages.decode(datagram, peer=address[0])
@@ -369,11 +340,7 @@
     def _take_report(self, report: messages.Report) -> None:
         if not self.seat.held:
             return
-        peer = self._peers.get(report.vm)
-        if peer is not None:
-            peer.reported_at = self._now()
-            peer.boot, peer.stamp = report.boot, report.stamp
-            peer.versions_by_service = report.versions_by_service
+        self._fanout.on_report(report)
         self.planner.on_report(report)
 
     def _take_beacon(self, beacon: messages.Beacon, address: tuple[str, int]) -> None:
@@ -392,6 +359,8 @@
         self._take_vms(beacon.zone_vms, beacon.entry_vms)
         if beacon.echo_boot == self._boot and beacon.echo_stamp >= 0:
             self.known.confirm(beacon.versions_by_service, beacon.echo_stamp - beacon.confirm_age_s)
+        if beacon.news is not None:
+            self._news.take(beacon.news)
         self._datagrams.send(messages.encode(self._own_report()), address)
 
     def _own_report(self) -> messages.Report:
@@ -408,6 +377,7 @@
             keys_by_service=keys,
             speed_by_server=speeds,
             broken=tuple(self.quarantine.take_seen()),
+            position=self._news.position,
         )
 
     def _take_part(self, part: messages.RangesPart) -> None:
--- /dev/null
+++ b/src/celerystack/ranges/fanout.py
@@ -0,0 +1,135 @@
+"""Sends range maps to the entry VMs, and keeps what they last reported to the planner."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+from celerystack import ids
+from celerystack.fleet import messages, nodes, relay
+from celerystack.ranges import knowledge, model, spread
+
+ALIVE_S = 1.2
+"""An entry VM that reported within this time counts as alive."""
+RESEND_S = 0.25
+
+
+class Peer:
+    """An entry VM as the planner sees it.
+
+    Attributes
+    ----------
+    reported_at : float
+        Clock time in seconds at which its last report arrived.
+    boot, stamp
+        Process and clock of that report, which a beacon echoes.
+    position : RowVersion
+        Store version up to which it knows the servers.
+    """
+
+    def __init__(self, node: nodes.Node) -> None:
+        self.node = node
+        self.reported_at = float("-inf")
+        self.boot = 0
+        self.stamp = -1.0
+        self.position = relay.UNKNOWN
+        self.versions_by_service: dict[ids.ServiceName, int] = {}
+        self.sent_at_by_service: dict[ids.ServiceName, float] = {}
+
+
+class Fanout:
+    """All registered entry VMs, and the sending of range maps to them.
+
+    Parameters
+    ----------
+    own : Node
+        This VM, to which nothing is sent.
+    send : callable
+        Sends a datagram to an address.
+    term : callable
+        Returns the planner's present term.
+    now : callable
+        Clock in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: nodes.Node,
+        known: knowledge.Knowledge,
+        send: Callable[[bytes, tuple[str, int]], None],
+        term: Callable[[], int],
+        now: Callable[[], float],
+    ) -> None:
+        self._own = own
+        self._known = known
+        self._send = send
+        self._term = term
+        self._now = now
+        self._by_vm: dict[ids.EntryVmId, Peer] = {}
+        self._pushed: dict[ids.ServiceName, knowledge.Known] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_vm)
+
+    def others(self) -> Iterator[Peer]:
+        """Yield all entry VMs but this one."""
+        return (peer for vm, peer in self._by_vm.items() if vm != self._own.vm)
+
+    def begin_tenure(self) -> None:
+        """Send whole maps first, because others may have got anything from an earlier planner."""
+        self._pushed.clear()
+
+    def know(self, by_vm: dict[ids.EntryVmId, nodes.Node]) -> None:
+        """Take the registered entry VMs."""
+        for vm, node in by_vm.items():
+            peer = self._by_vm.get(vm)
+            if peer is None or peer.node != node:
+                self._by_vm[vm] = Peer(node)
+
+    def on_report(self, report: messages.Report) -> None:
+        """Take the report of an entry VM."""
+        peer = self._by_vm.get(report.vm)
+        if peer is not None:
+            peer.reported_at = self._now()
+            peer.boot, peer.stamp = report.boot, report.stamp
+            peer.versions_by_service = report.versions_by_service
+            peer.position = report.position
+
+    def alive(self, now: float) -> dict[ids.ZoneName, tuple[ids.EntryVmId, ...]]:
+        """Return this VM and those that reported lately, by availability zone."""
+        by_zone: dict[ids.ZoneName, tuple[ids.EntryVmId, ...]] = {self._own.zone: (self._own.vm,)}
+        for peer in self.others():
+            if now - peer.reported_at < ALIVE_S:
+                zone = peer.node.zone
+                by_zone[zone] = (*by_zone.get(zone, ()), peer.node.vm)
+        return by_zone
+
+    def push(self, service: ids.ServiceName) -> None:
+        """Send what changed to all entry VMs; those that lack the base get the whole map."""
+        known = self._known.by_service[service]
+        before = self._pushed.get(service)
+        self._pushed[service] = known
+        if before is None:
+            parts = self._whole(service)
+        else:
+            changed = model.changes(before.ranges, known.ranges)
+            parts = spread.encode(known, changed, term=self._term(), base=before.version)
+        for peer in self.others():
+            self._send_parts(peer, parts, service)
+
+    def resend(self, peer: Peer, now: float) -> None:
+        """Send the whole maps to an entry VM that reported an older version."""
+        if now - peer.reported_at >= ALIVE_S:
+            return
+        for service, version in self._known.versions().items():
+            behind = peer.versions_by_service.get(service, 0) < version
+            if behind and now - peer.sent_at_by_service.get(service, 0.0) >= RESEND_S:
+                self._send_parts(peer, self._whole(service), service)
+
+    def _whole(self, service: ids.ServiceName) -> list[bytes]:
+        return spread.encode_whole(self._known.by_service[service], term=self._term())
+
+    def _send_parts(self, peer: Peer, parts: list[bytes], service: ids.ServiceName) -> None:
+        peer.sent_at_by_service[service] = self._now()
+        for part in parts:
+            self._send(part, peer.node.address)
--- a/src/celerystack/ranges/lessor.py
+++ b/src/celerystack/ranges/lessor.py
@@ -76,6 +76,16 @@
             if failures >= FAILURES_TO_UNREACHABLE
         )
 
+    def has_doubts(self) -> bool:
+        """Return whether a server has to show by its own entry that it still lives."""
+        for life in self._failed_at_by_life:
+            record = self._directory.record_of(life)
+            if record is None or record.gone or not self._is_lessor(record):
+                continue
+            if not self._is_confirmed(life, record):
+                return True
+        return False
+
     def tick(self) -> None:
         """Send the grants that are due."""
         now = self._now()
--- /dev/null
+++ b/tests/fleet/test_messages.py
@@ -0,0 +1,57 @@
+"""Guards against datagrams that lose or change a field on their way."""
+
+import testtools
+
+from celerystack import errors, ids
+from celerystack.fleet import messages, relay
+from tests.ranges import fakes
+
+NEWS = relay.News(
+    since=ids.RowVersion(4),
+    position=ids.RowVersion(9),
+    age_s=0.25,
+    digest=77,
+    config_row=ids.RowVersion(3),
+    changes=(
+        relay.Change(entry=fakes.entry("a", 5, cold_s=1.5), present=True),
+        relay.Change(entry=fakes.entry("b"), present=False),
+    ),
+)
+BEACON = messages.Beacon(
+    vm=ids.EntryVmId("v1"),
+    term=3,
+    echo_boot=8,
+    echo_stamp=1.5,
+    confirm_age_s=0.1,
+    versions_by_service={fakes.SERVICE: 12},
+    zone_vms=(ids.EntryVmId("v1"),),
+    entry_vms=4,
+    pending=(fakes.life("a"),),
+    admitted_by_server={ids.ServerId("a"): 0.5},
+    quarantined=(ids.Fingerprint(b"\x00\xff"),),
+    news=NEWS,
+)
+REPORT = messages.Report(
+    vm=ids.EntryVmId("v1"),
+    zone=fakes.ZONE,
+    boot=8,
+    stamp=2.5,
+    versions_by_service={fakes.SERVICE: 12},
+    remaining_by_life={fakes.life("a"): 4.0},
+    unreachable=(fakes.life("b"),),
+    keys_by_service={fakes.SERVICE: [1, 2]},
+    speed_by_server={ids.ServerId("a"): (2, 0.5)},
+    broken=((ids.Fingerprint(b"\x01"), fakes.life("a")),),
+    position=ids.RowVersion(9),
+)
+
+
+class MessagesTest(testtools.TestCase):
+    def test_messages_survive_encoding(self):
+        for message in (BEACON, REPORT):
+            decoded = messages.decode(messages.encode(message), peer="10.0.0.1")
+            self.assertEqual(message, decoded)
+
+    def test_malformed_datagram_is_an_error(self):
+        for data in (b"", b"\xc1", messages.encode(BEACON)[:-3]):
+            self.assertRaises(errors.BadFrameError, messages.decode, data, peer="10.0.0.1")
--- /dev/null
+++ b/tests/fleet/test_relay.py
@@ -0,0 +1,143 @@
+"""Guards against a VM that relies on news it did not get, or keeps a server that has left."""
+
+import testtools
+
+from celerystack import ids
+from celerystack.fleet import relay, servers
+from tests.ranges import fakes
+
+
+class Vm:
+    """Directory and relay of one entry VM."""
+
+    def __init__(self, clock):
+        self.directory = servers.Directory()
+        self.relay = relay.Relay(self.directory, now=clock)
+        self._clock = clock
+
+    def read(self, position, entries, removed=(), *, whole=False):
+        removed = [ids.ServerId(server) for server in removed]
+        if whole:
+            self.directory.apply_all(entries, self._clock())
+        else:
+            self.directory.apply_changes(entries, removed, self._clock())
+        self.relay.note_read(ids.RowVersion(position), self._clock(), whole=whole)
+
+    def usable(self):
+        return sorted(record.entry.server for record in self.directory.usable(fakes.SERVICE))
+
+
+class RelayTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now = 100.0
+        self.planner = Vm(lambda: self.now)
+        self.follower = Vm(lambda: self.now)
+        self.planner.relay.lead(True)
+        both = [fakes.entry("a"), fakes.entry("b")]
+        self.planner.read(10, both, whole=True)
+        self.follower.read(10, both, whole=True)
+
+    def pass_on(self):
+        news = self.planner.relay.news_since(self.follower.relay.position)
+        self.follower.relay.take(news)
+        return news
+
+    def test_follower_without_changes_relies_on_fresh_news(self):
+        self.now += 5.0
+        self.assertEqual(0.0, self.follower.relay.valid_s())
+        self.planner.read(50, [fakes.entry("a"), fakes.entry("b")])
+        news = self.pass_on()
+        self.assertEqual((), news.changes)
+        self.assertEqual(50, self.follower.relay.position)
+        self.assertEqual(relay.NEWS_VALID_S, self.follower.relay.valid_s())
+
+    def test_age_of_the_read_counts(self):
+        self.now += 5.0
+        self.planner.read(50, [])
+        self.now += 0.4
+        self.pass_on()
+        self.assertAlmostEqual(relay.NEWS_VALID_S - 0.4, self.follower.relay.valid_s())
+
+    def test_planner_itself_never_relies_on_news(self):
+        self.assertEqual(0.0, self.planner.relay.valid_s())
+
+    def test_draining_server_is_passed_on(self):
+        self.planner.read(20, [fakes.entry("a", state=servers.ServerState.DRAINING)])
+        self.pass_on()
+        self.assertEqual(["b"], self.follower.usable())
+
+    def test_removed_server_is_passed_on(self):
+        self.planner.read(20, [], ["a"])
+        self.pass_on()
+        self.assertEqual(["b"], self.follower.usable())
+
+    def test_server_that_came_back_is_not_removed_by_its_earlier_change(self):
+        self.planner.read(20, [], ["a"])
+        self.planner.read(30, [fakes.entry("a", 2)])
+        self.pass_on()
+        self.assertEqual(["a", "b"], self.follower.usable())
+
+    def test_lost_news_are_made_up_for(self):
+        self.planner.read(20, [fakes.entry("c")])
+        self.planner.relay.news_since(self.follower.relay.position)
+        self.planner.read(30, [], ["b"])
+        self.pass_on()
+        self.assertEqual(["a", "c"], self.follower.usable())
+
+    def test_late_news_do_not_undo_newer_ones(self):
+        self.planner.read(20, [fakes.entry("c")])
+        late = self.planner.relay.news_since(self.follower.relay.position)
+        self.planner.read(30, [], ["c"])
+        self.pass_on()
+        self.follower.relay.take(late)
+        self.assertEqual(["a", "b"], self.follower.usable())
+        self.assertEqual(30, self.follower.relay.position)
+
+    def test_different_view_is_read_again_whole(self):
+        self.follower.read(12, [], ["b"])
+        self.planner.read(20, [fakes.entry("b")])
+        self.pass_on()
+        self.assertTrue(self.follower.relay.must_scan)
+        self.assertEqual(0.0, self.follower.relay.valid_s())
+        self.follower.read(21, [fakes.entry("a"), fakes.entry("b")], whole=True)
+        self.assertFalse(self.follower.relay.must_scan)
+        self.assertEqual(["a", "b"], self.follower.usable())
+
+    def test_vm_that_has_read_nothing_is_not_served(self):
+        fresh = Vm(lambda: self.now)
+        self.assertIsNone(self.planner.relay.news_since(fresh.relay.position))
+        self.assertTrue(fresh.relay.must_scan)
+
+    def test_vm_behind_the_log_is_not_served(self):
+        self.planner.read(20, [fakes.entry("c")], whole=True)
+        self.assertIsNone(self.planner.relay.news_since(ids.RowVersion(10)))
+
+    def test_too_many_changes_are_left_to_the_store(self):
+        many = [fakes.entry(f"n{number}") for number in range(relay.CHANGES_PER_NEWS_MAX + 1)]
+        self.planner.read(20, many)
+        self.assertIsNone(self.planner.relay.news_since(ids.RowVersion(10)))
+
+    def test_announced_configuration_is_missing_until_it_is_read(self):
+        self.planner.relay.note_config(ids.RowVersion(15))
+        self.planner.read(20, [])
+        self.pass_on()
+        self.assertTrue(self.follower.relay.lacks_config)
+        self.follower.relay.note_config(ids.RowVersion(15))
+        self.assertFalse(self.follower.relay.lacks_config)
+
+    def test_entries_that_lapse_in_an_outage_lapse_at_followers_too(self):
+        self.now += 10.0
+        self.planner.read(20, [], ["a"])
+        self.pass_on()
+        self.assertTrue(self.follower.directory.by_id[ids.ServerId("a")].lapsed)
+
+    def test_new_planner_passes_on_what_it_was_told(self):
+        third = Vm(lambda: self.now)
+        third.read(10, [fakes.entry("a"), fakes.entry("b")], whole=True)
+        self.planner.read(20, [], ["a"])
+        self.pass_on()
+        self.follower.relay.lead(True)
+        self.follower.read(25, [])
+        third.relay.take(self.follower.relay.news_since(third.relay.position))
+        self.assertEqual(["b"], third.usable())
--- /dev/null
+++ b/tests/gateway/test_feeds.py
@@ -0,0 +1,169 @@
+"""Guards against needless reads of the store, and against relying on a planner that is lost."""
+
+import testtools
+from twisted.internet import defer, task
+
+from celerystack import errors, ids
+from celerystack.fleet import relay, rows, servers
+from celerystack.gateway import config, feeds
+from tests.ranges import fakes
+
+
+class Store:
+    """Answers reads at once, or after the wait for a change; ``error`` fails them."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.position = 10
+        self.config_row = 3
+        self.scans, self.polls = [], []
+        self.error = None
+
+    def scan(self, table):
+        self.scans.append(table)
+        return self._answer(table, -1)
+
+    def changes(self, table, after, *, wait_s):
+        self.polls.append(table)
+        if wait_s and not self.error and self.config_row <= after:
+            waited = task.deferLater(self._clock, wait_s, lambda: None)
+            return waited.addCallback(lambda _: self._answer(table, after))
+        return self._answer(table, after)
+
+    def _answer(self, table, after):
+        if self.error is not None:
+            return defer.fail(self.error)
+        found = []
+        if table == "op" and self.config_row > after:
+            row = rows.Row(
+                key=ids.RowKey("config"),
+                value=b"%d" % self.config_row,
+                version=ids.RowVersion(self.config_row),
+            )
+            found.append(row)
+        return defer.succeed(rows.Rows(rows=tuple(found), version=ids.RowVersion(self.position)))
+
+
+def _decode(data):
+    limits = config.CallerLimits(
+        header_bytes_max=1, body_bytes_max=1, header_timeout_s=1.0, idle_timeout_s=1.0
+    )
+    return config.RoutingConfig(
+        version=ids.ConfigVersion(int(data)), routes=(), services_by_name={}, limits=limits
+    )
+
+
+class FeedsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = task.Clock()
+        self.store = Store(self.clock)
+        self.directory = servers.Directory()
+        self.relay = relay.Relay(self.directory, now=self.clock.seconds)
+        self.taken = []
+        self.doubts = False
+        source = feeds.Source(
+            config_table="op",
+            config_key=ids.RowKey("config"),
+            servers_table="servers",
+            decode_config=_decode,
+            decode_server=lambda key, data: fakes.entry(key),
+        )
+        feeds.Feeds(
+            self.clock,
+            store=self.store,
+            source=source,
+            directory=self.directory,
+            news=self.relay,
+            on_config=lambda wanted: self.taken.append(wanted.version),
+            doubts=lambda: self.doubts,
+            now=self.clock.seconds,
+        ).start()
+
+    def send_news(self, *, config_row=3):
+        self.store.position += 1
+        self.relay.take(
+            relay.News(
+                since=self.relay.position,
+                position=ids.RowVersion(self.store.position),
+                age_s=0.0,
+                digest=self.directory.digest(),
+                config_row=ids.RowVersion(config_row),
+            )
+        )
+
+    def run_with_news(self, seconds, *, config_row=3):
+        for _ in range(round(seconds / 0.4)):
+            self.send_news(config_row=config_row)
+            self.clock.pump([0.1] * 4)
+
+    def reads_in(self, seconds):
+        before = len(self.store.scans) + len(self.store.polls)
+        self.clock.pump([0.1] * round(seconds * 10))
+        return len(self.store.scans) + len(self.store.polls) - before
+
+    def test_both_tables_are_read_at_the_start(self):
+        self.assertEqual({"op", "servers"}, set(self.store.scans))
+        self.assertEqual([3], self.taken)
+
+    def test_nothing_is_read_while_news_arrive(self):
+        self.run_with_news(2.0)
+        self.store.polls.clear()
+        self.run_with_news(20.0)
+        self.assertEqual([], self.store.polls)
+
+    def test_lost_planner_is_replaced_by_own_reads(self):
+        self.run_with_news(4.0)
+        self.store.polls.clear()
+        self.clock.pump([0.1] * 12)
+        self.assertIn("servers", self.store.polls)
+
+    def test_planner_reads_although_it_gets_news(self):
+        self.relay.lead(True)
+        self.store.polls.clear()
+        self.run_with_news(4.0)
+        self.assertGreaterEqual(self.store.polls.count("servers"), 8)
+
+    def test_new_planner_reads_at_once(self):
+        self.run_with_news(4.0)
+        self.store.polls.clear()
+        self.relay.lead(True)
+        self.assertIn("servers", self.store.polls)
+
+    def test_announced_configuration_is_read_at_once(self):
+        self.run_with_news(8.0)
+        self.store.config_row, self.store.position = 100, 100
+        self.send_news(config_row=100)
+        self.assertEqual([3, 100], self.taken)
+
+    def test_stale_answer_to_an_announcement_is_asked_for_again_with_pauses(self):
+        self.run_with_news(8.0)
+        self.store.polls.clear()
+        self.run_with_news(2.0, config_row=100)
+        self.assertLessEqual(self.store.polls.count("op"), 2.0 / feeds.RETRY_S + 1)
+        self.store.config_row, self.store.position = 100, 100
+        self.run_with_news(0.4, config_row=100)
+        self.assertEqual([3, 100], self.taken)
+
+    def test_doubtful_server_is_looked_up_in_the_store(self):
+        self.run_with_news(4.0)
+        self.store.polls.clear()
+        self.doubts = True
+        self.run_with_news(2.0)
+        self.assertGreaterEqual(self.store.polls.count("servers"), 1)
+
+    def test_failing_store_is_asked_at_intervals(self):
+        self.clock.pump([0.1] * 40)
+        self.store.error = errors.PlatformUnavailableError("rejected", step="store")
+        reads = self.reads_in(3.0)
+        self.assertGreater(reads, 5)
+        self.assertLess(reads, 50)
+
+    def test_lost_history_leads_to_a_whole_read(self):
+        self.clock.pump([0.1] * 12)
+        self.store.scans.clear()
+        self.store.error = rows.HistoryLostError("history is lost", step="store")
+        self.relay.lose_history()
+        self.store.error = None
+        self.clock.pump([0.1] * 12)
+        self.assertIn("servers", self.store.scans)
