Assign keys first when all servers have registered

Ruled out: moving idle keys later (every move is paid for, the first grant is not). Change: the first map of a service waits until no server has appeared for 1.2 s, at most 5 s after the first. Adjacent segments that one server gives back are released by one order, and a plan may move as many ranges as there are servers, each at most up to the part of its new owner; wide ranges used to wait for each other. Tests: tests/ranges/test_planner.py (FirstAssignmentTest), test_plan.py (LargeFleetTest), test_releases.py; the first two classes failed before.

--- a/src/celerystack/fleet/servers.py
+++ b/src/celerystack/fleet/servers.py
@@ -61,6 +61,8 @@
 
     Attributes
     ----------
+    appeared_at : float
+        Clock time in seconds at which this life was first seen.
     warm_at : float
         Clock time in seconds at which it stops being slow after its start.
     lapsed : bool
@@ -70,6 +72,7 @@
     """
 
     entry: ServerEntry
+    appeared_at: float
     seen_at: float
     warm_at: float
     lapsed: bool = False
@@ -185,7 +188,7 @@
         if record is None or record.entry.life != entry.life:
             self._changed("server appeared", entry)
             self.by_id[entry.server] = ServerRecord(
-                entry=entry, seen_at=now, warm_at=now + entry.cold_s
+                entry=entry, appeared_at=now, seen_at=now, warm_at=now + entry.cold_s
             )
             return
         if record.gone or record.lapsed or record.entry.state is not entry.state:
--- a/src/celerystack/ranges/plan.py
+++ b/src/celerystack/ranges/plan.py
@@ -22,6 +22,8 @@
 NEIGHBOUR_RATE_MINIMUM = 0.3
 """Rate in requests/s below which a range is not worth a move."""
 MOVES_PER_PLAN = 8
+MOVES_PER_SERVER = 1.0
+"""A large fleet needs more moves at once, because one hot server has to share with many."""
 MERGE_ABOVE = 2
 """Segments of one server from which adjacent ones are joined under a new token."""
 
@@ -201,7 +203,7 @@
     served = sum(min(rate, candidates[life].capacity) for life, rate in draft.rate_by_life.items())
     mean = served / capacity
     full: set[model.Life] = set()
-    for _ in range(MOVES_PER_PLAN):
+    for _ in range(max(MOVES_PER_PLAN, round(MOVES_PER_SERVER * len(candidates)))):
         hot = max(
             (life for life in draft.rate_by_life if life not in full),
             key=draft.utilization,
@@ -236,15 +238,37 @@
         # The server serves what it can of this key, and its neighbours elsewhere do not wait.
         window = _find_neighbours(draft, hot, dominant[1], _room(draft, cold))
     else:
-        gap = draft.utilization(hot) - draft.utilization(cold)
-        target = gap / (1 / candidates[hot].capacity + 1 / candidates[cold].capacity)
-        window = _find_window(draft, hot, target)
+        window = _find_share(draft, hot, cold)
     if window is None:
         return False
     _move(draft, *window, cold)
     return True
 
 
+def _find_share(draft: _Draft, hot: model.Life, cold: model.Life) -> tuple[int, int, int] | None:
+    """Return a range of ``hot`` that brings ``cold`` to its part of the load.
+
+    What moves cannot be divided again before it has settled, so one server gets half of the
+    difference only if nothing smaller can be cut off.
+    """
+    candidates = draft.situation.candidates_by_life
+    gap = draft.utilization(hot) - draft.utilization(cold)
+    half = gap / (1 / candidates[hot].capacity + 1 / candidates[cold].capacity)
+    part = (_fill_level(draft) - draft.utilization(cold)) * candidates[cold].capacity
+    if 0 < part < half:
+        window = _find_window(draft, hot, part)
+        if window is not None:
+            return window
+    return _find_window(draft, hot, half)
+
+
+def _fill_level(draft: _Draft) -> float:
+    """Return the utilization up to which a server takes on load."""
+    candidates = draft.situation.candidates_by_life
+    capacity = sum(candidate.capacity for candidate in candidates.values())
+    return max(UTILIZATION_MINIMUM, sum(draft.rate_by_life.values()) / capacity)
+
+
 def _room(draft: _Draft, life: model.Life) -> float:
     """Return the rate that a server can still take on."""
     free = TAKE_OVER_UTILIZATION - draft.utilization(life)
--- a/src/celerystack/ranges/planner.py
+++ b/src/celerystack/ranges/planner.py
@@ -20,6 +20,7 @@
     model,
     orders,
     plan,
+    releases,
     seat,
     speeds,
 )
@@ -32,6 +33,10 @@
 ADMITTED_UTILIZATION = 0.92
 """Part of a server's capacity up to which requests for its keys are admitted."""
 NODES_REFRESH_S = 1.0
+FLEET_STABLE_S = 1.2
+"""Keys are first assigned when no server has appeared for this time, so that all get some."""
+FLEET_WAIT_MAX_S = 5.0
+"""Longest wait for further servers after the first one."""
 REPORT_VALID_S = 1.5
 SILENT_REPORTS = 2
 """Entry VMs that must find a server unreachable; one alone may be cut off from it."""
@@ -181,6 +186,8 @@
     async def _advance(self, service: ids.ServiceName) -> None:
         known = self._known.by_service.get(service)
         if known is None:
+            if not self._is_fleet_complete(service):
+                return
             known = knowledge.Known(model.empty(service), rows.ABSENT, self._now())
         situation = self._situation(service)
         self._situations[service] = situation
@@ -190,6 +197,14 @@
             await self._commit(changed, known)
         self._start_releases(service)
 
+    def _is_fleet_complete(self, service: ids.ServiceName) -> bool:
+        """Return whether the first assignment of a service needs to wait for no more servers."""
+        appeared = [record.appeared_at for record in self._directory.usable(service)]
+        if not appeared:
+            return False
+        now = self._now()
+        return now - max(appeared) >= FLEET_STABLE_S or now - min(appeared) >= FLEET_WAIT_MAX_S
+
     async def _commit(self, changed: model.RangeMap, before: knowledge.Known) -> None:
         version = await self.seat.commit(changed, ids.RowVersion(before.version))
         now = self._now()
@@ -292,51 +307,55 @@
         if known is None or not self.seat.held:
             return
         wanted: set[_ReleaseKey] = set()
+        due_by_life: dict[model.Life, list[model.Segment]] = {}
         for segment in known.ranges.segments:
             for life in segment.pending:
                 key = _release_key(service, segment, life)
                 wanted.add(key)
                 release = self._releases.setdefault(key, _Release())
-                if release.running or release.handover is not None:
-                    continue
-                record = self._directory.by_id.get(life.server)
-                if record is None or record.entry.life != life:
-                    continue
-                release.running = True
-                sending = defer.Deferred.fromCoroutine(
-                    self._release(record.entry.address, segment, release, life)
-                )
-                sending.addErrback(
-                    lambda failure: _log.error(
-                        "release failed: %s", failure.getTraceback(), extra={"step": "planner"}
-                    )
-                )
+                record = self._directory.record_of(life)
+                if not release.running and release.handover is None and record is not None:
+                    due_by_life.setdefault(life, []).append(segment)
+        for life, segments in due_by_life.items():
+            for group in releases.group(segments):
+                self._start_release(service, group, life)
         for key in [k for k in self._releases if k[0] == service and k not in wanted]:
             del self._releases[key]
 
+    def _start_release(
+        self, service: ids.ServiceName, group: tuple[model.Segment, ...], life: model.Life
+    ) -> None:
+        """Take the keys of adjacent segments back with one order."""
+        running = [self._releases[_release_key(service, segment, life)] for segment in group]
+        for release in running:
+            release.running = True
+        address = self._directory.by_id[life.server].entry.address
+        sending = defer.Deferred.fromCoroutine(
+            self._release(address, releases.join(group), running, life)
+        )
+        sending.addErrback(
+            lambda failure: _log.error(
+                "release failed: %s", failure.getTraceback(), extra={"step": "planner"}
+            )
+        )
+
     async def _release(
-        self, address: str, segment: model.Segment, release: _Release, life: model.Life
+        self, address: str, segment: model.Segment, running: list[_Release], life: model.Life
     ) -> None:
+        fields = {"step": "planner.release", "peer": life.server, "token": segment.token}
         try:
-            release.handover = await self._port.release(
-                address, segment, timeout_s=RELEASE_TIMEOUT_S
-            )
-            _log.info(
-                "keys %d to %d released",
-                segment.start,
-                segment.end,
-                extra={"step": "planner.release", "peer": life.server, "token": segment.token},
-            )
+            handover = await self._port.release(address, segment, timeout_s=RELEASE_TIMEOUT_S)
+            for release in running:
+                release.handover = handover
+            _log.info("keys %d to %d released", segment.start, segment.end, extra=fields)
         except errors.BackendError as error:
-            release.failures += 1
-            if release.failures <= SILENT_AFTER_FAILURES:
-                _log.warning(
-                    "a release was not answered: %s",
-                    error,
-                    extra={"step": "planner.release", "peer": life.server, "token": segment.token},
-                )
+            for release in running:
+                release.failures += 1
+            if max(release.failures for release in running) <= SILENT_AFTER_FAILURES:
+                _log.warning("a release was not answered: %s", error, extra=fields)
         finally:
-            release.running = False
+            for release in running:
+                release.running = False
 
 
 def _release_key(service: ids.ServiceName, segment: model.Segment, life: model.Life) -> _ReleaseKey:
--- a/tests/gateway/test_lane.py
+++ b/tests/gateway/test_lane.py
@@ -48,7 +48,9 @@
         self.clock = task.Clock()
         self.clock.advance(10.0)
         self.pool = Pool()
-        record = servers.ServerRecord(entry=fakes.entry("a"), seen_at=0.0, warm_at=0.0)
+        record = servers.ServerRecord(
+            entry=fakes.entry("a"), appeared_at=0.0, seen_at=0.0, warm_at=0.0
+        )
         self.lane = lane.Lane(
             self.clock,
             record,
--- a/tests/ranges/test_plan.py
+++ b/tests/ranges/test_plan.py
@@ -136,3 +136,47 @@
         rates = dict.fromkeys(range(0, model.KEY_MAX, 4000), 0.5)
         planned = plan.plan(ranges, situation(candidates(a=16, b=16, c=16), rates=rates))
         self.assertIn(life("c"), {segment.owner for segment in planned.segments})
+
+
+class LargeFleetTest(testtools.TestCase):
+    """Load pattern: 90 servers at 46%, then 40% of all requests go to 200 neighbouring keys."""
+
+    SERVERS = 90
+    HOT_KEYS = range(30_000, 30_200)
+
+    def setUp(self):
+        super().setUp()
+        self.found = candidates(**{f"s{number:02}": 13.0 for number in range(self.SERVERS)})
+        lives = sorted(self.found)
+        width = (model.KEY_MAX + 1) // self.SERVERS
+        ends = [width * (number + 1) - 1 for number in range(self.SERVERS - 1)] + [model.KEY_MAX]
+        self.ranges = settled(*zip(ends, lives, strict=True))
+        rates = dict.fromkeys(range(0, model.KEY_MAX, 30), 330.0 / 2185)
+        rates |= {key: 220.0 / len(self.HOT_KEYS) for key in self.HOT_KEYS}
+        self.situation = situation(self.found, rates=rates)
+
+    def rounds_until_balanced(self):
+        ranges = self.ranges
+        for count in range(20):
+            used = plan.utilizations(ranges, self.situation)
+            if max(used.values()) < 0.85:
+                return count, ranges
+            planned = plan.plan(ranges, self.situation)
+            waiting = [segment for segment in planned.segments if segment.pending]
+            ranges = plan.settle(planned, dict.fromkeys(waiting, "handover"))
+        return 20, ranges
+
+    def test_hot_neighbours_are_spread_within_two_rounds(self):
+        """Guards against seconds of overload while a few keys move at a time."""
+        count, _ = self.rounds_until_balanced()
+        self.assertLessEqual(count, 2)
+
+    def test_spreading_moves_few_keys(self):
+        """Guards against moves of keys that have nothing to do with the overload."""
+        _, ranges = self.rounds_until_balanced()
+        moved = sum(
+            segment.width
+            for segment in ranges.segments
+            if segment.owner != self.ranges.find(segment.start).owner
+        )
+        self.assertLess(moved / (model.KEY_MAX + 1), 0.05)
--- a/tests/ranges/test_planner.py
+++ b/tests/ranges/test_planner.py
@@ -12,7 +12,9 @@
 VM = ids.EntryVmId("vm-1")
 
 
-class PlannerTest(testtools.TestCase):
+class PlannerCase(testtools.TestCase):
+    sharded = (fakes.SERVICE,)
+
     def setUp(self):
         super().setUp()
         self.clock = task.Clock()
@@ -25,7 +27,7 @@
         result_of(nodes.register(self.store, node))
         self.planner = self.started()
         self.directory.apply_all([fakes.entry("a"), fakes.entry("b")], 100.0)
-        self.tick()
+        self.tick(planner.FLEET_STABLE_S)
 
     def started(self):
         made = planner.Planner(
@@ -34,7 +36,7 @@
             known=self.known,
             directory=self.directory,
             port=self.orders,
-            sharded=lambda: [fakes.SERVICE],
+            sharded=lambda: self.sharded,
             on_commit=lambda _: None,
             now=self.clock.seconds,
         )
@@ -68,6 +70,8 @@
             )
         )
 
+
+class PlannerTest(PlannerCase):
     def test_first_map_is_settled(self):
         """Guards against keys that wait for nobody at the first start."""
         self.assertTrue(all(segment.is_settled for segment in self.ranges().segments))
@@ -144,3 +148,58 @@
         self.planner = self.started()
         self.tick(3.0)
         self.assertTrue(any(segment.pending for segment in self.ranges().segments))
+
+    def test_server_that_gives_many_ranges_away_gets_few_orders(self):
+        """Guards against releases that wait for each other until their server counts as silent."""
+        more = [fakes.entry(f"n{number}") for number in range(40)]
+        self.directory.apply_changes(more, [], self.clock.seconds())
+        keys = list(range(0, 32_000, 80)) * 4
+        self.planner.on_report(
+            messages.Report(
+                vm=VM,
+                zone=fakes.ZONE,
+                boot=1,
+                stamp=self.clock.seconds(),
+                versions_by_service=self.known.versions(),
+                remaining_by_life={},
+                unreachable=(),
+                keys_by_service={fakes.SERVICE: keys},
+                speed_by_server={},
+            )
+        )
+        self.tick()
+        waiting = {s.token for s in self.ranges().segments if s.pending}
+        self.assertGreater(len(waiting), 20)
+        self.assertLessEqual(len(self.orders.released), 16)
+        self.tick()
+        still = {s.token for s in self.ranges().segments if s.pending}
+        self.assertEqual(set(), waiting & still)
+
+
+class FirstAssignmentTest(PlannerCase):
+    other = ids.ServiceName("swaps")
+    sharded = (fakes.SERVICE, other)
+
+    def register(self, name):
+        entry = fakes.entry(name, service=self.other)
+        self.directory.apply_changes([entry], [], self.clock.seconds())
+
+    def owners(self):
+        known = self.known.by_service.get(self.other)
+        return set() if known is None else {s.owner.server for s in known.ranges.segments}
+
+    def test_servers_that_register_one_after_the_other_all_get_keys(self):
+        """Guards against a map of the few servers that were first, which then has to be moved."""
+        for number in range(8):
+            self.register(f"n{number}")
+            self.tick()
+        self.assertEqual(set(), self.owners())
+        self.tick(planner.FLEET_STABLE_S)
+        self.assertEqual({f"n{number}" for number in range(8)}, self.owners())
+
+    def test_endless_registrations_do_not_delay_the_service_for_ever(self):
+        """Guards against keys without an owner because servers come and go."""
+        for number in range(round(planner.FLEET_WAIT_MAX_S / 0.3) + 2):
+            self.register(f"n{number}")
+            self.tick()
+        self.assertNotEqual(set(), self.owners())
--- /dev/null
+++ b/tests/ranges/test_releases.py
@@ -0,0 +1,31 @@
+"""Guards against servers that are flooded with orders, or give back keys that they should keep."""
+
+import testtools
+
+from celerystack import ids
+from celerystack.ranges import model, releases
+from tests.ranges import fakes
+
+
+def segment(start, end, token):
+    return model.Segment(start=start, end=end, token=ids.Token(token), owner=fakes.life("b"))
+
+
+class ReleasesTest(testtools.TestCase):
+    def test_many_adjacent_segments_need_few_orders(self):
+        segments = [segment(10 * n, 10 * n + 9, n + 1) for n in range(40)]
+        groups = list(releases.group(segments))
+        self.assertEqual(releases.ORDERS_AT_ONCE, len(groups))
+        self.assertEqual(segments, [one for group in groups for one in group])
+
+    def test_keys_between_segments_are_not_given_back(self):
+        segments = [segment(0, 9, 1), segment(20, 29, 2)]
+        self.assertEqual([(segments[0],), (segments[1],)], list(releases.group(segments)))
+
+    def test_few_segments_do_not_wait_for_each_other(self):
+        segments = [segment(0, 9, 1), segment(10, 19, 2)]
+        self.assertEqual(2, len(list(releases.group(segments))))
+
+    def test_joined_release_shuts_out_every_older_grant(self):
+        joined = releases.join([segment(0, 9, 7), segment(10, 19, 5)])
+        self.assertEqual((0, 19, 7), (joined.start, joined.end, joined.token))
