Let waiting calls follow their keys

Calls that waited for a server that left were refused although other servers had room. Ruled out: waiting shorter for a turn (it refuses calls that would have been answered). Change: with each new map the calls of moved keys leave the queue and are dispatched anew, without using an attempt or the retry budget; so do the calls of a server that leaves.

--- a/src/celerystack/gateway/calls.py
+++ b/src/celerystack/gateway/calls.py
@@ -49,8 +49,6 @@
         Key of the request; None if it has none.
     arrived_at : float
         Clock time in seconds.
-    caller_deadline : float
-        When the caller stops waiting.
     deadline : float
         When this VM gives up: the caller's deadline or the route's timeout, whichever is first.
     steps : list of Step
@@ -66,15 +64,9 @@
     body: bytes
     key: int | None
     arrived_at: float
-    caller_deadline: float
     deadline: float
     steps: list[Step] = dataclasses.field(default_factory=list)
 
-    @property
-    def aim(self) -> float:
-        """Clock time in seconds until which an answer has its full worth."""
-        return self.arrived_at + self.route.target_latency_s
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answered:
@@ -110,6 +102,7 @@
     KEY_NOT_HELD = "key not held"
     OTHER_SERVER = "another server has the address"
     NOT_SENT = "not sent"
+    KEY_MOVED = "its key moved while it waited"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/celerystack/gateway/dispatch.py
+++ b/src/celerystack/gateway/dispatch.py
@@ -31,6 +31,9 @@
 CONNECT_TIMEOUT_S = 0.4
 
 
+_NEVER_SENT = (calls.NotRunReason.NOT_SENT, calls.NotRunReason.KEY_MOVED)
+
+
 class Ownership(Protocol):
     """What the dispatcher needs to know of key ranges and from the other entry VMs."""
 
@@ -46,6 +49,9 @@
     def map_state(self, service: ids.ServiceName) -> tuple[int, float]:
         """Return row version of a service's map, and when it was last known to be current."""
 
+    def on_change(self, listener: Callable[[ids.ServiceName], None]) -> None:
+        """Call ``listener`` with the service after each change of its ranges."""
+
     def changed(self, service: ids.ServiceName) -> defer.Deferred[None]:
         """Return a Deferred that fires with the next change of a service's ranges."""
 
@@ -71,6 +77,8 @@
         Availability zone of this VM, whose servers are preferred.
     now : callable
         Clock in seconds, the one that deadlines refer to.
+    open_pool : callable
+        Makes the connections to a server, like `client.ServerPool`.
     """
 
     def __init__(
@@ -83,8 +91,10 @@
         dialect: calls.Dialect,
         budget: retries.SharedRetryBudget,
         now: Callable[[], float],
+        open_pool: Callable[..., client.ServerPool] = client.ServerPool,
     ) -> None:
         self._reactor = reactor
+        self._open_pool = open_pool
         self._zone = zone
         self._directory = directory
         self._ownership = ownership
@@ -96,6 +106,7 @@
         self._lanes_by_service: dict[ids.ServiceName, list[lane.Lane]] = {}
         self._directory_version = -1
         self._sized_for = ownership.entry_vms
+        ownership.on_change(self._reroute)
 
     def apply(self, policies: dict[ids.ServiceName, config.ServicePolicy]) -> None:
         """Take the services of a new configuration."""
@@ -125,7 +136,8 @@
             if not isinstance(chosen, lane.Lane):
                 return fallback or chosen
             attempt = await chosen.run(call)
-            tried.add(chosen.life)
+            if not _has_moved(attempt):
+                tried.add(chosen.life)
             self._record(call, policy, chosen, attempt)
             match attempt:
                 case calls.Refused():
@@ -201,9 +213,7 @@
             return fallback
         if runs >= call.route.attempts_max or now >= call.deadline:
             return fallback or self._refuse("no time or attempt is left", RETRY_AFTER_MINIMUM_S)
-        arrived = not (
-            isinstance(attempt, calls.NotRun) and attempt.why is calls.NotRunReason.NOT_SENT
-        )
+        arrived = not (isinstance(attempt, calls.NotRun) and attempt.why in _NEVER_SENT)
         vms = self._ownership.entry_vms
         if arrived and not self._budget.try_repeat(call.service, now, entry_vms=vms):
             return fallback or self._refuse("the retry budget is used up", RETRY_AFTER_MINIMUM_S)
@@ -246,6 +256,15 @@
                 return owner
             self._refresh()
 
+    def _reroute(self, service: ids.ServiceName) -> None:
+        """Let calls go on to the new owner that wait for a server whose keys have moved."""
+        for one in self._lanes_by_service.get(service, []):
+            one.give_up_keys(lambda call, one=one: self._is_owned(call, one))
+
+    def _is_owned(self, call: calls.Call, by: lane.Lane) -> bool:
+        segment = self._ownership.find(call.service, call.key or 0)
+        return segment is not None and segment.owner == by.life
+
     def _owner_lane(self, segment: model.Segment | None) -> lane.Lane | None:
         if segment is None or segment.owner is None or not segment.is_settled:
             return None
@@ -312,7 +331,7 @@
 
     def _open(self, record: servers.ServerRecord) -> lane.Lane:
         vms = self._ownership.entry_vms
-        pool = client.ServerPool(
+        pool = self._open_pool(
             self._reactor,
             address=record.entry.address,
             limit=self._connection_limit(record, vms),
@@ -334,6 +353,10 @@
         self._ownership.count_answer(answered.life.server, latency_s)
 
 
+def _has_moved(attempt: calls.Attempt | calls.Refused) -> bool:
+    return isinstance(attempt, calls.NotRun) and attempt.why is calls.NotRunReason.KEY_MOVED
+
+
 def _describe(attempt: calls.Attempt | calls.Refused) -> str:
     match attempt:
         case calls.Answered(response=response):
--- a/src/celerystack/gateway/frontend.py
+++ b/src/celerystack/gateway/frontend.py
@@ -139,7 +139,6 @@
             body=request.body(),
             key=said.key,
             arrived_at=arrived,
-            caller_deadline=arrived + remaining_s,
             deadline=arrived + min(remaining_s, route.timeout_s),
         )
 
--- a/src/celerystack/gateway/lane.py
+++ b/src/celerystack/gateway/lane.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import enum
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from twisted.internet import defer
@@ -24,12 +25,21 @@
 FIRST_LATENCY_S = 0.12
 
 
+class _Turn(enum.Enum):
+    """How a wait ended."""
+
+    TAKEN = "taken"
+    SHED = "shed"
+    KEY_MOVED = "key moved"
+    SERVER_LEFT = "server left"
+
+
 class _Waiting:
     """A call that waits for its turn."""
 
     __slots__ = ("call", "turn")
 
-    def __init__(self, call: calls.Call, turn: defer.Deferred[bool]) -> None:
+    def __init__(self, call: calls.Call, turn: defer.Deferred[_Turn]) -> None:
         self.call = call
         self.turn = turn
 
@@ -79,11 +89,6 @@
         """Calls in flight and waiting."""
         return self._limit.in_flight + len(self._queue)
 
-    @property
-    def waiting(self) -> int:
-        """Calls that wait for their turn."""
-        return len(self._queue)
-
     def wait_estimate_s(self) -> float:
         """Return how long a new call would wait for its turn."""
         ahead = self.load - self._limit.limit + 1
@@ -116,10 +121,15 @@
 
     async def run(self, call: calls.Call) -> calls.Attempt | calls.Refused:
         """Wait for a turn, send the call and return what became of it."""
-        if not await self._take_turn(call):
-            return calls.Refused(
-                reason="the server's queue is too long", retry_after_s=self.wait_estimate_s()
-            )
+        match await self._take_turn(call):
+            case _Turn.SHED:
+                return calls.Refused(
+                    reason="the server's queue is too long", retry_after_s=self.wait_estimate_s()
+                )
+            case _Turn.KEY_MOVED:
+                return calls.NotRun(calls.NotRunReason.KEY_MOVED)
+            case _Turn.SERVER_LEFT:
+                return calls.NotRun(calls.NotRunReason.NOT_SENT, "the server left")
         self._sequence += 1
         number = self._sequence
         try:
@@ -129,17 +139,28 @@
             self._limit.release()
             self._next()
 
-    async def _take_turn(self, call: calls.Call) -> bool:
+    def give_up_keys(self, is_owned: Callable[[calls.Call], bool]) -> None:
+        """End the wait of the calls whose keys this server does not own any more."""
+        moved = self._queue.remove_where(lambda waiting: not is_owned(waiting.call))
+        self._end_waits(moved, _Turn.KEY_MOVED)
+        if moved:
+            self._watch_expiry()
+
+    def _end_waits(self, ended: Iterable[_Waiting], how: _Turn) -> None:
+        for waiting in ended:
+            if not waiting.turn.called:
+                waiting.turn.callback(how)
+
+    async def _take_turn(self, call: calls.Call) -> _Turn:
         if not self._queue and self._limit.try_start():
-            return True
-        turn: defer.Deferred[bool] = defer.Deferred()
+            return _Turn.TAKEN
+        turn: defer.Deferred[_Turn] = defer.Deferred()
         waiting = _Waiting(call, turn)
         now = self._now()
         shed = self._queue.push(
             waiting, deadline=call.deadline, now=now, concurrency=self._limit.limit
         )
-        for other in shed:
-            other.turn.callback(False)
+        self._end_waits(shed, _Turn.SHED)
         self._watch_expiry()
         try:
             return await turn
@@ -155,7 +176,7 @@
             if waiting is None or waiting.turn.called:
                 self._limit.release()
                 continue
-            waiting.turn.callback(True)
+            waiting.turn.callback(_Turn.TAKEN)
         self._watch_expiry()
 
     def _watch_expiry(self) -> None:
@@ -168,9 +189,7 @@
 
     def _expire(self) -> None:
         self._expiry = None
-        for waiting in self._queue.expire(self._now()):
-            if not waiting.turn.called:
-                waiting.turn.callback(False)
+        self._end_waits(self._queue.expire(self._now()), _Turn.SHED)
         self._watch_expiry()
 
     async def _send(self, call: calls.Call, number: int) -> calls.Attempt:
@@ -222,9 +241,7 @@
 
     def close(self, reason: str) -> None:
         """Close the connections when their exchanges have ended."""
-        while (waiting := self._queue.pop()) is not None:
-            if not waiting.turn.called:
-                waiting.turn.callback(False)
+        self._end_waits(self._queue.remove_where(lambda _: True), _Turn.SERVER_LEFT)
         self._watch_expiry()
         if not self._started_at:
             self.pool.close(reason)
--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -43,6 +43,7 @@
         self._coordination = coordination
         self.find = coordination.known.find
         self.changed = coordination.known.changed
+        self.on_change = coordination.known.on_change
         self.map_state = coordination.known.state
         self.expect_loss = coordination.lessor.expect_loss
         self.count_request = coordination.count_request
--- a/src/celerystack/limits/deadline_queue.py
+++ b/src/celerystack/limits/deadline_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import bisect
+from collections.abc import Callable
 from typing import Generic, TypeVar
 
 LENGTH_MAX = 512
@@ -102,6 +103,12 @@
                 return True
         return False
 
+    def remove_where(self, unwanted: Callable[[T], bool]) -> list[T]:
+        """Remove and return the items that ``unwanted`` is true for."""
+        removed = [entry[2] for entry in self._entries if unwanted(entry[2])]
+        self._entries = [entry for entry in self._entries if not unwanted(entry[2])]
+        return removed
+
     def next_expiry(self) -> float | None:
         """Return when the first item can no longer be answered in time; None if there is none."""
         return self._entries[0][0] - self._service_time_s if self._entries else None
--- /dev/null
+++ b/tests/gateway/test_dispatch.py
@@ -0,0 +1,237 @@
+"""Tests of where calls go and when they are sent again, without network."""
+
+import dataclasses
+
+import testtools
+from twisted.internet import defer, task
+
+from celerystack import errors, ids
+from celerystack.backend import http
+from celerystack.fleet import servers
+from celerystack.gateway import calls, config, dispatch, retries
+from celerystack.limits import crashers
+from celerystack.ranges import knowledge, model
+from tests.ranges import fakes
+
+CALLS_AT_ONCE = 1
+POLICY = config.ServicePolicy(
+    name=fakes.SERVICE, sharded=True, connections_max=100, health_path="/health"
+)
+ROUTE = config.Route(
+    name="r",
+    host="h",
+    prefix="/",
+    targets=(config.Target(service=fakes.SERVICE, weight=1.0),),
+    idempotent=True,
+    timeout_s=5.0,
+    target_latency_s=0.4,
+    attempts_max=2,
+    priority=1,
+)
+
+
+class Pool:
+    """Connections to one server; answers when the test says so."""
+
+    def __init__(self, *, address):
+        self.address = address
+        self.sent = []
+        self.closed = False
+
+    def exchange(self, request, **_):
+        answer = defer.Deferred()
+        self.sent.append((request, answer))
+        return answer
+
+    def set_limit(self, limit):
+        pass
+
+    def close(self, reason):
+        self.closed = True
+
+    def answer(self, status=200):
+        _, answer = self.sent.pop(0)
+        answer.callback(http.HttpResponse(status=status, reason=b"", headers=(), body=b""))
+
+    def fail(self, error):
+        _, answer = self.sent.pop(0)
+        answer.errback(error)
+
+
+class Dialect:
+    def encode(self, call, server, remaining_s):
+        return http.HttpRequest(method=call.method, target=call.target)
+
+    def belongs(self, call, headers):
+        return True
+
+    def classify(self, call, server, response):
+        if response.status == 421:
+            return calls.NotRun(calls.NotRunReason.KEY_NOT_HELD)
+        if response.status == 503:
+            return calls.NotRun(calls.NotRunReason.FULL)
+        return calls.Answered(response)
+
+
+class Ownership:
+    def __init__(self):
+        self.known = knowledge.Knowledge()
+        self.find = self.known.find
+        self.changed = self.known.changed
+        self.on_change = self.known.on_change
+        self.map_state = self.known.state
+        self.quarantine = crashers.Quarantine()
+        self.entry_vms = 50
+
+    def expect_loss(self, life):
+        pass
+
+    def admit(self, server):
+        return True
+
+    def count_request(self, service, key):
+        pass
+
+    def count_answer(self, server, service_s):
+        pass
+
+
+class DispatchCase(testtools.TestCase):
+    sharded = True
+
+    def setUp(self):
+        super().setUp()
+        self.clock = task.Clock()
+        self.clock.advance(10.0)
+        self.directory = servers.Directory()
+        self.ownership = Ownership()
+        self.pools = {}
+        self.dispatcher = dispatch.Dispatcher(
+            self.clock,
+            zone=fakes.ZONE,
+            directory=self.directory,
+            ownership=self.ownership,
+            dialect=Dialect(),
+            budget=retries.SharedRetryBudget(ratio=1.0, allowance=1000.0, window_s=10.0),
+            now=self.clock.seconds,
+            open_pool=self.open_pool,
+        )
+        policy = POLICY if self.sharded else dataclasses.replace(POLICY, sharded=False)
+        self.dispatcher.apply({fakes.SERVICE: policy})
+        self.entries = {name: fakes.entry(name, address=f"10.0.0.{name}:80") for name in "12"}
+        self.directory.apply_all(self.entries.values(), 10.0)
+        self.version = 0
+        self.own("1")
+
+    def open_pool(self, reactor, *, address, **_):
+        pool = self.pools[address[7]] = Pool(address=address)
+        return pool
+
+    def own(self, name, *, pending=()):
+        self.version += 1
+        ranges = fakes.whole(fakes.life(name), self.version)
+        if pending:
+            lives = tuple(fakes.life(holder) for holder in pending)
+            segment = dataclasses.replace(
+                ranges.segments[0], pending=lives, phase=model.Phase.MOVING
+            )
+            ranges = dataclasses.replace(ranges, segments=(segment,))
+        self.ownership.known.adopt(ranges, self.version, self.clock.seconds())
+
+    def call(self, *, idempotent=True, deadline_s=1.0):
+        now = self.clock.seconds()
+        call = calls.Call(
+            request_id=ids.RequestId("r"),
+            route=dataclasses.replace(ROUTE, idempotent=idempotent),
+            service=fakes.SERVICE,
+            method=b"GET",
+            target=b"/",
+            headers=(),
+            body=b"",
+            key=7 if self.sharded else None,
+            arrived_at=now,
+            deadline=now + deadline_s,
+        )
+        replies = []
+        running = defer.Deferred.fromCoroutine(self.dispatcher.dispatch(call))
+        running.addCallback(replies.append)
+        return replies
+
+    def sent(self, name):
+        return len(self.pools[name].sent) if name in self.pools else 0
+
+
+class MovedKeysTest(DispatchCase):
+    """Load pattern: keys of an overloaded server move while calls wait for it."""
+
+    def test_waiting_calls_go_on_to_the_new_owner_at_once(self):
+        """Guards against calls that wait for a server which cannot run them any more."""
+        first, second = self.call(), self.call()
+        self.assertEqual(CALLS_AT_ONCE, self.sent("1"))
+        self.own("2")
+        self.assertEqual(1, self.sent("2"))
+        self.pools["2"].answer()
+        self.assertIsInstance(second[0], calls.Answered)
+        self.assertEqual([], first)
+
+    def test_waiting_calls_wait_for_the_end_of_the_hand_over(self):
+        """Guards against sending calls to a server that does not hold the key yet."""
+        self.call()
+        replies = self.call()
+        self.own("2", pending="1")
+        self.assertEqual((0, []), (self.sent("2"), replies))
+        self.own("2")
+        self.assertEqual(1, self.sent("2"))
+
+    def test_calls_of_other_keys_keep_their_place(self):
+        """Guards against shedding calls whose keys stay where they are."""
+        self.call()
+        replies = self.call()
+        self.own("1")
+        self.assertEqual([], replies)
+        self.pools["1"].answer()
+        self.pools["1"].answer()
+        self.assertIsInstance(replies[0], calls.Answered)
+
+    def test_call_that_moved_back_is_sent_to_its_first_owner(self):
+        """Guards against excluding a server to which the call was never sent."""
+        self.call()
+        self.call()
+        self.own("2", pending="1")
+        self.own("1")
+        self.pools["1"].answer()
+        self.assertEqual(1, self.sent("1"))
+
+
+class LeavingServerTest(DispatchCase):
+    """Load pattern: the servers of a service are replaced while calls wait for them."""
+
+    sharded = False
+
+    def test_waiting_calls_go_to_another_server(self):
+        """Guards against refusing calls although other servers have room."""
+        replies = [self.call() for _ in range(8)]
+        leaving = dataclasses.replace(self.entries["1"], state=servers.ServerState.DRAINING)
+        self.directory.apply_changes([leaving], [], self.clock.seconds())
+        replies.append(self.call())
+        while self.sent("2"):
+            self.pools["2"].answer()
+        self.assertEqual([], [one for one in replies if one and isinstance(one[0], calls.Refused)])
+        self.assertEqual(8, len([one for one in replies if one]))
+
+
+class RepeatTest(DispatchCase):
+    def test_key_that_is_not_held_is_asked_for_again(self):
+        """Guards against failing a call because a grant is a moment late."""
+        replies = self.call()
+        self.pools["1"].answer(421)
+        self.clock.advance(dispatch.NOT_HELD_WAIT_S)
+        self.pools["1"].answer()
+        self.assertIsInstance(replies[0], calls.Answered)
+
+    def test_lost_answer_of_a_request_that_may_run_once_is_final(self):
+        """Guards against running a request twice."""
+        replies = self.call(idempotent=False)
+        self.pools["1"].fail(errors.OutcomeUnknownError("reset", step="s"))
+        self.assertIsInstance(replies[0], calls.Failed)
+        self.assertEqual(0, self.sent("1"))
--- a/tests/gateway/test_lane.py
+++ b/tests/gateway/test_lane.py
@@ -73,7 +73,6 @@
             body=b"",
             key=None,
             arrived_at=now,
-            caller_deadline=now + 1,
             deadline=now + 1,
         )
 
