--- a/standins/key_server.py
+++ b/standins/key_server.py
@@ -9,6 +9,7 @@
 import dataclasses
 import json
 import time
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet import reactor
@@ -34,6 +35,7 @@
     def __init__(self, server: str, service: str, zone: str, *, run_s: float = 0.005) -> None:
         self.http = scripted_backend.FakeServer()
         self.http.handler = self._handle
+        self.address = self.http.address
         self.server = server
         self.service = service
         self.zone = zone
@@ -46,7 +48,9 @@
         self.ran: list[tuple[str, int | None]] = []
         self.running: list[int | None] = []
         self.silent_orders = 0
-        self._late: list[tuple[str, dict[str, Any]]] = []
+        self.on_run: Callable[[KeyServer, str, int | None], None] = lambda *_: None
+        self.on_grant: Callable[[KeyServer, Grant], None] = lambda *_: None
+        self._late: list[tuple[float, str, dict[str, Any]]] = []
         self._timers: set[Any] = set()
 
     async def stop(self) -> None:
@@ -65,7 +69,7 @@
         self.sequence += 1
         fields = {
             "service": self.service,
-            "address": self.http.address,
+            "address": self.address,
             "zone": self.zone,
             "version": "v1",
             "slots": 2,
@@ -82,10 +86,10 @@
         return any(g.start <= key <= g.end and g.until > now for g in self.grants)
 
     def apply_late(self) -> None:
-        """Carry out the orders that got no answer."""
+        """Carry out the orders that got no answer; their time counts from their arrival."""
         late, self._late = self._late, []
-        for path, fields in late:
-            self._order(path, fields)
+        for arrived_at, path, fields in late:
+            self._order(path, fields, arrived_at)
 
     def _handle(self, request: scripted_backend.Received) -> None:
         method, path, _ = request.line.decode().split(" ", 2)
@@ -103,15 +107,15 @@
         fields = json.loads(request.body)
         if self.silent_orders:
             self.silent_orders -= 1
-            self._late.append((path, fields))
+            self._late.append((time.monotonic(), path, fields))
             return
-        status = self._order(path, fields)
+        status = self._order(path, fields, time.monotonic())
         if path == "/grant":
             self._answer(request, status, b"")
         else:
             self._answer_release(request, fields)
 
-    def _order(self, path: str, fields: dict[str, Any]) -> bytes:
+    def _order(self, path: str, fields: dict[str, Any], arrived_at: float) -> bytes:
         start, end, token = fields["start_key"], fields["to"], fields["fence"]
         keys = range(start, end + 1)
         if path == "/grant":
@@ -119,7 +123,9 @@
                 return b"409 Conflict"
             hold_s = int(fields["hold_time"].removesuffix("ms")) / 1000
             self.grants = [g for g in self.grants if (g.start, g.end) != (start, end)]
-            self.grants.append(Grant(start, end, token, time.monotonic() + hold_s))
+            grant = Grant(start, end, token, arrived_at + hold_s)
+            self.grants.append(grant)
+            self.on_grant(self, grant)
         else:
             self._cut(start, end)
         for key in keys:
@@ -153,6 +159,7 @@
             self._answer(request, b"421 Misdirected Request", b"Celerystack-Request-Not-Run: 1\r\n")
             return
         self.ran.append((request_id, key))
+        self.on_run(self, request_id, key)
         self.running.append(key)
         self._later(self.run_s, self._finish, request, request_id, key)
 
--- a/tests/system/range_world.py
+++ b/standins/range_world.py
@@ -132,7 +132,8 @@
         self.servers.pop(name)
         self.store.remove("servers", name)
 
-    def start_vm(self, vm: str, ip: str) -> None:
+    def start_vm(self, vm: str, ip: str, *, store: str = "") -> None:
+        """Start an entry VM, again under the same ports if it was started before."""
         ports = self.ports.setdefault(
             vm,
             {
@@ -145,10 +146,14 @@
         path = self._folder / f"{vm}.toml"
         path.write_text(
             SETTINGS.format(
-                vm=vm, zone="z1", store=self.store.address, udp_end=int(ports["udp"]) + 1, **ports
+                vm=vm,
+                zone="z1",
+                store=store or self.store.address,
+                udp_end=int(ports["udp"]) + 1,
+                **ports,
             )
         )
-        source = str(pathlib.Path(__file__).parents[2] / "src")
+        source = str(pathlib.Path(__file__).parents[1] / "src")
         environ = os.environ | {"CELERYSTACK_NODE_FILE": str(path), "PYTHONPATH": source}
         with open(self._folder / f"{vm}.log", "ab") as log:
             self.processes[vm] = subprocess.Popen(
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -7,7 +7,7 @@
 from celerystack import errors, ids
 from celerystack.fleet import servers
 from celerystack.platform import config, registry, wire
-from tests.system import range_world
+from standins import range_world
 
 ENTRY = {
     "service": "rota",
--- a/tests/system/test_range_path.py
+++ b/tests/system/test_range_path.py
@@ -10,8 +10,7 @@
 from twisted.trial import unittest
 
 from celerystack.queries import explain
-from standins import layout, scripted_backend
-from tests.system import range_world
+from standins import layout, range_world, scripted_backend
 
 pytestmark = pytest.mark.ranges
 
