Do not send to reused addresses, nor wait for servers that are unreachable

Change: an answer of another server at the address of a life is proof of its end, as a younger entry there is; it is reported to the planner and passed on, so that keys are free and no VM sends there. A call is rejected after three servers or sends that have not run it, at once if two connects to the owner have failed within a second, and if the owner has calls that it does not answer. Tests: tests/gateway/test_dispatch.py and tests/fleet/test_servers.py; all new ones failed before.

--- a/src/celerystack/fleet/messages.py
+++ b/src/celerystack/fleet/messages.py
@@ -36,6 +36,8 @@
         Requests whose connection broke before any answer since the last report.
     position : RowVersion
         Store version up to which the sender knows the servers.
+    replaced : tuple of Life
+        Lives at whose addresses other servers answered.
     """
 
     vm: ids.EntryVmId
@@ -49,6 +51,7 @@
     speed_by_server: dict[ids.ServerId, tuple[int, float]]
     broken: tuple[tuple[ids.Fingerprint, model.Life], ...] = ()
     position: ids.RowVersion = relay.UNKNOWN
+    replaced: tuple[model.Life, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -77,6 +80,8 @@
         Requests that crash servers.
     news : News or None
         What the planner read in the store, from the receiver's position on.
+    replaced : tuple of Life
+        Lives at whose addresses other servers answered.
     """
 
     vm: ids.EntryVmId
@@ -91,6 +96,7 @@
     admitted_by_server: dict[ids.ServerId, float]
     quarantined: tuple[ids.Fingerprint, ...] = ()
     news: relay.News | None = None
+    replaced: tuple[model.Life, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -183,6 +189,7 @@
                 message.speed_by_server,
                 [[suspect, *_life(life)] for suspect, life in message.broken],
                 message.position,
+                [_life(life) for life in message.replaced],
             ]
             return msgpack.packb(["report", *fields])
         case Beacon():
@@ -199,6 +206,7 @@
                 message.admitted_by_server,
                 list(message.quarantined),
                 None if message.news is None else _encode_news(message.news),
+                [_life(life) for life in message.replaced],
             ]
             return msgpack.packb(["beacon", *fields])
         case RangesPart():
@@ -240,7 +248,8 @@
 
 
 def _report(*fields: Any) -> Report:
-    vm, zone, boot, stamp, versions, remaining, unreachable, keys, speeds, broken, position = fields
+    vm, zone, boot, stamp, versions, remaining, unreachable, *rest = fields
+    keys, speeds, broken, position, replaced = rest
     return Report(
         vm=vm,
         zone=zone,
@@ -255,11 +264,13 @@
             (ids.Fingerprint(bytes(suspect)), codec.decode_life([s, b])) for suspect, s, b in broken
         ),
         position=ids.RowVersion(int(position)),
+        replaced=tuple(codec.decode_life(life) for life in replaced),
     )
 
 
 def _beacon(*fields: Any) -> Beacon:
-    vm, term, boot, stamp, age, versions, vms, count, pending, admitted, rejected, news = fields
+    vm, term, boot, stamp, age, versions, vms, *rest = fields
+    count, pending, admitted, rejected, news, replaced = rest
     return Beacon(
         vm=vm,
         term=int(term),
@@ -273,6 +284,7 @@
         admitted_by_server={server: float(part) for server, part in admitted.items()},
         quarantined=tuple(ids.Fingerprint(bytes(suspect)) for suspect in rejected),
         news=None if news is None else _decode_news(*news),
+        replaced=tuple(codec.decode_life(life) for life in replaced),
     )
 
 
--- a/src/celerystack/fleet/servers.py
+++ b/src/celerystack/fleet/servers.py
@@ -67,21 +67,28 @@
         Clock time in seconds at which it stops being slow after its start.
     lapsed : bool
         Whether its entry is missing after an outage of the store, but may come back.
+    heard_version : RowVersion
+        Newest version of its row that this VM has read.
     gone : bool
         Whether its entry was removed.
+    replaced : bool
+        Whether another server answered at its address, so that this life has ended.
     """
 
     entry: ServerEntry
     appeared_at: float
     seen_at: float
     warm_at: float
+    heard_version: ids.RowVersion = ids.RowVersion(0)
     lapsed: bool = False
     gone: bool = False
+    replaced: bool = False
 
     @property
     def usable(self) -> bool:
         """Whether new requests may be sent to it."""
-        return not self.gone and self.entry.state is ServerState.READY
+        is_there = not self.gone and not self.replaced
+        return is_there and self.entry.state is ServerState.READY
 
     @property
     def present(self) -> bool:
@@ -146,9 +153,41 @@
             return False
         if record.entry.born_ms > life.born_ms:
             return True
+        if record.replaced and record.entry.life == life:
+            return True
         newest = self._newest_by_address.get(record.entry.address)
         return newest is not None and newest != life and newest.born_ms > life.born_ms
 
+    def successor(self, life: model.Life) -> model.Life | None:
+        """Return the later life under the id of an ended one, if its entry is present."""
+        record = self.by_id.get(life.server)
+        if record is None or not record.present or record.entry.born_ms <= life.born_ms:
+            return None
+        return record.entry.life
+
+    def note_replaced(self, life: model.Life) -> None:
+        """Take notice that another server answered at the address of a life."""
+        record = self.record_of(life)
+        if record is not None and not record.replaced:
+            record.replaced = True
+            self._changed("another server has its address", record.entry)
+
+    def replaced(self) -> tuple[model.Life, ...]:
+        """Return the lives whose entries are present although their addresses are reused."""
+        return tuple(
+            record.entry.life
+            for record in self.by_id.values()
+            if record.replaced and not record.gone
+        )
+
+    def note_read(self, started_at: float, version: ids.RowVersion) -> None:
+        """Take notice of a read of the entries: when it began, and the store's version then."""
+        self._reads.append((started_at, version))
+
+    def version_after(self, moment: float) -> ids.RowVersion | None:
+        """Return a version of the store that is later than a moment; None if none is known."""
+        return next((version for started_at, version in self._reads if started_at > moment), None)
+
     def take_changed(self) -> list[ServerRecord]:
         """Return the servers that changed since the last call."""
         changed, self._changed_ids = self._changed_ids, set()
--- a/src/celerystack/gateway/dispatch.py
+++ b/src/celerystack/gateway/dispatch.py
@@ -21,6 +21,9 @@
 RETRY_AFTER_MINIMUM_S = 0.05
 RETRY_AFTER_RECOVERING_S = 1.0
 RETRY_AFTER_UNREADY_S = 0.3
+RETRY_AFTER_SILENT_S = 0.5
+REJECTIONS_MAX = 3
+"""A call is not sent again after so many servers, or one server so often, have not run it."""
 RETRY_AFTER_QUARANTINE_S = 30.0
 RETRY_AFTER_OVERLOAD_S = (0.15, 0.35)
 """Callers of an overloaded server are told different times, so that they do not return at once."""
@@ -129,7 +132,7 @@
 
     async def _attempts(self, call: calls.Call, policy: config.ServicePolicy) -> calls.Reply:
         tried: set[model.Life] = set()
-        runs = 0
+        runs = rejections = 0
         fallback: calls.Reply | None = None
         while True:
             chosen = await self._choose(call, policy, tried)
@@ -149,11 +152,14 @@
                     fallback = attempt
                 case calls.NotRun(why=why):
                     self._note_not_run(chosen, why)
+                    rejections += why not in _NEVER_SENT
                 case calls.Lost(detail=detail, broken=broken):
                     runs += 1
                     if broken:
                         self._note_broken(call, chosen)
                     fallback = self._lost(call, detail)
+            if rejections >= REJECTIONS_MAX:
+                return fallback or self._refuse_overload("no server has run the request")
             final = self._final(call, policy, attempt, runs, fallback)
             if final is not None:
                 return final
@@ -185,8 +191,11 @@
         )
 
     def _note_not_run(self, chosen: lane.Lane, why: calls.NotRunReason) -> None:
-        if why is calls.NotRunReason.KEY_NOT_HELD:
-            self._ownership.expect_loss(chosen.life)
+        match why:
+            case calls.NotRunReason.KEY_NOT_HELD:
+                self._ownership.expect_loss(chosen.life)
+            case calls.NotRunReason.OTHER_SERVER:
+                self._directory.note_replaced(chosen.life)
 
     def _note_broken(self, call: calls.Call, chosen: lane.Lane) -> None:
         suspect = crashers.fingerprint(call.method, call.target, call.body)
@@ -216,7 +225,7 @@
         arrived = not (isinstance(attempt, calls.NotRun) and attempt.why in _NEVER_SENT)
         vms = self._ownership.entry_vms
         if arrived and not self._budget.try_repeat(call.service, now, entry_vms=vms):
-            return fallback or self._refuse("the retry budget is used up", RETRY_AFTER_MINIMUM_S)
+            return fallback or self._refuse_overload("the retry budget is used up")
         return None
 
     def _lost(self, call: calls.Call, detail: str) -> calls.Failed:
@@ -226,6 +235,10 @@
     def _refuse(self, reason: str, retry_after_s: float) -> calls.Refused:
         return calls.Refused(reason=reason, retry_after_s=max(RETRY_AFTER_MINIMUM_S, retry_after_s))
 
+    def _refuse_overload(self, reason: str) -> calls.Refused:
+        """Return a refusal that spreads the callers' return."""
+        return self._refuse(reason, random.uniform(*RETRY_AFTER_OVERLOAD_S))
+
     async def _choose(
         self, call: calls.Call, policy: config.ServicePolicy, tried: set[model.Life]
     ) -> lane.Lane | calls.Refused:
@@ -239,12 +252,15 @@
         while True:
             segment = self._ownership.find(call.service, call.key or 0)
             owner = self._owner_lane(segment)
-            if owner is not None and owner.life not in tried:
+            if owner is not None and owner.life not in tried and not owner.is_unreachable:
                 if not tried and not self._ownership.admit(owner.life.server):
-                    spread_s = random.uniform(*RETRY_AFTER_OVERLOAD_S)
-                    return self._refuse("the key's server is overloaded", spread_s)
+                    return self._refuse_overload("the key's server is overloaded")
+                if owner.is_silent:
+                    return self._refuse("the key's server does not answer", RETRY_AFTER_SILENT_S)
                 return owner
             wait_until = give_up
+            if owner is not None and owner.is_unreachable:
+                return self._refuse("the key's server is unreachable", RETRY_AFTER_RECOVERING_S)
             if owner is not None:
                 # The owner rejected the call; it is granted its keys again within moments.
                 wait_until = min(give_up, self._now() + NOT_HELD_WAIT_S)
--- a/src/celerystack/gateway/lane.py
+++ b/src/celerystack/gateway/lane.py
@@ -82,6 +82,7 @@
         self._failures = 0
         self._suspect_until = 0.0
         self._refused_at = float("-inf")
+        self._failed_connects = 0
         self.latency_s = FIRST_LATENCY_S
 
     @property
@@ -108,11 +109,21 @@
         oldest = max(min(self._started_at.values()), self._heard_at)
         return now - oldest > max(SILENT_MINIMUM_S, SILENT_FACTOR * self.latency_s)
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether calls are waiting for the server that it does not answer."""
+        return bool(self._started_at) and self.is_suspect()
+
     @property
     def is_refusing(self) -> bool:
         """Whether the server lately accepted no connection."""
         return self._now() - self._refused_at < SUSPECT_S
 
+    @property
+    def is_unreachable(self) -> bool:
+        """Whether the last connects failed, so that the next calls would wait in vain."""
+        return self._failed_connects >= FAILURES_TO_SUSPECT and self.is_refusing
+
     def note_failure(self) -> None:
         """Record that the server could not be reached or broke an exchange off."""
         self._failures += 1
@@ -210,6 +221,7 @@
         except errors.NotRunError as error:
             if isinstance(error, errors.ConnectFailedError):
                 self._refused_at = self._now()
+                self._failed_connects += 1
                 self.note_failure()
             return calls.NotRun(calls.NotRunReason.NOT_SENT, error.reason)
         except errors.TruncatedAnswerError as error:
@@ -224,6 +236,7 @@
     def _learn(self, attempt: calls.Attempt, started: float) -> calls.Attempt:
         now = self._now()
         self._heard_at = now
+        self._failed_connects = 0
         match attempt:
             case calls.Answered():
                 latency_s = now - started
@@ -235,8 +248,6 @@
                 self._on_answer(self, latency_s)
             case calls.NotRun(why=calls.NotRunReason.FULL):
                 self._limit.on_shed(now)
-            case calls.NotRun(why=calls.NotRunReason.OTHER_SERVER):
-                self._suspect_until = now + SUSPECT_S
         return attempt
 
     def close(self, reason: str) -> None:
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -305,6 +305,7 @@
         self.admission.update(admitted)
         quarantined = self.planner.suspects.quarantined(now)
         self.quarantine.update(quarantined)
+        replaced = self._directory.replaced()
         # A new planner has few reports yet; a count of the living would be too low.
         registered = max(1, len(self._fanout))
         self._take_vms(vms_by_zone[self._node.zone], registered)
@@ -323,6 +324,7 @@
                 admitted_by_server=admitted,
                 quarantined=quarantined,
                 news=self._news.news_since(peer.position),
+                replaced=replaced,
             )
             self._datagrams.send(messages.encode(beacon), peer.node.address)
             self._fanout.resend(peer, now)
@@ -351,6 +353,7 @@
         if not self.seat.held:
             return
         self._fanout.on_report(report)
+        self._note_replaced(report.replaced)
         self.planner.on_report(report)
 
     def _take_beacon(self, beacon: messages.Beacon, address: tuple[str, int]) -> None:
@@ -369,10 +372,15 @@
         self._take_vms(beacon.zone_vms, beacon.entry_vms)
         if beacon.echo_boot == self._boot and beacon.echo_stamp >= 0:
             self.known.confirm(beacon.versions_by_service, beacon.echo_stamp - beacon.confirm_age_s)
+        self._note_replaced(beacon.replaced)
         if beacon.news is not None:
             self._news.take(beacon.news)
         self._datagrams.send(messages.encode(self._own_report()), address)
 
+    def _note_replaced(self, lives: Iterable[model.Life]) -> None:
+        for life in lives:
+            self._directory.note_replaced(life)
+
     def _own_report(self) -> messages.Report:
         keys, self._keys_by_service = self._keys_by_service, {}
         speeds, self._speed_by_server = self._speed_by_server, {}
@@ -388,6 +396,7 @@
             speed_by_server=speeds,
             broken=tuple(self.quarantine.take_seen()),
             position=self._news.position,
+            replaced=self._directory.replaced(),
         )
 
     def _take_part(self, part: messages.RangesPart) -> None:
--- a/tests/fleet/test_messages.py
+++ b/tests/fleet/test_messages.py
@@ -30,6 +30,7 @@
     admitted_by_server={ids.ServerId("a"): 0.5},
     quarantined=(ids.Fingerprint(b"\x00\xff"),),
     news=NEWS,
+    replaced=(fakes.life("c"),),
 )
 REPORT = messages.Report(
     vm=ids.EntryVmId("v1"),
@@ -43,6 +44,7 @@
     speed_by_server={ids.ServerId("a"): (2, 0.5)},
     broken=((ids.Fingerprint(b"\x01"), fakes.life("a")),),
     position=ids.RowVersion(9),
+    replaced=(fakes.life("c"),),
 )
 
 
--- a/tests/fleet/test_servers.py
+++ b/tests/fleet/test_servers.py
@@ -67,3 +67,23 @@
         """Guards against a second owner while a cut-off server serves on."""
         self.directory.apply_changes([], ["a"], 10.5)
         self.assertFalse(self.directory.has_ended(fakes.life("a")))
+
+    def test_answer_of_another_server_proves_the_end(self):
+        """Guards against waiting for holds, and sending requests, until the entry lapses."""
+        self.directory.note_replaced(fakes.life("a"))
+        self.assertTrue(self.directory.has_ended(fakes.life("a")))
+        self.assertEqual(["b"], self.usable())
+        self.assertEqual((fakes.life("a"),), self.directory.replaced())
+
+    def test_next_life_of_a_replaced_server_is_usable(self):
+        """Guards against a server that is never used again because its address was."""
+        self.directory.note_replaced(fakes.life("a"))
+        self.directory.apply_changes([fakes.entry("a", 2)], [], 11.0)
+        self.assertEqual(["a", "b"], self.usable())
+        self.assertFalse(self.directory.has_ended(fakes.life("a", 2)))
+
+    def test_heartbeat_of_a_replaced_life_does_not_revive_it(self):
+        """Guards against a delayed entry that leads requests to the other server."""
+        self.directory.note_replaced(fakes.life("a"))
+        self.directory.apply_changes([fakes.entry("a")], [], 11.0)
+        self.assertEqual(["b"], self.usable())
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -8,12 +8,13 @@
 from celerystack import errors, ids
 from celerystack.backend import http
 from celerystack.fleet import servers
-from celerystack.gateway import calls, config, dispatch, retries
+from celerystack.gateway import calls, config, dispatch, lane, retries
 from celerystack.limits import crashers
 from celerystack.ranges import knowledge, model
 from tests.ranges import fakes
 
 CALLS_AT_ONCE = 1
+OTHER = b"another server"
 POLICY = config.ServicePolicy(
     name=fakes.SERVICE, sharded=True, connections_max=100, health_path="/health"
 )
@@ -49,9 +50,9 @@
     def close(self, reason):
         self.closed = True
 
-    def answer(self, status=200):
+    def answer(self, status=200, reason=b""):
         _, answer = self.sent.pop(0)
-        answer.callback(http.HttpResponse(status=status, reason=b"", headers=(), body=b""))
+        answer.callback(http.HttpResponse(status=status, reason=reason, headers=(), body=b""))
 
     def fail(self, error):
         _, answer = self.sent.pop(0)
@@ -66,6 +67,8 @@
         return True
 
     def classify(self, call, server, response):
+        if response.status == 421 and response.reason == OTHER:
+            return calls.NotRun(calls.NotRunReason.OTHER_SERVER)
         if response.status == 421:
             return calls.NotRun(calls.NotRunReason.KEY_NOT_HELD)
         if response.status == 503:
@@ -106,6 +109,7 @@
         self.directory = servers.Directory()
         self.ownership = Ownership()
         self.pools = {}
+        self.running = []
         self.dispatcher = dispatch.Dispatcher(
             self.clock,
             zone=fakes.ZONE,
@@ -154,7 +158,8 @@
         )
         replies = []
         running = defer.Deferred.fromCoroutine(self.dispatcher.dispatch(call))
-        running.addCallback(replies.append)
+        # Kept, because the garbage collector would end a call that nobody refers to.
+        self.running.append(running.addCallback(replies.append))
         return replies
 
     def sent(self, name):
@@ -235,3 +240,41 @@
         self.pools["1"].fail(errors.OutcomeUnknownError("reset", step="s"))
         self.assertIsInstance(replies[0], calls.Failed)
         self.assertEqual(0, self.sent("1"))
+
+    def test_address_of_another_server_gets_no_further_calls(self):
+        """Guards against arrivals at the service that uses the address now."""
+        replies = self.call()
+        self.pools["1"].answer(421, OTHER)
+        self.assertIsInstance(replies[0], calls.Refused)
+        self.assertEqual(0, self.sent("1"))
+        self.assertIsInstance(self.call()[0], calls.Refused)
+        self.assertTrue(self.directory.has_ended(fakes.life("1")))
+
+    def test_call_that_is_rejected_again_and_again_is_refused(self):
+        """Guards against using up the retry budget of all calls for one."""
+        replies = self.call(deadline_s=5.0)
+        for _ in range(dispatch.REJECTIONS_MAX):
+            self.assertEqual([], replies)
+            self.pools["1"].answer(421)
+            self.clock.advance(dispatch.NOT_HELD_WAIT_S)
+        self.assertIsInstance(replies[0], calls.Refused)
+
+    def test_unreachable_owner_is_not_waited_for(self):
+        """Guards against calls that are held until their deadline although nothing can be done."""
+        replies = self.call()
+        for _ in range(lane.FAILURES_TO_SUSPECT):
+            self.pools["1"].fail(errors.ConnectFailedError("refused", step="s"))
+            self.clock.advance(dispatch.NOT_HELD_WAIT_S)
+        self.assertIsInstance(replies[0], calls.Refused)
+        self.assertIsInstance(self.call()[0], calls.Refused)
+        self.clock.advance(lane.SUSPECT_S)
+        self.call()
+        self.assertEqual(1, self.sent("1"))
+
+    def test_silent_owner_gets_one_call_at_a_time(self):
+        """Guards against calls that queue for a server which does not answer."""
+        self.call(deadline_s=2.0)
+        self.clock.advance(lane.SILENT_MINIMUM_S + 0.1)
+        self.assertIsInstance(self.call()[0], calls.Refused)
+        self.pools["1"].answer()
+        self.assertEqual([], self.call())
