Do not quarantine popular requests that were near crashes

Losses of servers were counted, completions were not. Ruled out: a higher number of losses (a request that crashes servers may reach three). Change: each entry VM remembers for 10 to 20 s which requests a server has answered, and does not reject these. Tests: tests/limits/test_crashers.py, failed before.

--- a/src/celerystack/gateway/dispatch.py
+++ b/src/celerystack/gateway/dispatch.py
@@ -121,7 +121,8 @@
         policy = self._policies.get(call.service)
         if policy is None:
             return self._refuse("the service is not configured", RETRY_AFTER_UNREADY_S)
-        if self._ownership.quarantine.rejects(call.method, call.target, call.body):
+        quarantine = self._ownership.quarantine
+        if quarantine.rejects(call.method, call.target, call.body, self._now()):
             return self._refuse("the request crashes servers", RETRY_AFTER_QUARANTINE_S)
         self._budget.on_request(call.service, self._now())
         if policy.sharded:
@@ -147,6 +148,8 @@
                     return fallback or attempt
                 case calls.Answered(response=response):
                     if response.status < 500:
+                        quarantine = self._ownership.quarantine
+                        quarantine.completed(call.method, call.target, call.body, self._now())
                         return attempt
                     runs += 1
                     fallback = attempt
--- a/src/celerystack/limits/crashers.py
+++ b/src/celerystack/limits/crashers.py
@@ -18,6 +18,9 @@
 QUARANTINE_S = 30.0
 SUSPECTS_MAX = 2000
 FINGERPRINT_BYTES = 8
+COMPLETED_KEPT_S = 10.0
+"""Completed requests are remembered for one to two times this long."""
+COMPLETED_MAX = 10_000
 
 
 def fingerprint(method: bytes, target: bytes, body: bytes) -> ids.Fingerprint:
@@ -71,10 +74,41 @@
         self._until_by_fingerprint.pop(suspect, None)
 
 
+class _Completed:
+    """Fingerprints that completed lately, in two generations."""
+
+    def __init__(self) -> None:
+        self._current: set[ids.Fingerprint] = set()
+        self._previous: set[ids.Fingerprint] = set()
+        self._rotate_at = 0.0
+
+    def add(self, fingerprint: ids.Fingerprint, now: float) -> None:
+        self._rotate(now)
+        if len(self._current) < COMPLETED_MAX:
+            self._current.add(fingerprint)
+
+    def has(self, fingerprint: ids.Fingerprint, now: float) -> bool:
+        self._rotate(now)
+        return fingerprint in self._current or fingerprint in self._previous
+
+    def _rotate(self, now: float) -> None:
+        if now < self._rotate_at:
+            return
+        is_recent = now < self._rotate_at + COMPLETED_KEPT_S
+        self._previous = self._current if is_recent else set()
+        self._current = set()
+        self._rotate_at = now + COMPLETED_KEPT_S
+
+
 class Quarantine:
-    """An entry VM's side: what it saw, and what the planner told it to reject."""
+    """An entry VM's side: what it saw, and what the planner told it to reject.
+
+    A request that lately completed here is not rejected: it was near the crashes by chance, as a
+    popular request is whenever a server ends.
+    """
 
     def __init__(self) -> None:
+        self._completed = _Completed()
         self._seen: dict[tuple[ids.Fingerprint, model.Life], None] = {}
         self._rejected: frozenset[ids.Fingerprint] = frozenset()
 
@@ -92,6 +126,13 @@
         """Take the fingerprints to reject."""
         self._rejected = frozenset(rejected)
 
-    def rejects(self, method: bytes, target: bytes, body: bytes) -> bool:
+    def completed(self, method: bytes, target: bytes, body: bytes, now: float) -> None:
+        """Record a request that a server has answered."""
+        self._completed.add(fingerprint(method, target, body), now)
+
+    def rejects(self, method: bytes, target: bytes, body: bytes, now: float) -> bool:
         """Return whether a request must be rejected."""
-        return bool(self._rejected) and fingerprint(method, target, body) in self._rejected
+        if not self._rejected:
+            return False
+        suspect = fingerprint(method, target, body)
+        return suspect in self._rejected and not self._completed.has(suspect, now)
--- a/tests/limits/test_crashers.py
+++ b/tests/limits/test_crashers.py
@@ -6,6 +6,7 @@
 from celerystack.limits import crashers
 from celerystack.ranges import model
 
+NOW = 50.0
 REQUEST = crashers.fingerprint(b"GET", b"/a/1", b"")
 
 
@@ -60,10 +61,25 @@
         """Guards against a repetition that gets through because only its id differs."""
         quarantine = crashers.Quarantine()
         quarantine.update([REQUEST])
-        self.assertTrue(quarantine.rejects(b"GET", b"/a/1", b""))
+        self.assertTrue(quarantine.rejects(b"GET", b"/a/1", b"", NOW))
 
     def test_other_body_is_another_request(self):
         """Guards against rejecting every request for a path."""
         quarantine = crashers.Quarantine()
         quarantine.update([REQUEST])
-        self.assertFalse(quarantine.rejects(b"GET", b"/a/1", b"x"))
+        self.assertFalse(quarantine.rejects(b"GET", b"/a/1", b"x", NOW))
+
+    def test_popular_request_near_crashes_is_not_rejected(self):
+        """Guards against rejecting a hot path because two servers ended while it was in flight."""
+        quarantine = crashers.Quarantine()
+        quarantine.completed(b"GET", b"/a/1", b"", NOW)
+        quarantine.update([REQUEST])
+        self.assertFalse(quarantine.rejects(b"GET", b"/a/1", b"", NOW))
+
+    def test_completion_long_ago_does_not_count(self):
+        """Guards against a request that has begun to crash servers."""
+        quarantine = crashers.Quarantine()
+        quarantine.completed(b"GET", b"/a/1", b"", NOW)
+        quarantine.update([REQUEST])
+        later = NOW + 2 * crashers.COMPLETED_KEPT_S
+        self.assertTrue(quarantine.rejects(b"GET", b"/a/1", b"", later))
