Replace a planner that the store turns away

Ruled out: a step down by the planner itself; in an outage for all it would lose what it knows for nothing. Change: a beacon whose planner was not confirmed by the store for 1.8 s does not count as heard by VMs that the store serves; they look at the seat, and take it if its row stands still.

--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -36,6 +36,9 @@
 """A planner that was not heard for this time is looked for in the store."""
 SMALL_VM_DELAY_S = 0.6
 """Small VMs look for a lost planner later, so that a larger one takes the seat."""
+UNCONFIRMED_S = 1.8
+"""A planner that the store has not confirmed for this time is replaced by a VM that the store
+serves; longer than `planner.CONFIRM_S` and the age of a report."""
 SEAT_WATCH_S = 1.0
 """A seat whose row does not change for this time is free; longer than `planner.CONFIRM_S`."""
 NODES_READ_S = 2.0
@@ -364,7 +367,9 @@
         if beacon.term > self._heard_term or address != self._planner_address:
             _log.info("following planner %s", beacon.vm, extra={"step": "fleet"})
         self._heard_term = beacon.term
-        self._heard_at = self._now()
+        now = self._now()
+        if beacon.confirm_age_s <= UNCONFIRMED_S or not self._directory.is_current(now):
+            self._heard_at = now
         self._planner_address = address
         self._pending = beacon.pending
         self.admission.update(beacon.admitted_by_server)
--- /dev/null
+++ b/tests/ranges/test_coordinator.py
@@ -0,0 +1,129 @@
+"""Tests of who becomes the planner, without network."""
+
+import msgpack
+import testtools
+from twisted.internet import task
+
+from celerystack import ids
+from celerystack.fleet import messages, nodes, relay, rows, servers
+from celerystack.ranges import coordinator, seat
+from tests.ranges import fakes
+
+OWN, OTHER = ids.EntryVmId("vm-1"), ids.EntryVmId("vm-2")
+STEP_S = 0.1
+LONG_S = 6.0
+
+
+class Reactor(task.Clock):
+    """A clock that accepts listeners for datagrams and sends nothing."""
+
+    def __init__(self):
+        super().__init__()
+        self.sent = []
+
+    def listenUDP(self, port, protocol, **_):  # noqa: N802
+        protocol.transport = self
+
+    def write(self, data, address):
+        self.sent.append((messages.decode(data, peer="test"), address))
+
+
+class CoordinatorCase(testtools.TestCase):
+    is_small = False
+
+    def setUp(self):
+        super().setUp()
+        self.clock = Reactor()
+        self.clock.advance(100.0)
+        self.store = fakes.MemoryRows()
+        self.directory = servers.Directory()
+        self.hold_seat(OTHER, term=3)
+        self.coordinator = coordinator.Coordinator(
+            self.clock,
+            node=nodes.Node(vm=OWN, zone=fakes.ZONE, address=("10.0.0.1", 7000)),
+            boot=1,
+            store=self.store,
+            port=fakes.Orders(),
+            directory=self.directory,
+            news=relay.Relay(self.directory, now=self.clock.seconds),
+            sharded=list,
+            is_small=self.is_small,
+            now=self.clock.seconds,
+        )
+        self.coordinator.start()
+
+    def hold_seat(self, vm, *, term):
+        key = ids.RowKey(seat.SEAT_KEY)
+        _, version = self.store.rows.get((seat.SEAT_TABLE, key), (b"", 0))
+        condition = rows.Condition(table=seat.SEAT_TABLE, key=key, version=ids.RowVersion(version))
+        value = msgpack.packb([vm, 9, term])
+        put = rows.Put(table=seat.SEAT_TABLE, key=key, value=value)
+        self.store.transact([condition], [put], [])
+
+    def beacon(self, *, confirm_age_s):
+        return messages.Beacon(
+            vm=OTHER,
+            term=3,
+            echo_boot=1,
+            echo_stamp=self.clock.seconds(),
+            confirm_age_s=confirm_age_s,
+            versions_by_service={},
+            zone_vms=(OWN,),
+            entry_vms=2,
+            pending=(),
+            admitted_by_server={},
+        )
+
+    def run_for(self, seconds, *, confirm_age_s=None, store_answers=True):
+        for step in range(round(seconds / STEP_S)):
+            if store_answers:
+                self.directory.note_answer(self.clock.seconds())
+            if confirm_age_s is not None and step % 3 == 0:
+                data = messages.encode(self.beacon(confirm_age_s=confirm_age_s))
+                self.coordinator._received(data, ("10.0.0.2", 7000))
+            self.clock.advance(STEP_S)
+
+    @property
+    def leads(self):
+        return self.coordinator.seat.held
+
+
+class SeatTest(CoordinatorCase):
+    def test_planner_that_the_store_confirms_stays(self):
+        """Guards against planners that replace each other for ever."""
+        self.run_for(LONG_S, confirm_age_s=0.5)
+        self.assertFalse(self.leads)
+
+    def test_planner_that_the_store_turns_away_is_replaced(self):
+        """Guards against keys that nobody can move while one VM is refused by the store."""
+        self.run_for(LONG_S, confirm_age_s=5.0)
+        self.assertTrue(self.leads)
+
+    def test_planner_stays_while_the_store_is_away_for_all(self):
+        """Guards against losing the planner's knowledge in a store outage."""
+        self.run_for(LONG_S, confirm_age_s=5.0, store_answers=False)
+        self.assertFalse(self.leads)
+
+    def test_silent_planner_is_replaced(self):
+        """Guards against a fleet without a planner."""
+        self.run_for(LONG_S)
+        self.assertTrue(self.leads)
+
+    def test_seat_that_moves_on_is_left_alone(self):
+        """Guards against taking the seat from a planner that only this VM does not hear."""
+        for term in range(4, 12):
+            self.run_for(0.8)
+            self.hold_seat(OTHER, term=term)
+        self.assertFalse(self.leads)
+
+
+class SmallVmTest(CoordinatorCase):
+    is_small = True
+
+    def test_small_vm_takes_the_seat_later(self):
+        """Guards against a planner on a small link while larger VMs are there."""
+        shortest_s = coordinator.SILENCE_S + coordinator.SMALL_VM_DELAY_S + coordinator.SEAT_WATCH_S
+        self.run_for(shortest_s - 0.1)
+        self.assertFalse(self.leads)
+        self.run_for(LONG_S)
+        self.assertTrue(self.leads)
