Count a map as fragmented from 200 ranges on

Change: fragments count above 200 ranges, the hard bound is 400, unless the number of servers allows more.

--- a/src/celerystack/ranges/plan.py
+++ b/src/celerystack/ranges/plan.py
@@ -27,8 +27,9 @@
 MOVES_PER_SERVER = 1.0
 """A large fleet needs more moves at once, because one hot server has to share with many."""
 MERGE_ABOVE = 2
+SEGMENTS_MANY = 200
 SEGMENTS_PER_SERVER = 4
-"""Above this mean number, ranges are moved whole and go to the owners of their neighbours."""
+"""Above both, ranges are moved whole and go to the owners of their neighbours."""
 SEGMENTS_PER_SERVER_MAX = 8
 ABSORBED_PER_SERVER = 0.5
 """Ranges per server and plan that a fragmented map gives to the owners of their neighbours."""
@@ -96,12 +97,12 @@
     def is_fragmented(self) -> bool:
         """Return whether ranges should rather be joined than cut."""
         limit = SEGMENTS_PER_SERVER * len(self.situation.candidates_by_life)
-        return len(self.segments) > limit
+        return len(self.segments) > max(SEGMENTS_MANY, limit)
 
     def is_full(self) -> bool:
         """Return whether ranges must not be cut."""
         limit = SEGMENTS_PER_SERVER_MAX * len(self.situation.candidates_by_life)
-        return len(self.segments) + 2 > min(limit, SEGMENTS_MAX)
+        return len(self.segments) + 2 > min(max(2 * SEGMENTS_MANY, limit), SEGMENTS_MAX)
 
     def rate(self, segment: model.Segment) -> float:
         return self.situation.load.rate(segment.start, segment.end)
