Join few idle ranges at a time

A fragmented map gave half as many ranges as there are servers to their neighbours' owners in each plan; 700 to 1,100 ranges moved in 3 s, and rejections because a key was being moved or its server overloaded doubled from 24 s on. Ruled out: cuts that were not allowed (they are, above a utilization of 1). Change: at most 8 ranges of at most 0.5 requests/s are joined in a plan, more only if nothing can be cut any more; the hard bound is 12 ranges per server.

--- a/src/celerystack/ranges/plan.py
+++ b/src/celerystack/ranges/plan.py
@@ -30,9 +30,12 @@
 SEGMENTS_MANY = 200
 SEGMENTS_PER_SERVER = 4
 """Above both, ranges are moved whole and go to the owners of their neighbours."""
-SEGMENTS_PER_SERVER_MAX = 8
-ABSORBED_PER_SERVER = 0.5
-"""Ranges per server and plan that a fragmented map gives to the owners of their neighbours."""
+SEGMENTS_PER_SERVER_MAX = 12
+ABSORBED_PER_PLAN = 8
+ABSORBED_RATE_MAX = 0.5
+"""Ranges that a fragmented map gives to the owners of their neighbours: few at a time, and only
+idle ones, because callers wait while a range moves; more only if nothing can be cut any more. In
+requests/s."""
 SEGMENTS_MAX = 1_500
 """The map is one row of at most 64 KB."""
 """Segments of one server from which adjacent ones are joined under a new token."""
@@ -468,10 +471,12 @@
         if draft.segments[place].is_settled and draft.segments[place].owner in candidates
     ]
     settled.sort(key=lambda place: draft.rate(draft.segments[place]))
-    moves = max(MOVES_PER_PLAN, round(ABSORBED_PER_SERVER * len(candidates)))
+    is_full = draft.is_full()
+    moves = len(candidates) // 2 if is_full else ABSORBED_PER_PLAN
     moved: set[int] = set()
     for place in settled:
-        if len(moved) >= moves:
+        is_idle = draft.rate(draft.segments[place]) <= ABSORBED_RATE_MAX
+        if len(moved) >= moves or not (is_idle or is_full):
             return
         if moved & {place - 1, place + 1}:
             continue
