Log rejected requests with their ids, in bounded volume

Ruled out: no line at all; a rejected request has to be explained like any other. Change: the line has status, reason and id, and counts against the same bound as answered and refused requests. Two tests shared a route by copy; it stands once now. Tests: tests/observe/test_outlet.py, failed before. Measured: nothing but the tests.

--- a/src/celerystack/gateway/calls.py
+++ b/src/celerystack/gateway/calls.py
@@ -134,12 +134,17 @@
     ----------
     status : int
         Status of the answer.
+    request_id : RequestId or None
+        Id of the request, if it was read.
     """
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(
+        self, status: int, reason: str, *, request_id: ids.RequestId | None = None
+    ) -> None:
         super().__init__(reason)
         self.status = status
         self.reason = reason
+        self.request_id = request_id
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/celerystack/gateway/dispatch.py
+++ b/src/celerystack/gateway/dispatch.py
@@ -127,7 +127,9 @@
         self._budget.on_request(call.service, self._now())
         if policy.sharded:
             if call.key is None:
-                raise calls.BadRequestError(400, "the request has no key")
+                raise calls.BadRequestError(
+                    400, "the request has no key", request_id=call.request_id
+                )
             self._ownership.count_request(call.service, call.key)
         return await self._attempts(call, policy)
 
--- a/src/celerystack/gateway/frontend.py
+++ b/src/celerystack/gateway/frontend.py
@@ -105,7 +105,12 @@
         running.addErrback(self._failed, request)
 
     def _reject(self, request: callerhttp.CallerRequest, error: calls.BadRequestError) -> None:
-        _log.info("rejected a request: %s", error.reason, extra={"step": "frontend"})
+        _log.info(
+            "%d: %s",
+            error.status,
+            error.reason,
+            extra={"step": "rejected", "request_id": error.request_id},
+        )
         if error.status == 400:
             request.close_after_answer()
         body = error.reason.encode() + b"\n"
@@ -122,11 +127,13 @@
             return None
         said = self._dialect.read(request)
         if any(_CONTROL.search(value) for _, value in said.forwarded):
-            raise calls.BadRequestError(400, "a header value contains a control character")
+            raise calls.BadRequestError(
+                400, "a header value contains a control character", request_id=said.request_id
+            )
         path = request.path.decode("ascii")
         route = self._routes.find(said.host, path)
         if route is None:
-            raise calls.BadRequestError(404, "no route matches")
+            raise calls.BadRequestError(404, "no route matches", request_id=said.request_id)
         arrived = request.received_at
         remaining_s = DEADLINE_DEFAULT_S if said.remaining_s is None else said.remaining_s
         return calls.Call(
--- a/src/celerystack/observe/outlet.py
+++ b/src/celerystack/observe/outlet.py
@@ -12,11 +12,11 @@
 LINES_PER_S_MAX = 150
 """Lines about requests that were answered or refused; those of failed requests always pass."""
 BUFFER_BYTES_MAX = 512 * 1024
-_SAMPLED = ("answered", "refused")
+_SAMPLED = frozenset({"answered", "refused", "rejected"})
 
 
 class VolumeFilter(logging.Filter):
-    """Passes at most `LINES_PER_S_MAX` lines per second about answered and refused requests.
+    """Passes at most `LINES_PER_S_MAX` lines per second about requests that did not fail.
 
     The number of lines that were dropped is added to the next one that passes.
     """
--- /dev/null
+++ b/tests/gateway/fakes.py
@@ -0,0 +1,18 @@
+"""Values that several tests of the request path use."""
+
+from __future__ import annotations
+
+from celerystack.gateway import config
+from tests.ranges import fakes
+
+ROUTE = config.Route(
+    name="r",
+    host="h",
+    prefix="/",
+    targets=(config.Target(service=fakes.SERVICE, weight=1.0),),
+    idempotent=True,
+    timeout_s=5.0,
+    target_latency_s=0.4,
+    attempts_max=2,
+    priority=1,
+)
--- a/tests/observe/test_outlet.py
+++ b/tests/observe/test_outlet.py
@@ -58,6 +58,10 @@
         """Guards against a log that grows with the load."""
         self.assertEqual(outlet.LINES_PER_S_MAX, self.passed(1000, "answered"))
 
+    def test_lines_of_rejected_requests_are_bounded(self):
+        """Guards against callers that fill the log with requests for unknown paths."""
+        self.assertEqual(outlet.LINES_PER_S_MAX, self.passed(1000, "rejected"))
+
     def test_lines_of_failures_all_pass(self):
         """Guards against a failed request that cannot be explained."""
         self.assertEqual(1000, self.passed(1000, "failed"))
