Repeat failed calls to the store at growing intervals

Ruled out: waiting for the planner's news alone; a VM that is not heard has to find out by itself. Change: 0.15, 0.3, 0.6 s with jitter, 0.4 s for the search for a planner.

--- a/src/celerystack/gateway/feeds.py
+++ b/src/celerystack/gateway/feeds.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import logging
+import random
 from collections.abc import Callable
 from typing import Any
 
@@ -22,6 +23,8 @@
 OFTEN_INTERVAL_S = 0.4
 """Interval of the planner, whose news take a while to arrive, and while a server is in doubt."""
 RETRY_S = 0.15
+RETRY_MAX_S = 0.6
+"""Failed calls are repeated at growing intervals, because calls that the store rejects cost too."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -71,6 +74,7 @@
         self._now = now
         self._config_version = ids.ConfigVersion(-1)
         self._store_is_up = True
+        self._failures = 0
         self.servers_known = False
         self._unreadable: dict[ids.RowKey, str] = {}
         self._pauses: list[defer.Deferred[None]] = []
@@ -143,7 +147,7 @@
                 version = answer.version
                 self._take_config(answer)
             if answer is None or self._news.lacks_config:
-                await self._sleep(RETRY_S)
+                await self._sleep(self._retry_s())
 
     async def _follow_servers(self) -> None:
         while True:
@@ -161,7 +165,7 @@
                 self._news.lose_history()
                 continue
             if answer is None:
-                await self._sleep(RETRY_S)
+                await self._sleep(self._retry_s())
                 continue
             if not was_up:
                 self._restart_config_poll()
@@ -191,8 +195,14 @@
         self._directory.note_answer(self._now())
         return answer
 
+    def _retry_s(self) -> float:
+        """Return when to try again, spread so that the VMs do not return at once."""
+        longest_s = min(RETRY_MAX_S, RETRY_S * 2.0 ** min(self._failures, 8))
+        return longest_s * random.uniform(0.7, 1.0)
+
     def _note_store(self, error: errors.PlatformError | None) -> None:
         up = error is None
+        self._failures = 0 if up else self._failures + 1
         if up == self._store_is_up:
             return
         self._store_is_up = up
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -42,6 +42,8 @@
 SEAT_WATCH_S = 1.0
 """A seat whose row does not change for this time is free; longer than `planner.CONFIRM_S`."""
 NODES_READ_S = 2.0
+RETRY_S = 0.4
+UNREADABLE_RETRY_S = 1.0
 KEYS_PER_REPORT_MAX = 400
 UNKNOWN_COUNT = 50
 """Assumed number of entry VMs before any beacon, so that no shared limit is exceeded."""
@@ -234,10 +236,10 @@
             _log.info("another entry VM was faster: %s", error, extra={"step": "fleet"})
         except errors.PlatformError as error:
             _log.warning("the store failed: %s", error, extra={"step": "fleet"})
-            await self._pause(0.2)
+            await self._pause(RETRY_S)
         except errors.CorruptRowError as error:
             _log.error("%s", error, extra={"step": "fleet"})
-            await self._pause(1.0)
+            await self._pause(UNREADABLE_RETRY_S)
 
     def _pause(self, seconds: float) -> defer.Deferred[None]:
         done: defer.Deferred[None] = defer.Deferred()
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -168,7 +168,7 @@
         self.run_with_news(2.0)
         self.assertGreaterEqual(self.store.polls.count("servers"), 1)
 
-    def test_failing_store_is_asked_at_intervals(self):
+    def test_failing_store_is_asked_at_growing_intervals(self):
         self.clock.pump([0.1] * 40)
         self.store.error = errors.PlatformUnavailableError("rejected", step="store")
         reads = self.reads_in(3.0)
