Count fragments from 8 ranges per server on; explore the ownership rule

The ownership rule was argued in docs/platform.md and tested by cases only. Ruled out: joining itself (8 idle ranges a plan). Change: fragments count above 8 ranges per server, nothing is cut above 16. A breadth-first search over the product's decisions explores every order of events for 2 entry VMs, 2 servers and 2 ranges: 148,518 states, no second owner; a shorter wait and a release under the old token are noticed.

--- a/src/celerystack/ranges/plan.py
+++ b/src/celerystack/ranges/plan.py
@@ -28,9 +28,9 @@
 """A large fleet needs more moves at once, because one hot server has to share with many."""
 MERGE_ABOVE = 2
 SEGMENTS_MANY = 200
-SEGMENTS_PER_SERVER = 4
+SEGMENTS_PER_SERVER = 8
 """Above both, ranges are moved whole and go to the owners of their neighbours."""
-SEGMENTS_PER_SERVER_MAX = 12
+SEGMENTS_PER_SERVER_MAX = 16
 ABSORBED_PER_PLAN = 8
 ABSORBED_RATE_MAX = 0.5
 """Ranges that a fragmented map gives to the owners of their neighbours: few at a time, and only
--- /dev/null
+++ b/tests/ranges/test_ownership_model.py
@@ -0,0 +1,232 @@
+"""Explores every order of events for two entry VMs, two servers and two ranges.
+
+The decisions are the product's (`plan.plan`, `plan.settle`, `holds.may_grant` and its bounds); the
+model adds what the outside may do: VMs that learn late, grants that are carried out late, servers
+that are silent.
+Times are kept relative to the present, so that the search ends.
+"""
+
+from __future__ import annotations
+
+import collections
+import functools
+from collections.abc import Iterator
+from typing import NamedTuple
+
+import testtools
+
+from celerystack.ranges import holds, keyload, model, plan
+from tests.ranges import fakes
+
+STEP_S = 4.0
+"""Less than a hold, so that holds, authority and late orders end at different steps."""
+LATE_MAX_S = 12.0
+MOVES_MAX = 1
+HELD_S = holds.HOLD_S * (1 + holds.CLOCK_DRIFT)
+FIRST, SECOND = fakes.life("a"), fakes.life("b")
+LIVES = (FIRST, SECOND)
+HALF = model.KEY_MAX // 2
+STARTS = (0, HALF + 1)
+
+
+class Hold(NamedTuple):
+    """What a server holds of a range, and the highest token that it has seen there."""
+
+    left_s: float = 0.0
+    highest: int = 0
+
+
+class Vm(NamedTuple):
+    """The map that an entry VM knows, and how long ago it was surely current."""
+
+    ranges: int
+    age_s: float
+
+
+class Late(NamedTuple):
+    """A grant that arrived and is carried out later."""
+
+    server: int
+    place: int
+    token: int
+    age_s: float
+
+
+class State(NamedTuple):
+    """Maps are numbers in `MAPS`, which are compared faster."""
+
+    ranges: int
+    commit_age_s: float
+    vms: tuple[Vm, Vm]
+    holds: tuple[tuple[Hold, Hold], tuple[Hold, Hold]]
+    late: Late | None
+
+
+MAPS: list[model.RangeMap] = []
+
+
+@functools.cache
+def number_of(ranges: model.RangeMap) -> int:
+    MAPS.append(ranges)
+    return len(MAPS) - 1
+
+
+def first_state() -> State:
+    segments = tuple(
+        model.Segment(start=start, end=end, token=index + 1, owner=FIRST)
+        for index, (start, end) in enumerate(((0, HALF), (HALF + 1, model.KEY_MAX)))
+    )
+    ranges = model.RangeMap(service=fakes.SERVICE, next_token=3, segments=segments)
+    number = number_of(ranges)
+    vm = Vm(number, 0.0)
+    return State(number, 0.0, (vm, vm), ((Hold(), Hold()), (Hold(), Hold())), None)
+
+
+@functools.cache
+def moved(number: int, to: model.Life) -> int:
+    situation = plan.Situation(
+        candidates_by_life={to: plan.Candidate(life=to, capacity=20.0)},
+        has_ended=lambda _: False,
+        successor=lambda _: None,
+        is_silent=lambda _: False,
+        load=keyload.Snapshot([], keys=model.KEY_MAX + 1),
+    )
+    return number_of(plan.plan(MAPS[number], situation))
+
+
+@functools.cache
+def settled(number: int, handover: str) -> int:
+    waiting = [segment for segment in MAPS[number].segments if segment.pending]
+    return number_of(plan.settle(MAPS[number], dict.fromkeys(waiting, handover)))
+
+
+@functools.cache
+def segment_at(number: int, start: int) -> model.Segment:
+    return MAPS[number].find(start)
+
+
+class Rules(NamedTuple):
+    """What the model may be weakened in, to show that the search notices."""
+
+    authority_s: float = holds.AUTHORITY_S
+    release_under_new_token: bool = True
+
+    def successors(self, state: State) -> Iterator[State]:
+        yield self._wait(state)
+        for index in range(2):
+            yield self._learn(state, index)
+            yield from self._grants(state, index)
+        yield from self._apply_late(state)
+        yield from self._plans(state)
+
+    def _wait(self, state: State) -> State:
+        aged = tuple(
+            vm._replace(age_s=min(vm.age_s + STEP_S, holds.AUTHORITY_S)) for vm in state.vms
+        )
+        left = tuple(
+            tuple(hold._replace(left_s=max(0.0, round(hold.left_s - STEP_S, 3))) for hold in pair)
+            for pair in state.holds
+        )
+        late = state.late
+        if late is not None:
+            late = late._replace(age_s=late.age_s + STEP_S)
+            late = None if late.age_s > LATE_MAX_S else late
+        age_s = min(state.commit_age_s + STEP_S, holds.AUTHORITY_S + STEP_S)
+        return state._replace(commit_age_s=age_s, vms=aged, holds=left, late=late)
+
+    def _learn(self, state: State, index: int) -> State:
+        vms = list(state.vms)
+        vms[index] = Vm(state.ranges, 0.0)
+        return state._replace(vms=tuple(vms))
+
+    def _grants(self, state: State, index: int) -> Iterator[State]:
+        vm = state.vms[index]
+        if not holds.may_grant(known_at=-vm.age_s, now=0.0):
+            return
+        for place, start in enumerate(STARTS):
+            segment = segment_at(vm.ranges, start)
+            if segment.is_settled:
+                server = LIVES.index(segment.owner)
+                yield self._granted(state, server, place, segment.token, HELD_S)
+                if state.late is None:
+                    yield state._replace(late=Late(server, place, segment.token, 0.0))
+
+    def _apply_late(self, state: State) -> Iterator[State]:
+        late = state.late
+        if late is not None:
+            after = state._replace(late=None)
+            left_s = max(0.0, HELD_S - late.age_s)
+            yield self._granted(after, late.server, late.place, late.token, left_s)
+
+    def _granted(self, state: State, server: int, place: int, token: int, left_s: float) -> State:
+        hold = state.holds[server][place]
+        if token < hold.highest or not left_s:
+            return state
+        return self._with_hold(state, server, place, Hold(round(left_s, 3), token))
+
+    def _with_hold(self, state: State, server: int, place: int, hold: Hold) -> State:
+        rows = [list(pair) for pair in state.holds]
+        rows[server][place] = hold
+        return state._replace(holds=tuple(tuple(pair) for pair in rows))
+
+    def _plans(self, state: State) -> Iterator[State]:
+        pending = {life for segment in MAPS[state.ranges].segments for life in segment.pending}
+        if not pending:
+            for to in LIVES:
+                after = moved(state.ranges, to)
+                if after != state.ranges and MAPS[after].next_token <= 3 + 2 * MOVES_MAX:
+                    yield state._replace(ranges=after, commit_age_s=0.0)
+            return
+        if state.commit_age_s > self.authority_s:
+            yield state._replace(ranges=settled(state.ranges, ""), commit_age_s=0.0)
+        after = state
+        for place, start in enumerate(STARTS):
+            segment = segment_at(state.ranges, start)
+            for life in segment.pending:
+                token = segment.token if self.release_under_new_token else 0
+                server = LIVES.index(life)
+                highest = max(after.holds[server][place].highest, token)
+                after = self._with_hold(after, server, place, Hold(0.0, highest))
+        yield after._replace(ranges=settled(state.ranges, "h"), commit_age_s=0.0)
+
+
+def two_owners(state: State) -> bool:
+    return any(
+        state.holds[0][place].left_s > 0 and state.holds[1][place].left_s > 0
+        for place in range(len(STARTS))
+    )
+
+
+def explore(rules: Rules) -> tuple[int, State | None]:
+    """Return the number of states, and one in which a range has two owners."""
+    start = first_state()
+    seen = {start}
+    queue = collections.deque([start])
+    while queue:
+        for state in rules.successors(queue.popleft()):
+            if state in seen:
+                continue
+            if two_owners(state):
+                return len(seen), state
+            seen.add(state)
+            queue.append(state)
+    return len(seen), None
+
+
+class OwnershipModelTest(testtools.TestCase):
+    def test_no_order_of_events_gives_a_range_two_owners(self):
+        """Guards against a second owner, whatever is late or lost."""
+        count, broken = explore(Rules())
+        print(f"{count} states explored")
+        self.assertIsNone(broken)
+        self.assertGreater(count, 1000)
+
+    def test_shorter_wait_for_a_silent_owner_is_noticed(self):
+        """Guards against a model that cannot fail."""
+        _, broken = explore(Rules(authority_s=holds.AUTHORITY_S / 2))
+        self.assertIsNotNone(broken)
+
+    def test_release_under_the_old_token_is_noticed(self):
+        """Guards against a model in which late grants do no harm."""
+        _, broken = explore(Rules(release_under_new_token=False))
+        self.assertIsNotNone(broken)
