Move no keys to servers without room

Ruled out: the joining of idle ranges (8 a plan), the bound on ranges (775 of 1,248). Change: a server above a utilization of 0.9 takes on no load. Tests: tests/ranges/test_plan.py, OverloadedFleetTest, failed before.

--- a/src/celerystack/ranges/plan.py
+++ b/src/celerystack/ranges/plan.py
@@ -14,6 +14,8 @@
 """A server above this multiple of the mean utilization gives keys away."""
 UTILIZATION_MINIMUM = 0.55
 """Below this utilization a server answers fast enough, however uneven the load is."""
+FULL_UTILIZATION = 0.9
+"""A server above this takes on no load: in an overloaded fleet moves only make callers wait."""
 NEEDY_RATIO = 0.25
 """A server below this part of the mean utilization is given keys."""
 DOMINANT_SHARE = 0.6
@@ -301,7 +303,7 @@
     if dominant is not None and _move_to_fastest(draft, hot, *dominant):
         return True
     cold = draft.coldest(0.0)
-    if cold is None or cold == hot:
+    if cold is None or cold == hot or draft.utilization(cold) >= FULL_UTILIZATION:
         return False
     if dominant is not None:
         # The server serves what it can of this key, and its neighbours elsewhere do not wait.
--- a/tests/ranges/test_plan.py
+++ b/tests/ranges/test_plan.py
@@ -288,3 +288,18 @@
         for _ in range(4):
             ranges = self.settled_after(ranges, self.situation)
         self.assertLess(max(plan.utilizations(ranges, self.situation).values()), 1.0)
+
+
+class OverloadedFleetTest(LargeFleetCase):
+    """Load pattern: more requests than all servers can run, unevenly spread."""
+
+    def test_nothing_moves_while_nobody_has_room(self):
+        """Guards against callers that wait for moves which relieve nobody."""
+        chance = random.Random(3)
+        rates = {key: chance.uniform(0.2, 1.4) for key in range(0, model.KEY_MAX, 30)}
+        overloaded = situation(candidates(**dict.fromkeys(self.names(), 8.0)), rates=rates)
+        self.assertGreater(min(plan.utilizations(self.ranges, overloaded).values()), 1.0)
+        self.assertEqual(self.ranges, plan.plan(self.ranges, overloaded))
+
+    def names(self):
+        return [life.server for life in self.found]
