--- a/tests/limits/test_crashers.py
+++ b/tests/limits/test_crashers.py
@@ -83,3 +83,17 @@
         quarantine.update([REQUEST])
         later = NOW + 2 * crashers.COMPLETED_KEPT_S
         self.assertTrue(quarantine.rejects(b"GET", b"/a/1", b"", later))
+
+
+class FleetTest(testtools.TestCase):
+    def test_completions_on_other_vms_count(self):
+        """Guards against a restarted VM that rejects a popular request for half a minute."""
+        down = {life("a"), life("b")}
+        suspects = crashers.Suspects(is_down=down.__contains__)
+        for lost in sorted(down):
+            suspects.add(REQUEST, lost, NOW)
+        serving, restarted = crashers.Quarantine(), crashers.Quarantine()
+        serving.completed(b"GET", b"/a/1", b"", NOW)
+        for quarantine in (serving, restarted):
+            quarantine.update(suspects.quarantined(NOW))
+        self.assertFalse(restarted.rejects(b"GET", b"/a/1", b"", NOW))
