Log answers by a map that was not confirmed yet

A map that arrives in parts has no time of confirmation until the next beacon, and its infinite age could not be written to the log; the error ended the request. Ruled out: the servers, which had answered 200. Change: such an age is left empty. Tests: tests/gateway/test_measures.py, failed before.

--- a/src/celerystack/gateway/calls.py
+++ b/src/celerystack/gateway/calls.py
@@ -28,7 +28,7 @@
     map_version : int
         Row version of the range map that decided.
     map_age_s : float
-        How long before it was last known to be current.
+        How long before it was last known to be current; infinite if it was not confirmed yet.
     """
 
     at: float
--- a/src/celerystack/gateway/measures.py
+++ b/src/celerystack/gateway/measures.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 
 import prometheus_client
 
@@ -73,6 +74,6 @@
         fields |= {
             "token": step.token,
             "map": step.map_version,
-            "map_age_ms": round(step.map_age_s * 1000),
+            "map_age_ms": None if math.isinf(step.map_age_s) else round(step.map_age_s * 1000),
         }
     return fields
--- /dev/null
+++ b/tests/gateway/test_measures.py
@@ -0,0 +1,38 @@
+"""Guards against answers that are lost because their log line cannot be written."""
+
+import prometheus_client
+import testtools
+
+from celerystack import ids
+from celerystack.backend import http
+from celerystack.gateway import calls, measures
+from tests.gateway import fakes as gateway_fakes
+from tests.ranges import fakes
+
+
+class MeasuresTest(testtools.TestCase):
+    def test_map_that_was_not_confirmed_yet_has_no_age(self):
+        step = calls.Step(
+            at=10.0,
+            outcome="answered 200",
+            server=fakes.life("a"),
+            token=3,
+            map_version=7,
+            map_age_s=float("inf"),
+        )
+        call = calls.Call(
+            request_id=ids.RequestId("r"),
+            route=gateway_fakes.ROUTE,
+            service=fakes.SERVICE,
+            method=b"GET",
+            target=b"/",
+            headers=(),
+            body=b"",
+            key=7,
+            arrived_at=9.9,
+            deadline=11.0,
+            steps=[step],
+        )
+        response = http.HttpResponse(status=200, reason=b"OK", headers=(), body=b"")
+        made = measures.Measures(prometheus_client.CollectorRegistry())
+        made.finished(call, calls.Answered(response), 10.0)
