Clear quarantined requests that complete on any entry VM

Ruled out: a longer memory; a restart ends it. Change: entry VMs report quarantined requests that completed there, and the planner does not quarantine these for 60 s. Tests: tests/limits/test_crashers.py, failed before.

--- a/src/celerystack/fleet/messages.py
+++ b/src/celerystack/fleet/messages.py
@@ -38,6 +38,8 @@
         Store version up to which the sender knows the servers.
     replaced : tuple of Life
         Lives at whose addresses other servers answered.
+    cleared : tuple of Fingerprint
+        Quarantined requests that the sender has seen complete.
     """
 
     vm: ids.EntryVmId
@@ -52,6 +54,7 @@
     broken: tuple[tuple[ids.Fingerprint, model.Life], ...] = ()
     position: ids.RowVersion = relay.UNKNOWN
     replaced: tuple[model.Life, ...] = ()
+    cleared: tuple[ids.Fingerprint, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -190,6 +193,7 @@
                 [[suspect, *_life(life)] for suspect, life in message.broken],
                 message.position,
                 [_life(life) for life in message.replaced],
+                list(message.cleared),
             ]
             return msgpack.packb(["report", *fields])
         case Beacon():
@@ -249,7 +253,7 @@
 
 def _report(*fields: Any) -> Report:
     vm, zone, boot, stamp, versions, remaining, unreachable, *rest = fields
-    keys, speeds, broken, position, replaced = rest
+    keys, speeds, broken, position, replaced, cleared = rest
     return Report(
         vm=vm,
         zone=zone,
@@ -265,6 +269,7 @@
         ),
         position=ids.RowVersion(int(position)),
         replaced=tuple(codec.decode_life(life) for life in replaced),
+        cleared=tuple(ids.Fingerprint(bytes(suspect)) for suspect in cleared),
     )
 
 
--- a/src/celerystack/limits/crashers.py
+++ b/src/celerystack/limits/crashers.py
@@ -21,6 +21,8 @@
 COMPLETED_KEPT_S = 10.0
 """Completed requests are remembered for one to two times this long."""
 COMPLETED_MAX = 10_000
+CLEARED_S = 60.0
+"""A request that completed somewhere is not quarantined for this time."""
 
 
 def fingerprint(method: bytes, target: bytes, body: bytes) -> ids.Fingerprint:
@@ -46,15 +48,26 @@
         self._seen_at_by_life: dict[ids.Fingerprint, dict[model.Life, float]] = {}
         self._lost: dict[ids.Fingerprint, set[model.Life]] = {}
         self._until_by_fingerprint: dict[ids.Fingerprint, float] = {}
+        self._cleared_until: dict[ids.Fingerprint, float] = {}
+
+    def clear(self, suspect: ids.Fingerprint, now: float) -> None:
+        """Record that an entry VM has seen a quarantined request complete."""
+        self._cleared_until[suspect] = now + CLEARED_S
+        if suspect in self._seen_at_by_life:
+            self._forget(suspect)
 
     def add(self, suspect: ids.Fingerprint, life: model.Life, now: float) -> None:
         """Record that a request broke off at a life."""
+        if self._cleared_until.get(suspect, 0.0) > now:
+            return
         if suspect not in self._seen_at_by_life and len(self._seen_at_by_life) >= SUSPECTS_MAX:
             self._forget(next(iter(self._seen_at_by_life)))
         self._seen_at_by_life.setdefault(suspect, {})[life] = now
 
     def quarantined(self, now: float) -> tuple[ids.Fingerprint, ...]:
         """Return the fingerprints that are rejected."""
+        for cleared in [one for one, until in self._cleared_until.items() if until <= now]:
+            del self._cleared_until[cleared]
         for suspect, seen_at_by_life in list(self._seen_at_by_life.items()):
             if max(seen_at_by_life.values()) < now - SUSPECT_KEPT_S:
                 self._forget(suspect)
@@ -130,6 +143,10 @@
         """Record a request that a server has answered."""
         self._completed.add(fingerprint(method, target, body), now)
 
+    def cleared(self, now: float) -> list[ids.Fingerprint]:
+        """Return the quarantined requests that lately completed here, for the planner."""
+        return [suspect for suspect in self._rejected if self._completed.has(suspect, now)]
+
     def rejects(self, method: bytes, target: bytes, body: bytes, now: float) -> bool:
         """Return whether a request must be rejected."""
         if not self._rejected:
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -404,6 +404,7 @@
             broken=tuple(self.quarantine.take_seen()),
             position=self._news.position,
             replaced=self._directory.replaced(),
+            cleared=tuple(self.quarantine.cleared(self._now())),
         )
 
     def _take_part(self, part: messages.RangesPart) -> None:
--- a/src/celerystack/ranges/planner.py
+++ b/src/celerystack/ranges/planner.py
@@ -131,6 +131,8 @@
         self._unreachable_by_vm[report.vm] = (now, report.unreachable)
         for suspect, life in report.broken:
             self.suspects.add(suspect, life, now)
+        for suspect in report.cleared:
+            self.suspects.clear(suspect, now)
 
     def _is_down(self, life: model.Life) -> bool:
         return self._directory.has_ended(life) or life in self._silent_lives()
--- a/tests/fleet/test_messages.py
+++ b/tests/fleet/test_messages.py
@@ -45,6 +45,7 @@
     broken=((ids.Fingerprint(b"\x01"), fakes.life("a")),),
     position=ids.RowVersion(9),
     replaced=(fakes.life("c"),),
+    cleared=(ids.Fingerprint(b"\x02"),),
 )
 
 
--- a/tests/limits/test_crashers.py
+++ b/tests/limits/test_crashers.py
@@ -96,4 +96,9 @@
         serving.completed(b"GET", b"/a/1", b"", NOW)
         for quarantine in (serving, restarted):
             quarantine.update(suspects.quarantined(NOW))
-        self.assertFalse(restarted.rejects(b"GET", b"/a/1", b"", NOW))
+        for cleared in serving.cleared(NOW):
+            suspects.clear(cleared, NOW)
+        for lost in sorted(down):
+            suspects.add(REQUEST, lost, NOW + 1)
+        restarted.update(suspects.quarantined(NOW + 1))
+        self.assertFalse(restarted.rejects(b"GET", b"/a/1", b"", NOW + 1))
