Take only responses with the request's id for refusals

Cause: a response 421, or one with the header for requests that were not run, counted as a refusal although it echoed no request id. A server that writes the refusal of an earlier request once more, without its id, made the router send a request again that runs, or tell its caller that it had not. Ruled out: that servers send refusals without the id in regular operation. Change: a response without the id leaves the outcome unknown. Shown: tests/platform/test_requests.py, two of its five tests failed on the code before.

--- a/src/celerystack/platform/requests.py
+++ b/src/celerystack/platform/requests.py
@@ -68,6 +68,9 @@
         self, call: calls.Call, server: model.ServerIncarnation, response: http.HttpResponse
     ) -> calls.Attempt:
         """Classify the outcome of an attempt by its response."""
+        # A response without the id may be an earlier one that the server wrote once more.
+        if response.header(ATTEMPT_ID) is None:
+            return calls.OutcomeUnknown(f"an answer {response.status} without the request's id")
         if response.status == _STATUS_MISDIRECTED:
             server_id = response.header(SERVER_ID)
             if server_id is not None and server_id.decode("latin-1") != server.server:
@@ -77,8 +80,6 @@
             return calls.NotRun(calls.NotRunReason.FULL, f"status {response.status}")
         if response.header(SIGNATURE) is None:
             return calls.OutcomeUnknown(f"an answer {response.status} without a signature")
-        if response.header(ATTEMPT_ID) is None:
-            return calls.OutcomeUnknown(f"an answer {response.status} without the request's id")
         if response.header(b"content-encoding") is not None:
             return calls.OutcomeUnknown(
                 "an answer with a content encoding, which was not asked for"
--- /dev/null
+++ b/tests/platform/test_requests.py
@@ -0,0 +1,65 @@
+"""Tests which responses of servers prove that a request has not run."""
+
+import testtools
+
+from celerystack import ids
+from celerystack.backend import http
+from celerystack.gateway import calls
+from celerystack.platform import requests
+from tests.gateway import fakes as gateway_fakes
+from tests.ranges import fakes
+
+REQUEST_ID = "9c41d07be2a35f68"
+ECHO = (requests.ATTEMPT_ID, REQUEST_ID.encode())
+NOT_RUN = (requests.NOT_RUN, b"1")
+SERVER = fakes.incarnation("i-1")
+
+
+def call():
+    return calls.Call(
+        request_id=ids.RequestId(REQUEST_ID),
+        route=gateway_fakes.ROUTE,
+        service=fakes.SERVICE,
+        method=b"POST",
+        target=b"/",
+        headers=(),
+        body=b"",
+        key=None,
+        arrived_at=0.0,
+        deadline=1.0,
+    )
+
+
+def classify(status, *headers):
+    response = http.HttpResponse(status=status, reason=b"", headers=headers, body=b"")
+    return requests.HeaderRequestCodec().classify(call(), SERVER, response)
+
+
+class NotRunTest(testtools.TestCase):
+    def test_refusal_with_the_id_of_the_request(self):
+        """Guards against an unknown outcome although the server states that nothing has run."""
+        for status in (400, 429, 503):
+            attempt = classify(status, NOT_RUN, ECHO)
+            self.assertEqual(calls.NotRunReason.FULL, attempt.reason, status)
+
+    def test_refusal_without_an_id_proves_nothing(self):
+        """Guards against a repeated refusal of an earlier request taken for that of this one."""
+        for status in (429, 503):
+            self.assertIsInstance(classify(status, NOT_RUN), calls.OutcomeUnknown, status)
+
+    def test_misdirected_with_the_id_of_the_request(self):
+        """Guards against giving up a request although its key only has to be granted again."""
+        self.assertEqual(calls.NotRunReason.KEY_NOT_HELD, classify(421, ECHO).reason)
+        other = classify(421, ECHO, (requests.SERVER_ID, b"i-2"))
+        self.assertEqual(calls.NotRunReason.OTHER_SERVER, other.reason)
+
+    def test_misdirected_without_an_id_proves_nothing(self):
+        """Guards against sending a request again because of an earlier one's refusal."""
+        self.assertIsInstance(classify(421), calls.OutcomeUnknown)
+        other = classify(421, (requests.SERVER_ID, b"i-2"))
+        self.assertIsInstance(other, calls.OutcomeUnknown)
+
+    def test_other_statuses_prove_nothing(self):
+        """Guards against taking a failure without the server's statement for a refusal."""
+        for status in (408, 429, 500, 502, 503, 504):
+            self.assertNotIsInstance(classify(status, ECHO), calls.NotRun, status)
