Bound endless responses, and send repeats on connections of their own

Causes: - A call that was sent to the same server again (its key had to be granted again) could use the connection of its first attempt. The first refusal, written once more, has the id of the call, so it passed for the answer to the attempt that runs. The same holds for releases of keys, whose responses carry no id: a repeated one ended the wait for keys that were still held. - Chunk framing and skipped responses were read without end until the deadline, and several bodies of up to 16 MiB at once could use up the memory of a small VM. - The connections to a server that left with requests in flight were never closed. Ruled out: heads, interim responses and trailers without end; the parser's limits already end them. Change: a repeat to the same incarnation needs a connection that has carried no exchange, a release too. An exchange may receive 1 MiB, plus 8 bytes for each byte of body, that are no body; all bodies that are being received share a fifth of the VM's memory. The last exchange closes the pool.

--- a/src/celerystack/backend/client.py
+++ b/src/celerystack/backend/client.py
@@ -14,6 +14,7 @@
 from celerystack.backend import connection as connections
 from celerystack.backend import exchange as exchanges
 from celerystack.backend import http
+from celerystack.limits import byte_budget
 
 CONNECT_TIMEOUT_S = 0.5
 """Time in seconds after which an attempt to connect fails."""
@@ -53,6 +54,10 @@
         ``IP:port`` of the server.
     limit : int
         Largest number of open connections; further exchanges wait in order of arrival.
+    keeps_connections : bool
+        Whether a connection is used for more than one exchange.
+    budget : ByteBudget or None
+        Budget for the bodies of responses that `exchange` receives.
     now : callable
         Monotonic clock in seconds that deadlines refer to.
     """
@@ -65,6 +70,8 @@
         limit: int,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         idle_timeout_s: float = IDLE_TIMEOUT_S,
+        keeps_connections: bool = True,
+        budget: byte_budget.ByteBudget | None = None,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self._reactor = reactor
@@ -75,6 +82,8 @@
         self._limit = limit
         self._connect_timeout_s = connect_timeout_s
         self._idle_timeout_s = idle_timeout_s
+        self._keeps_connections = keeps_connections
+        self._budget = budget
         self._now = now
         self._factory = _ConnectFactory(self)
         self._open: set[connections.ClientConnection] = set()
@@ -124,6 +133,7 @@
         response_bytes_max: int = RESPONSE_BYTES_MAX,
         matches_request: Callable[[http.HeaderList], bool] | None = None,
         allow_close_delimited: bool = False,
+        needs_new_connection: bool = False,
     ) -> defer.Deferred[http.HttpResponse]:
         """Send a request and return the complete response.
 
@@ -137,6 +147,10 @@
             Returns whether a response with these headers answers this request; others are skipped.
         allow_close_delimited : bool
             Whether a response without a length may be delimited by the close of its connection.
+        needs_new_connection : bool
+            Whether the request may only be sent on a connection that has carried no exchange
+            before. For a request that was sent to this server before: an earlier response to it
+            that the server writes once more cannot arrive there.
 
         Raises
         ------
@@ -155,6 +169,8 @@
             stream=False,
             matches_request=matches_request,
             allow_close_delimited=allow_close_delimited,
+            needs_new_connection=needs_new_connection,
+            budget=self._budget,
         )
 
     def exchange_streaming(
@@ -184,6 +200,8 @@
         stream: bool,
         matches_request: Callable[[http.HeaderList], bool] | None = None,
         allow_close_delimited: bool = False,
+        needs_new_connection: bool = False,
+        budget: byte_budget.ByteBudget | None = None,
     ) -> defer.Deferred[Any]:
         exchange = exchanges.Exchange(
             request,
@@ -194,6 +212,8 @@
             on_abort=self._on_exchange_abort,
             matches_request=matches_request,
             allow_close_delimited=allow_close_delimited,
+            needs_new_connection=needs_new_connection,
+            budget=budget,
         )
         remaining = deadline - self._now()
         if self._closed or remaining <= 0:
@@ -201,14 +221,8 @@
             exchange.fail(self._not_run(reason))
             return exchange.deferred
         exchange.timer = self._reactor.callLater(remaining, exchange.expire)
-        connection = self._take_idle()
-        if connection is not None and not self._waiting:
-            connection.start(exchange)
-        else:
-            self._waiting.append(exchange)
-            if connection is not None:
-                self._idle.append(connection)
-            self._start_waiting_exchanges()
+        self._waiting.append(exchange)
+        self._start_waiting_exchanges()
         return exchange.deferred
 
     def _not_run(self, reason: str) -> errors.NotRunError:
@@ -230,7 +244,29 @@
             connection = self._take_idle()
             if connection is None:
                 break
-            connection.start(self._waiting.popleft())
+            exchange = self._take_waiting(connection)
+            if exchange is None:
+                self._keep_or_replace(connection)
+                break
+            connection.start(exchange)
+        self._open_connections()
+
+    def _take_waiting(self, connection: connections.ClientConnection) -> exchanges.Exchange | None:
+        """Remove and return the first waiting exchange that may use a connection."""
+        for exchange in self._waiting:
+            if not (connection.is_reused and exchange.needs_new_connection):
+                self._waiting.remove(exchange)
+                return exchange
+        return None
+
+    def _keep_or_replace(self, connection: connections.ClientConnection) -> None:
+        """Keep an idle connection that no waiting exchange may use, or close it for a new one."""
+        if self.open_count < self._limit:
+            self._idle.append(connection)
+        else:
+            self._drop(connection)
+
+    def _open_connections(self) -> None:
         while len(self._waiting) > self._connecting_count and self.open_count < self._limit:
             self._connecting_count += 1
             self._reactor.connectTCP(
@@ -259,7 +295,8 @@
         self._start_waiting_exchanges()
 
     def _became_idle(self, connection: connections.ClientConnection) -> None:
-        if self._closed or self._exceeds_limit():
+        is_spent = connection.is_reused and not self._keeps_connections
+        if self._closed or is_spent or self._exceeds_limit():
             self._drop(connection)
             return
         connection.idle_since = self._now()
--- a/src/celerystack/backend/connection.py
+++ b/src/celerystack/backend/connection.py
@@ -23,6 +23,11 @@
 """Bytes passed to the transport at once of a request that did not fit into the socket buffer."""
 HEAD_BYTES_MAX = 64 * 1024
 """Largest head of a response in bytes."""
+OVERHEAD_BYTES_MAX = 1024 * 1024
+"""Largest number of bytes received during an exchange that are not part of its body: heads, skipped
+responses, chunk framing and trailers. Framing may be up to `FRAMING_BYTES_PER_BODY_BYTE` longer."""
+FRAMING_BYTES_PER_BODY_BYTE = 8
+"""Framing of a chunk with a single byte is 5 bytes long; a short extension also fits."""
 _BODYLESS_STATUSES = (204, 304)
 _END_OF_MESSAGE = h11.EndOfMessage()
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)", re.IGNORECASE)
@@ -80,6 +85,8 @@
         Monotonic time in seconds at which the connection last became idle.
     idle_until : float
         Monotonic time in seconds after which the idle connection must not be reused.
+    is_reused : bool
+        Whether the connection has carried an exchange before.
     keep_alive_s : int or None
         Timeout in the ``Keep-Alive`` header that the server last sent.
     """
@@ -99,7 +106,8 @@
         self._has_remainder = False
         self.closing = False
         self._paused = False
-        self._is_reused = False
+        self.is_reused = False
+        self._overhead_bytes = 0
         self._response_started = False
         self._skipping_response = False
         self.idle_since = 0.0
@@ -150,6 +158,7 @@
             exchange.fail(self._not_run(f"the connection is closed: {caught}"))
             return
         self._response_started = False
+        self._overhead_bytes = 0
         exchange.state = exchanges.ExchangeState.WRITTEN
         exchange.connection = self
         self._exchange = exchange
@@ -191,11 +200,15 @@
             self.abort()
             return
         self._response_started = True
+        self._overhead_bytes += len(data)
         try:
             self._h11.receive_data(data)
             self._read_events()
         except h11.RemoteProtocolError as caught:
             self._fail_exchange(f"malformed answer: {caught}")
+            return
+        if self._exchange is not None and self._overhead_bytes > OVERHEAD_BYTES_MAX:
+            self._fail_exchange("the server sent too many bytes that are not part of the answer")
 
     def _read_events(self) -> None:
         while self._exchange is not None and not self.closing:
@@ -207,6 +220,7 @@
                 return
             if isinstance(event, h11.Data):
                 if not self._skipping_response:
+                    self._overhead_bytes -= len(event.data) * (1 + FRAMING_BYTES_PER_BODY_BYTE)
                     self._exchange.receive(bytes(event.data))
             elif isinstance(event, h11.Response):
                 self._begin_response(event)
@@ -263,7 +277,7 @@
             and not self._has_remainder
             and not self._h11.trailing_data[0]
         )
-        self._is_reused = True
+        self.is_reused = True
         if reusable:
             self._h11.start_next_cycle()
             self.resume_reading()
@@ -295,7 +309,7 @@
             return
         self.closing = True
         connection_outcome = exchanges.ConnectionOutcome.BROKEN
-        if self._is_reused and not self._response_started:
+        if self.is_reused and not self._response_started:
             connection_outcome = exchanges.ConnectionOutcome.MAYBE_IDLE_CLOSE
         self._fail_exchange(
             f"the connection was lost: {reason.getErrorMessage()}", connection_outcome
--- a/src/celerystack/backend/exchange.py
+++ b/src/celerystack/backend/exchange.py
@@ -11,6 +11,7 @@
 
 from celerystack import errors
 from celerystack.backend import http
+from celerystack.limits import byte_budget
 
 if TYPE_CHECKING:
     from celerystack.backend import connection
@@ -146,16 +147,23 @@
         Returns whether a response with these headers answers this request; others are skipped.
     allow_close_delimited : bool
         Whether a response without a length is complete when the server closes its connection.
+    needs_new_connection : bool
+        Whether the request may only be sent on a connection that has carried no exchange before.
+    budget : ByteBudget or None
+        Budget from which body bytes are reserved while the exchange holds them.
     """
 
     __slots__ = (
+        "_reserved_bytes",
         "allow_close_delimited",
         "body_parts",
         "body_size",
+        "budget",
         "connection",
         "deferred",
         "headers",
         "matches_request",
+        "needs_new_connection",
         "observer",
         "on_abort",
         "peer",
@@ -180,6 +188,8 @@
         on_abort: Callable[[Exchange], None],
         matches_request: Callable[[http.HeaderList], bool] | None = None,
         allow_close_delimited: bool = False,
+        needs_new_connection: bool = False,
+        budget: byte_budget.ByteBudget | None = None,
     ) -> None:
         self.request = request
         self.peer = peer
@@ -189,6 +199,9 @@
         self.on_abort = on_abort
         self.matches_request = matches_request
         self.allow_close_delimited = allow_close_delimited
+        self.needs_new_connection = needs_new_connection
+        self.budget = budget
+        self._reserved_bytes = 0
         self.state = ExchangeState.WAITING
         self.deferred: defer.Deferred[Any] = defer.Deferred(self._on_deferred_cancelled)
         self.timer: interfaces.IDelayedCall | None = None
@@ -240,19 +253,17 @@
         if self.streamed is not None:
             self.streamed.receive(data)
             return
+        if self.budget is not None:
+            if not self.budget.try_reserve(len(data)):
+                self._reject_body("the memory for answers is used up")
+                return
+            self._reserved_bytes += len(data)
         self.body_parts.append(data)
         self.body_size += len(data)
         if self.body_size <= self.whole_body_bytes_max:
             return
         if not self.stream:
-            self.fail(
-                errors.OutcomeUnknownError(
-                    f"the answer exceeds {self.whole_body_bytes_max} bytes",
-                    step="backend.exchange",
-                    peer=self.peer,
-                )
-            )
-            self.on_abort(self)
+            self._reject_body(f"the answer exceeds {self.whole_body_bytes_max} bytes")
             return
         self.state = ExchangeState.STREAMING
         self.streamed = StreamedResponse(self)
@@ -260,6 +271,11 @@
             self.connection.pause_reading()
         self.deferred.callback(self.streamed)
 
+    def _reject_body(self, reason: str) -> None:
+        """Fail and close the connection, because the body is too large to be held."""
+        self.fail(errors.OutcomeUnknownError(reason, step="backend.exchange", peer=self.peer))
+        self.on_abort(self)
+
     def complete(self) -> None:
         """End the exchange with a complete response."""
         if self.state is ExchangeState.DONE:
@@ -293,6 +309,8 @@
 
     def _finish(self, connection_outcome: ConnectionOutcome = ConnectionOutcome.INTACT) -> None:
         self.state = ExchangeState.DONE
+        if self.budget is not None:
+            self.budget.release(self._reserved_bytes)
         if self.observer is not None:
             self.observer.on_end(connection_outcome)
         if self.timer is not None:
--- a/src/celerystack/gateway/dispatch.py
+++ b/src/celerystack/gateway/dispatch.py
@@ -12,7 +12,7 @@
 from celerystack.backend import client
 from celerystack.fleet import servers
 from celerystack.gateway import calls, config, retries, server_queue
-from celerystack.limits import crash_suspects
+from celerystack.limits import byte_budget, crash_suspects
 from celerystack.ranges import model
 
 MOVE_WAIT_S = 0.6
@@ -88,6 +88,8 @@
     ----------
     zone : ZoneName
         Availability zone of this VM, whose servers are preferred.
+    answer_budget : ByteBudget
+        Budget for the bodies of all responses that are being received.
     now : callable
         Clock in seconds to which deadlines refer.
     open_pool : callable
@@ -103,6 +105,7 @@
         key_routing: KeyRouting,
         request_codec: calls.RequestCodec,
         budget: retries.RetryBudgetShare,
+        answer_budget: byte_budget.ByteBudget,
         now: Callable[[], float],
         open_pool: Callable[..., client.ServerPool] = client.ServerPool,
     ) -> None:
@@ -113,6 +116,7 @@
         self._key_routing = key_routing
         self._request_codec = request_codec
         self._budget = budget
+        self._answer_budget = answer_budget
         self._now = now
         self._policies: dict[ids.ServiceName, config.ServicePolicy] = {}
         self._server_queues_by_incarnation: dict[
@@ -383,6 +387,7 @@
             limit=self._connection_limit(record, vms),
             connect_timeout_s=CONNECT_TIMEOUT_S,
             idle_timeout_s=IDLE_CONNECTION_S,
+            budget=self._answer_budget,
             now=self._now,
         )
         return server_queue.ServerQueue(
--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -25,6 +25,7 @@
     shutdown,
     store_watcher,
 )
+from celerystack.limits import byte_budget
 from celerystack.ranges import coordinator, orders
 from celerystack.requests import callerhttp
 
@@ -112,6 +113,7 @@
                 allowance=node_settings.retry_allowance,
                 window_s=node_settings.retry_window_s,
             ),
+            answer_budget=byte_budget.ByteBudget(node_settings.answer_bytes_max),
             now=now,
         )
         self.coordinator.set_unreachable_source(self.dispatcher.refusing_servers)
--- a/src/celerystack/gateway/server_queue.py
+++ b/src/celerystack/gateway/server_queue.py
@@ -94,6 +94,7 @@
         self._suspect_until = 0.0
         self._connect_failed_at = float("-inf")
         self._failed_connects = 0
+        self._close_reason: str | None = None
         self.latency_s = INITIAL_LATENCY_S
 
     @property
@@ -160,6 +161,7 @@
             self._started_at.pop(attempt_number, None)
             self._limit.release()
             self._start_waiting_calls()
+            self._close_pool_if_idle()
 
     def release_moved_calls(self, is_owned: Callable[[calls.Call], bool]) -> None:
         """Remove calls from the queue whose keys this server no longer owns."""
@@ -230,6 +232,7 @@
                 response_bytes_max=RESPONSE_BYTES_MAX,
                 matches_request=lambda headers: self._request_codec.matches_request(call, headers),
                 allow_close_delimited=True,
+                needs_new_connection=self._was_sent_before(call),
             )
         except errors.NotRunError as error:
             if isinstance(error, errors.ConnectFailedError):
@@ -248,6 +251,10 @@
             self._request_codec.classify(call, self.incarnation, response), started
         )
 
+    def _was_sent_before(self, call: calls.Call) -> bool:
+        """Return whether the call was sent to this incarnation, which may repeat its response."""
+        return any(step.server == self.incarnation for step in call.steps)
+
     def _record_answer(self, attempt: calls.Attempt, started: float) -> calls.Attempt:
         now = self._now()
         self._last_answer_at = now
@@ -266,11 +273,15 @@
         return attempt
 
     def close(self, reason: str) -> None:
-        """Remove all calls from the queue, and close the connections if no exchange is running."""
+        """Remove all calls from the queue; close the connections when no exchange is running."""
+        self._close_reason = reason
         self._end_waits(self._queue.remove_where(lambda _: True), _WaitOutcome.SERVER_LEFT)
         self._schedule_expiry()
-        if not self._started_at:
-            self.pool.close(reason)
+        self._close_pool_if_idle()
+
+    def _close_pool_if_idle(self) -> None:
+        if self._close_reason is not None and not self._started_at:
+            self.pool.close(self._close_reason)
 
     @property
     def is_idle(self) -> bool:
--- a/src/celerystack/gateway/settings.py
+++ b/src/celerystack/gateway/settings.py
@@ -12,6 +12,10 @@
 """Below this bandwidth in Mbit/s a VM is small: a planner sends map changes to all entry VMs, and
 whole maps of about 20 KB to those that lack them."""
 
+ANSWER_MEMORY_SHARE = 0.2
+"""Fraction of the memory for responses that are being received. A response is held twice for a
+moment, when it is joined and written to its caller, and the process itself needs the rest."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class NodeSettings:
@@ -27,6 +31,8 @@
         Processor cores that the VM may use; a fraction is part of a core.
     link_mbps : float
         Bandwidth of the VM's link in Mbit/s.
+    memory_bytes : int
+        Memory in bytes that the process may use.
     """
 
     vm: ids.EntryVmId
@@ -42,6 +48,12 @@
     retry_allowance: float
     cores: float
     link_mbps: float
+    memory_bytes: int
+
+    @property
+    def answer_bytes_max(self) -> int:
+        """Largest number of bytes of responses that exchanges hold together."""
+        return int(self.memory_bytes * ANSWER_MEMORY_SHARE)
 
     @property
     def is_small(self) -> bool:
--- a/src/celerystack/platform/orders.py
+++ b/src/celerystack/platform/orders.py
@@ -25,7 +25,10 @@
     """Implements `orders.OrderPort`.
 
     Grants and releases use separate connection pools, because a server responds to a release only
-    when its work on the keys has ended.
+    when its work on the keys has ended. Responses to orders carry no id, so each release has a
+    connection of its own: an earlier response that the server writes once more must not end the
+    wait for the keys. A repeated response to a grant is harmless, because a lease counts from the
+    moment at which its grant is sent.
     """
 
     def __init__(self, reactor: Any, *, now: Callable[[], float]) -> None:
@@ -97,6 +100,7 @@
                 limit=connections,
                 connect_timeout_s=CONNECT_TIMEOUT_S,
                 idle_timeout_s=IDLE_S,
+                keeps_connections=connections == GRANT_CONNECTIONS,
                 now=self._now,
             )
         return pool
--- a/src/celerystack/platform/settings.py
+++ b/src/celerystack/platform/settings.py
@@ -63,6 +63,7 @@
             retry_allowance=float(terms["retry_budget_slack"]),
             cores=float(limits["cpu_share"]) * float(limits["cpu_cores"]),
             link_mbps=float(limits["link_mbps"]),
+            memory_bytes=int(float(limits["memory_mb"]) * 1_000_000),
         )
     except (KeyError, ValueError, TypeError, IndexError) as error:
         raise errors.SettingsError(
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -9,7 +9,7 @@
 from celerystack.backend import http
 from celerystack.fleet import servers
 from celerystack.gateway import calls, config, dispatch, retries, server_queue
-from celerystack.limits import crash_suspects
+from celerystack.limits import byte_budget, crash_suspects
 from celerystack.ranges import model, range_maps
 from tests.gateway import fakes as gateway_fakes
 from tests.ranges import fakes
@@ -28,8 +28,10 @@
         self.address = address
         self.sent = []
         self.closed = False
+        self.new_connections = []
 
-    def exchange(self, request, **_):
+    def exchange(self, request, *, needs_new_connection, **_):
+        self.new_connections.append(needs_new_connection)
         answer = defer.Deferred()
         self.sent.append((request, answer))
         return answer
@@ -107,6 +109,7 @@
             key_routing=self.key_routing,
             request_codec=RequestCodec(),
             budget=retries.RetryBudgetShare(ratio=1.0, allowance=1000.0, window_s=10.0),
+            answer_budget=byte_budget.ByteBudget(1_000_000),
             now=self.clock.seconds,
             open_pool=self.open_pool,
         )
@@ -214,6 +217,23 @@
         self.assertEqual([], [one for one in replies if one and isinstance(one[0], calls.Refused)])
         self.assertEqual(8, len([one for one in replies if one]))
 
+    def test_connections_are_closed_after_the_last_answer(self):
+        """Guards against connections to servers that have left, which nothing closes later."""
+        for _ in range(2):
+            self.call()
+        leaving = [
+            dataclasses.replace(entry, state=servers.ServerState.DRAINING)
+            for entry in self.entries.values()
+        ]
+        self.directory.apply_changes(leaving, [], self.clock.seconds())
+        self.call()
+        busy = [pool for pool in self.pools.values() if pool.sent]
+        self.assertTrue(busy)
+        self.assertFalse(any(pool.closed for pool in busy))
+        for pool in busy:
+            pool.answer()
+        self.assertTrue(all(pool.closed for pool in self.pools.values()))
+
 
 class RepeatTest(DispatchCase):
     def test_key_that_is_not_held_is_asked_for_again(self):
@@ -224,6 +244,13 @@
         self.pools["1"].answer()
         self.assertIsInstance(replies[0], calls.Answered)
 
+    def test_call_that_is_sent_again_needs_a_new_connection(self):
+        """Guards against an earlier refusal of the call that the server writes once more."""
+        self.call()
+        self.pools["1"].answer(421)
+        self.clock.advance(dispatch.NOT_HELD_WAIT_S)
+        self.assertEqual([False, True], self.pools["1"].new_connections)
+
     def test_lost_answer_of_a_request_that_may_run_once_is_final(self):
         """Guards against running a request twice that is not idempotent."""
         replies = self.call(idempotent=False)
