Run pipelined requests of a caller at the same time

Cause: a caller's connection was served one request at a time; the second pipelined request was not even read while the first ran, so requests of about a second of work queued behind each other. Ruled out: dispatching all that a connection holds. A request that is not idempotent must not overtake the ones before it, and responses must keep the order. Responses wait for the earlier ones. Deadlines count from the time at which the bytes were received. A response that closes the connection ends the requests behind it; a shutdown closes only behind the last request that was read. A malformed request is rejected after the responses before it.

--- a/src/celerystack/gateway/frontend.py
+++ b/src/celerystack/gateway/frontend.py
@@ -50,7 +50,11 @@
         self._routes: config.RouteTable | None = None
         self._splitter = config.Splitter()
         self._factory = callerhttp.CallerFactory(
-            reactor, self._on_request, limits=callerhttp.Limits(idle_s=20.0), now=now
+            reactor,
+            self._on_request,
+            limits=callerhttp.Limits(idle_s=20.0),
+            may_overlap=self._may_overlap,
+            now=now,
         )
         self._port: Any = None
 
@@ -117,23 +121,45 @@
         headers = ((b"Content-Length", b"%d" % len(body)),)
         request.answer(error.status, twisted_http.RESPONSES[error.status], headers, body)
 
-    def _read_call(self, request: callerhttp.CallerRequest) -> calls.Call | None:
-        """Parse and route a request; return None if there is no configuration yet."""
+    def _may_overlap(self, request: callerhttp.CallerRequest) -> bool:
+        """Return whether a pipelined request may run beside others: whether it is idempotent."""
+        if self._routes is None:
+            return False
+        try:
+            route = self._find_route(request, self._read_headers(request), self._routes)
+        except calls.BadRequestError:
+            return False
+        return route.idempotent
+
+    def _read_headers(self, request: callerhttp.CallerRequest) -> calls.CallerHeaders:
         if not _TARGET.fullmatch(request.uri):
             raise calls.BadRequestError(400, "the target must be a path of visible characters")
         if not _METHOD.fullmatch(request.method) or request.method == b"CONNECT":
             raise calls.BadRequestError(400, "the method is not supported")
-        if self._routes is None:
-            return None
         parsed = self._request_codec.read(request)
         if any(_CONTROL.search(value) for _, value in parsed.forwarded):
             raise calls.BadRequestError(
                 400, "a header value contains a control character", request_id=parsed.request_id
             )
-        path = request.path.decode("ascii")
-        route = self._routes.find(parsed.host, path)
+        return parsed
+
+    def _find_route(
+        self,
+        request: callerhttp.CallerRequest,
+        parsed: calls.CallerHeaders,
+        routes: config.RouteTable,
+    ) -> config.Route:
+        route = routes.find(parsed.host, request.path.decode("ascii"))
         if route is None:
             raise calls.BadRequestError(404, "no route matches", request_id=parsed.request_id)
+        return route
+
+    def _read_call(self, request: callerhttp.CallerRequest) -> calls.Call | None:
+        """Parse and route a request; return None if there is no configuration yet."""
+        parsed = self._read_headers(request)
+        if self._routes is None:
+            return None
+        route = self._find_route(request, parsed, self._routes)
         arrived = request.received_at
         remaining_s = DEADLINE_DEFAULT_S if parsed.remaining_s is None else parsed.remaining_s
         return calls.Call(
--- a/src/celerystack/requests/callerhttp.py
+++ b/src/celerystack/requests/callerhttp.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 channel for callers, based on twisted.web: limits, strict framing and draining."""
+"""HTTP/1.1 channel for callers, based on twisted.web: limits, framing, pipelining and draining."""
 
 from __future__ import annotations
 
@@ -10,11 +10,13 @@
 from typing import Any
 
 from twisted.internet import defer, protocol, tcp
+from twisted.protocols import basic
 from twisted.python import failure
 from twisted.web import http, iweb
 from zope.interface import provider
 
 from celerystack.backend import http as backend_http
+from celerystack.requests import pipeline
 
 DRAIN_IDLE_S = 1.5
 """While draining, idle connections stay open this long after the last response, so that a
@@ -43,8 +45,10 @@
     def __init__(self, channel: CallerChannel) -> None:
         super().__init__(channel)
         self.factory = channel.factory
-        self.received_at = self.factory.now()
+        self.received_at = channel.received_at
         self._rejected = False
+        self._closes_connection = False
+        self._abandoned = False
         self._body_bytes_received = 0
         self._on_disconnect: Callable[[], None] | None = None
         self.factory.request_started(self)
@@ -81,6 +85,10 @@
             return
         self.method, self.uri, self.clientproto = command, path, version
         self.path = path.partition(b"?")[0]
+        self.channel.request_read(self)
+
+    def start(self) -> None:
+        """Pass on the request, because the requests before it allow it to run."""
         self.factory.on_request(self)
 
     def header_list(self) -> backend_http.HeaderList:
@@ -100,12 +108,21 @@
         self._on_disconnect = callback
 
     def is_disconnected(self) -> bool:
-        """Return whether the caller's connection was lost."""
-        return self._disconnected
+        """Return whether no response can reach the caller any more."""
+        return self._disconnected or self._abandoned
+
+    @property
+    def closes_connection(self) -> bool:
+        """Whether the connection is closed after the response."""
+        return self._closes_connection
+
+    def note_last(self) -> None:
+        """Record that the caller sends no request after this one."""
+        self._closes_connection = True
 
     def close_after_answer(self) -> None:
         """Close the connection after this response and add ``Connection: close`` to it."""
-        self.channel.persistent = False
+        self._closes_connection = True
         self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
 
     def abort(self) -> None:
@@ -120,7 +137,9 @@
         Bypasses the header map of twisted.web, which normalizes each name and value again. The
         headers must contain the length of the body and no line breaks.
         """
-        if self.factory.draining:
+        if self.is_disconnected():
+            return
+        if self.factory.draining and self.channel.is_last(self):
             self.close_after_answer()
         self.startedWriting = 1
         parts = [b"%s %d %s" % (self.clientproto, status, reason)]
@@ -130,8 +149,7 @@
         parts.append(b"")
         bodyless = self.method == b"HEAD" or status in http.NO_BODY_CODES
         parts.append(b"" if bodyless else body)
-        self.channel.send(b"\r\n".join(parts))
-        self.finish()
+        self.channel.send_in_order(self, b"\r\n".join(parts))
 
     def write(self, data: bytes) -> None:
         """Write body bytes; while draining, the head gets ``Connection: close``."""
@@ -147,10 +165,18 @@
     def connectionLost(self, reason: failure.Failure) -> None:  # noqa: N802
         """Run the disconnect callback if the response was not finished."""
         super().connectionLost(reason)
-        if not self.finished:
-            self.factory.request_ended(self)
-            if self._on_disconnect is not None:
-                self._on_disconnect()
+        if not self.finished and not self._abandoned:
+            self._end_unanswered()
+
+    def abandon(self) -> None:
+        """End a request whose response cannot be sent, because the connection closes before it."""
+        self._abandoned = True
+        self._end_unanswered()
+
+    def _end_unanswered(self) -> None:
+        self.factory.request_ended(self)
+        if self._on_disconnect is not None:
+            self._on_disconnect()
 
 
 def _discard(data: bytes) -> None:
@@ -166,12 +192,21 @@
     return bool(transport.connected) and not transport.disconnecting and not buffered
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Rejection:
+    """Status and reason of the response to a request that cannot be read."""
+
+    status: int
+    reason: bytes
+
+
 class CallerChannel(http.HTTPChannel):
     """HTTP/1.1 connection of a caller, with the limits of its factory."""
 
     requestFactory = CallerRequest  # noqa: N815
     factory: CallerFactory
     _linger_timer: Any = None
+    _rejection: _Rejection | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Apply the header limits and register the connection."""
@@ -179,6 +214,12 @@
         self.totalHeadersSize = limits.header_bytes_max
         self.maxHeaders = limits.header_count_max
         self.factory.channels.add(self)
+        self.received_at = self.factory.now()
+        self._pipeline: pipeline.Pipeline[CallerRequest] = pipeline.Pipeline(
+            self.factory.may_overlap
+        )
+        self._unparsed_since: list[float] = []
+        self._is_replaying = False
         super().connectionMade()
 
     def connectionLost(self, reason: failure.Failure) -> None:  # noqa: N802
@@ -202,22 +243,152 @@
         if data:
             self.write(data)
 
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Record when the bytes were received, from which the deadlines of requests count."""
+        self.received_at = self.factory.now()
+        super().dataReceived(data)
+
+    def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Read on while earlier requests are not answered, as far as the pipeline permits."""
+        if not self._handlingRequest:
+            super().rawDataReceived(data)
+        elif self._is_replaying or not self._dataBuffer:
+            if self._may_read_on():
+                self._parse(data)
+            else:
+                self._keep_unparsed(data)
+        else:
+            self._keep_unparsed(data)
+            self._replay_unparsed()
+
+    def _may_read_on(self) -> bool:
+        if not self.persistent or self._rejection is not None:
+            return False
+        if not self._pipeline:
+            return True
+        is_busy = self.factory.draining or self._waitingForTransport
+        return not is_busy and self._pipeline.may_read_on
+
+    def _parse(self, data: bytes) -> None:
+        """Parse bytes that were received earlier; they may be in the middle of a request."""
+        if self._handlingRequest:
+            self._await_request()
+        # Not `self.dataReceived`, which records the time.
+        basic.LineReceiver.dataReceived(self, data)
+
+    def _await_request(self) -> None:
+        """Take the next bytes for the start of a request."""
+        self._handlingRequest = False
+        self.setLineMode()
+
+    def _keep_unparsed(self, data: bytes) -> None:
+        """Keep bytes for a later request; beyond a limit nothing more is received."""
+        # Bytes that are left over from a replay are older than the ones that are kept.
+        position = 0 if self._is_replaying else len(self._dataBuffer)
+        self._dataBuffer.insert(position, data)
+        self._unparsed_since.insert(position, self.received_at)
+        is_full = sum(map(len, self._dataBuffer)) > self._optimisticEagerReadSize
+        if is_full and not self._waitingForTransport:
+            self._networkProducer.pauseProducing()
+
+    def _finishRequestBody(self, data: bytes) -> None:  # noqa: N802
+        """Keep what follows a body, because it belongs to further requests."""
+        if data:
+            self._keep_unparsed(data)
+        self.allContentReceived()
+        self._replay_unparsed()
+
+    def _replay_unparsed(self) -> None:
+        """Parse the bytes that were kept, as far as the pipeline permits."""
+        was_replaying, self._is_replaying = self._is_replaying, True
+        while self._dataBuffer and (not self._handlingRequest or self._may_read_on()):
+            self.received_at = self._unparsed_since.pop(0)
+            self._parse(self._dataBuffer.pop(0))
+        self._is_replaying = was_replaying
+
+    def request_read(self, request: CallerRequest) -> None:
+        """Start a complete request, or keep it until the requests before it allow it."""
+        self._pipeline.add(request, request.content.tell())
+        self._start_requests()
+
+    def _start_requests(self) -> None:
+        while not self._waitingForTransport:
+            request = self._pipeline.take_startable()
+            if request is None:
+                return
+            request.start()
+
+    def is_last(self, request: CallerRequest) -> bool:
+        """Return whether no complete request of the connection was read after this one."""
+        return self._pipeline.is_last(request)
+
+    def send_in_order(self, request: CallerRequest, response: bytes) -> None:
+        """Send a whole response once all earlier ones are sent, and finish its request."""
+        if not self._pipeline.is_first(request):
+            self._pipeline.hold(request, response)
+            return
+        self.send(response)
+        request.finish()
+
+    def requestDone(self, request: CallerRequest) -> None:  # noqa: N802
+        """Send held responses, start further requests and read on, after a response was sent."""
+        if not self._pipeline.is_first(request):
+            raise TypeError("a response was finished before those of earlier requests")
+        self._pipeline.remove_first()
+        self.requests.remove(request)
+        if request.closes_connection:
+            self._abandon_requests()
+            self.loseConnection()
+            return
+        held = self._pipeline.first_held()
+        if held is not None:
+            self.send_in_order(*held)
+            return
+        if self._rejection is not None and not self._pipeline:
+            self._send_rejection()
+            return
+        if not self._waitingForTransport:
+            self._networkProducer.resumeProducing()
+        self._start_requests()
+        self._replay_unparsed()
+        if not self._pipeline and self._handlingRequest:
+            self._await_request()
+        if self._savedTimeOut and not self._pipeline.is_running:
+            self.setTimeout(self._savedTimeOut)
+
+    def _abandon_requests(self) -> None:
+        """End the requests behind a response that closes the connection; they count as unread."""
+        for request in self._pipeline.clear():
+            request.abandon()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Start requests that waited because the caller did not read its responses."""
+        super().resumeProducing()
+        self._start_requests()
+        self._replay_unparsed()
+
     def reject(self, status: int, reason: bytes) -> None:
-        """Reject a request that cannot be read and close the connection.
+        """Reject a request that cannot be read, once those before it are answered."""
+        if self._linger_timer is not None or self._rejection is not None:
+            return
+        self._rejection = _Rejection(status, reason)
+        self.paused = True
+        self.dataReceived = _discard
+        if not self._pipeline:
+            self._send_rejection()
+
+    def _send_rejection(self) -> None:
+        """Send the rejection and close the connection.
 
         Discards what the caller sends for up to `LINGER_S`, because closing a socket with unread
         bytes resets the connection and the caller might lose the response.
         """
-        if self._linger_timer is not None:
-            return
-        body = reason + b"\n"
+        status, body = self._rejection.status, self._rejection.reason + b"\n"
         self.transport.write(
             b"HTTP/1.1 %d %s\r\nX-Celerystack-Outcome: not-run\r\nContent-Length: %d\r\n"
             b"Connection: close\r\n\r\n%s" % (status, http.RESPONSES[status], len(body), body)
         )
         self.persistent = False
-        self.paused = True
-        self.dataReceived = _discard
         self.setTimeout(None)
         self._networkProducer.unregisterProducer()
         self.transport.loseWriteConnection()
@@ -230,8 +401,17 @@
         """
         for value in request.requestHeaders.getRawHeaders(b"Connection", ()):
             if b"close" in (part.strip().lower() for part in value.split(b",")):
+                request.note_last()
                 return False
-        return super().checkPersistence(request, version)
+        if super().checkPersistence(request, version):
+            return True
+        request.note_last()
+        return False
+
+    def _send100Continue(self) -> None:  # noqa: N802
+        # Between the responses to earlier requests it would belong to one of those.
+        if not self._pipeline:
+            super()._send100Continue()
 
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
         """Reject a line above `MAX_LENGTH`; twisted.web only closes the connection."""
@@ -242,6 +422,11 @@
         self.reject(400, b"malformed request")
 
 
+def _never_overlaps(_request: CallerRequest) -> bool:
+    """Let each request wait until all before it are answered."""
+    return False
+
+
 class CallerFactory(protocol.ServerFactory):
     """Creates caller connections and tracks the requests on them.
 
@@ -249,6 +434,8 @@
     ----------
     on_request : callable
         Called with each complete request.
+    may_overlap : callable
+        Returns whether a pipelined request may run beside other requests of its connection.
     """
 
     protocol = CallerChannel
@@ -260,9 +447,11 @@
         on_request: Callable[[CallerRequest], None],
         *,
         limits: Limits,
+        may_overlap: Callable[[CallerRequest], bool] = _never_overlaps,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self.on_request = on_request
+        self.may_overlap = may_overlap
         self.limits = limits
         self.now = now
         self.draining = False
