Queue calls of undivided services for the service, by priority and target

Cause: each VM queued calls for one server and let up to one call per server be in flight, so that 12 VMs together kept up to 12 calls at a server with 4 slots. They waited there in the order of arrival; short urgent calls waited behind long ones and were rejected first, because their expected time was that of the average call. Ruled out: a shortage of capacity for the urgent calls; they need a fifth of the service's work. Change: calls of an undivided service wait in one queue of the VM until it has less than 1.4 times its share of all slots in flight, and then go to the server that is best at that moment. Queues are ordered by the route's priority, then by its target latency; calls that cannot meet the target go behind the others of their priority. Expected times are those of the route.

--- /dev/null
+++ b/src/celerystack/gateway/call_queue.py
@@ -0,0 +1,150 @@
+"""Calls that wait until a limit on the calls in flight permits them."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from twisted.internet import defer
+
+from celerystack.gateway import calls
+from celerystack.limits import concurrency, deadline_queue
+
+SERVICE_TIME_WEIGHT = 0.15
+"""Weight of one answer in the moving average of a route's service time."""
+TARGET_SHARE = 0.9
+"""Fraction of a route's target latency within which a call should be answered; the rest allows for
+service times above the average."""
+
+
+class WaitOutcome(enum.Enum):
+    """Outcome of a wait in the queue."""
+
+    TAKEN = "taken"
+    SHED = "shed"
+    KEY_MOVED = "key moved"
+    SERVER_LEFT = "server left"
+
+
+class _WaitingCall:
+    """A call in the queue."""
+
+    __slots__ = ("call", "turn")
+
+    def __init__(self, call: calls.Call, turn: defer.Deferred[WaitOutcome]) -> None:
+        self.call = call
+        self.turn = turn
+
+
+class CallQueue:
+    """Lets calls start by priority and deadline, as a concurrency limit permits.
+
+    Calls that are not expected to be answered before their deadline are shed, those of the least
+    urgent routes first.
+
+    Parameters
+    ----------
+    now : callable
+        Clock in seconds to which deadlines refer.
+    """
+
+    def __init__(self, reactor: Any, limit: concurrency.Limit, *, now: Callable[[], float]) -> None:
+        self.limit = limit
+        self._reactor = reactor
+        self._now = now
+        self._queue: deadline_queue.DeadlineQueue[_WaitingCall] = deadline_queue.DeadlineQueue()
+        self._service_time_s_by_route: dict[str, float] = {}
+        self._expiry_timer: Any = None
+
+    @property
+    def load(self) -> int:
+        """Number of calls that are in flight or queued."""
+        return self.limit.in_flight + len(self._queue)
+
+    @property
+    def has_room(self) -> bool:
+        """Whether a call would start at once."""
+        return not self._queue and self.limit.in_flight < self.limit.limit
+
+    def wait_estimate_s(self, latency_s: float) -> float:
+        """Return the expected time that a new call would wait, given the mean latency."""
+        ahead = self.load - self.limit.limit + 1
+        return max(0, ahead) * latency_s / self.limit.limit
+
+    def observe(self, call: calls.Call, latency_s: float) -> None:
+        """Record the latency of an answered call, to estimate that of others of its route."""
+        self._queue.observe(latency_s)
+        route = call.route.name
+        known = self._service_time_s_by_route.get(route, latency_s)
+        self._service_time_s_by_route[route] = known + SERVICE_TIME_WEIGHT * (latency_s - known)
+
+    def service_time_s(self, call: calls.Call) -> float:
+        """Return the mean latency of a call's route; of all routes before its first answer."""
+        return self._service_time_s_by_route.get(call.route.name, self._queue.service_time_s)
+
+    async def wait_for_turn(self, call: calls.Call) -> WaitOutcome:
+        """Wait until the call may start; if it was taken, `release` must be called at its end."""
+        if not self._queue and self.limit.try_start():
+            return WaitOutcome.TAKEN
+        turn: defer.Deferred[WaitOutcome] = defer.Deferred()
+        waiting = _WaitingCall(call, turn)
+        shed = self._queue.push(
+            waiting,
+            priority=call.route.priority,
+            due=call.arrived_at + TARGET_SHARE * call.route.target_latency_s,
+            deadline=call.deadline,
+            service_time_s=self.service_time_s(call),
+            now=self._now(),
+            concurrency=self.limit.limit,
+        )
+        self._end_waits(shed, WaitOutcome.SHED)
+        self._schedule_expiry()
+        try:
+            return await turn
+        except defer.CancelledError:
+            if not self._queue.remove(waiting):
+                self.release()
+            raise
+
+    def release(self) -> None:
+        """Record that a call is no longer in flight, and start waiting ones."""
+        self.limit.release()
+        self.start_waiting_calls()
+
+    def start_waiting_calls(self) -> None:
+        """Start as many waiting calls as the limit permits."""
+        while self._queue and self.limit.try_start():
+            waiting = self._queue.pop(self._now())
+            if waiting is None or waiting.turn.called:
+                self.limit.release()
+                continue
+            waiting.turn.callback(WaitOutcome.TAKEN)
+        self._schedule_expiry()
+
+    def remove_where(self, predicate: Callable[[calls.Call], bool], outcome: WaitOutcome) -> None:
+        """End the wait of the calls for which ``predicate`` is true."""
+        removed = self._queue.remove_where(lambda waiting: predicate(waiting.call))
+        self._end_waits(removed, outcome)
+        if removed:
+            self._schedule_expiry()
+
+    def _end_waits(self, waiting_calls: Iterable[_WaitingCall], outcome: WaitOutcome) -> None:
+        for waiting in waiting_calls:
+            if not waiting.turn.called:
+                waiting.turn.callback(outcome)
+
+    def _schedule_expiry(self) -> None:
+        if self._expiry_timer is not None:
+            self._expiry_timer.cancel()
+            self._expiry_timer = None
+        expiry = self._queue.next_expiry()
+        if expiry is not None:
+            self._expiry_timer = self._reactor.callLater(
+                max(0.0, expiry - self._now()), self._expire
+            )
+
+    def _expire(self) -> None:
+        self._expiry_timer = None
+        self._end_waits(self._queue.expire(self._now()), WaitOutcome.SHED)
+        self._schedule_expiry()
--- a/src/celerystack/gateway/dispatch.py
+++ b/src/celerystack/gateway/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -11,7 +12,7 @@
 from celerystack import ids
 from celerystack.backend import client
 from celerystack.fleet import servers
-from celerystack.gateway import calls, config, retries, server_queue
+from celerystack.gateway import calls, config, retries, server_queue, service_queue
 from celerystack.limits import byte_budget, crash_suspects
 from celerystack.ranges import model
 
@@ -81,6 +82,14 @@
         """Record the latency of an answer as this VM sees it, to estimate the service time."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _TriedServer:
+    """An attempt of a call and the server queue in which it was made."""
+
+    queue: server_queue.ServerQueue
+    attempt: calls.Attempt | calls.Refused
+
+
 class Dispatcher:
     """Forwards calls to servers and decides about retries.
 
@@ -123,6 +132,7 @@
             model.ServerIncarnation, server_queue.ServerQueue
         ] = {}
         self._server_queues_by_service: dict[ids.ServiceName, list[server_queue.ServerQueue]] = {}
+        self._service_queues_by_name: dict[ids.ServiceName, service_queue.ServiceQueue] = {}
         self._directory_version = -1
         self._sized_for_vms = key_routing.entry_vms
         key_routing.on_change(self._release_moved_calls)
@@ -154,10 +164,10 @@
         possible_runs = rejections = 0
         fallback: calls.Reply | None = None
         while True:
-            chosen = await self._choose_queue(call, policy, tried)
-            if not isinstance(chosen, server_queue.ServerQueue):
-                return fallback or chosen
-            attempt = await chosen.run(call)
+            result = await self._run_once(call, policy, tried)
+            if isinstance(result, calls.Refused):
+                return fallback or result
+            chosen, attempt = result.queue, result.attempt
             if not _has_moved(attempt):
                 tried.add(chosen.incarnation)
             self._record(call, policy, chosen, attempt)
@@ -187,6 +197,45 @@
             if final is not None:
                 return final
 
+    async def _run_once(
+        self, call: calls.Call, policy: config.ServicePolicy, tried: set[model.ServerIncarnation]
+    ) -> _TriedServer | calls.Refused:
+        """Choose a server and send the call to it, when the limits permit."""
+        if policy.sharded:
+            return await self._choose_and_run(call, policy, tried)
+        waiting = self._service_queue(call.service)
+        place = await waiting.take_place(call)
+        if place is None:
+            return self._refuse("the service's queue is too long", waiting.wait_estimate_s(call))
+        try:
+            return await self._choose_and_run(call, policy, tried)
+        finally:
+            place.release()
+
+    async def _choose_and_run(
+        self, call: calls.Call, policy: config.ServicePolicy, tried: set[model.ServerIncarnation]
+    ) -> _TriedServer | calls.Refused:
+        chosen = await self._choose_queue(call, policy, tried)
+        if isinstance(chosen, calls.Refused):
+            return chosen
+        return _TriedServer(chosen, await chosen.run(call))
+
+    def _service_queue(self, service: ids.ServiceName) -> service_queue.ServiceQueue:
+        self._refresh()
+        found = self._service_queues_by_name.get(service)
+        if found is None:
+            found = service_queue.ServiceQueue(self._reactor, now=self._now)
+            self._service_queues_by_name[service] = found
+            self._size_service_queue(service, found)
+        return found
+
+    def _size_service_queue(
+        self, service: ids.ServiceName, queue: service_queue.ServiceQueue
+    ) -> None:
+        servers_of_service = self._server_queues_by_service.get(service, [])
+        slots = sum(candidate.record.entry.slots for candidate in servers_of_service)
+        queue.set_slots(slots, entry_vms=self._key_routing.entry_vms)
+
     def _record(
         self,
         call: calls.Call,
@@ -366,6 +415,11 @@
         self._server_queues_by_service = {}
         for queue in self._server_queues_by_incarnation.values():
             self._server_queues_by_service.setdefault(queue.record.entry.service, []).append(queue)
+        self._size_service_queues()
+
+    def _size_service_queues(self) -> None:
+        for service, queue in self._service_queues_by_name.items():
+            self._size_service_queue(service, queue)
 
     def _resize(self, vms: int) -> None:
         """Apply a changed number of entry VMs to the connection and concurrency limits."""
@@ -373,6 +427,7 @@
         for queue in self._server_queues_by_incarnation.values():
             queue.set_entry_vms(vms)
             queue.pool.set_limit(self._connection_limit(queue.record, vms))
+        self._size_service_queues()
 
     def _connection_limit(self, record: servers.ServerRecord, vms: int) -> int:
         policy = self._policies.get(record.entry.service)
@@ -400,7 +455,12 @@
             now=self._now,
         )
 
-    def _on_answer(self, answered: server_queue.ServerQueue, latency_s: float) -> None:
+    def _on_answer(
+        self, answered: server_queue.ServerQueue, call: calls.Call, latency_s: float
+    ) -> None:
+        queue = self._service_queues_by_name.get(call.service)
+        if queue is not None:
+            queue.observe(call, latency_s)
         self._key_routing.record_service_time(answered.incarnation.server, latency_s)
 
 
--- a/src/celerystack/gateway/server_queue.py
+++ b/src/celerystack/gateway/server_queue.py
@@ -2,17 +2,14 @@
 
 from __future__ import annotations
 
-import enum
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any
 
-from twisted.internet import defer
-
 from celerystack import errors
 from celerystack.backend import client
 from celerystack.fleet import servers
-from celerystack.gateway import calls
-from celerystack.limits import concurrency, deadline_queue
+from celerystack.gateway import call_queue, calls
+from celerystack.limits import concurrency
 
 IN_FLIGHT_MAX = 4
 """Largest number of requests in flight from this VM to one server."""
@@ -36,25 +33,6 @@
 """Latency in seconds assumed before the first answer."""
 
 
-class _WaitOutcome(enum.Enum):
-    """Outcome of a wait in the queue."""
-
-    TAKEN = "taken"
-    SHED = "shed"
-    KEY_MOVED = "key moved"
-    SERVER_LEFT = "server left"
-
-
-class _WaitingCall:
-    """A call in the queue."""
-
-    __slots__ = ("call", "turn")
-
-    def __init__(self, call: calls.Call, turn: defer.Deferred[_WaitOutcome]) -> None:
-        self.call = call
-        self.turn = turn
-
-
 class ServerQueue:
     """Queues calls for one incarnation of a server and sends them within a concurrency limit.
 
@@ -72,21 +50,19 @@
         pool: client.ServerPool,
         request_codec: calls.RequestCodec,
         entry_vms: int,
-        on_answer: Callable[[ServerQueue, float], None],
+        on_answer: Callable[[ServerQueue, calls.Call, float], None],
         now: Callable[[], float],
     ) -> None:
         self.record = record
         self.incarnation = record.entry.incarnation
         self.pool = pool
-        self._reactor = reactor
         self._request_codec = request_codec
         self._on_answer = on_answer
         self._now = now
         self._limit = concurrency.ConcurrencyLimit(
             slots=record.entry.slots, entry_vms=entry_vms, maximum=IN_FLIGHT_MAX
         )
-        self._queue: deadline_queue.DeadlineQueue[_WaitingCall] = deadline_queue.DeadlineQueue()
-        self._expiry_timer: Any = None
+        self._calls = call_queue.CallQueue(reactor, self._limit, now=now)
         self._started_at: dict[int, float] = {}
         self._sequence = 0
         self._last_answer_at = now()
@@ -100,12 +76,16 @@
     @property
     def load(self) -> int:
         """Number of calls that are in flight or queued."""
-        return self._limit.in_flight + len(self._queue)
+        return self._calls.load
+
+    @property
+    def has_room(self) -> bool:
+        """Whether a call would be sent at once."""
+        return self._calls.has_room
 
     def wait_estimate_s(self) -> float:
         """Return the expected time that a new call would spend in the queue."""
-        ahead = self.load - self._limit.limit + 1
-        return max(0, ahead) * self.latency_s / self._limit.limit
+        return self._calls.wait_estimate_s(self.latency_s)
 
     def set_entry_vms(self, entry_vms: int) -> None:
         """Set the number of entry VMs that share the server."""
@@ -144,14 +124,14 @@
 
     async def run(self, call: calls.Call) -> calls.Attempt | calls.Refused:
         """Wait in the queue, send the call and return the outcome."""
-        match await self._wait_for_turn(call):
-            case _WaitOutcome.SHED:
+        match await self._calls.wait_for_turn(call):
+            case call_queue.WaitOutcome.SHED:
                 return calls.Refused(
                     reason="the server's queue is too long", retry_after_s=self.wait_estimate_s()
                 )
-            case _WaitOutcome.KEY_MOVED:
+            case call_queue.WaitOutcome.KEY_MOVED:
                 return calls.NotRun(calls.NotRunReason.KEY_MOVED)
-            case _WaitOutcome.SERVER_LEFT:
+            case call_queue.WaitOutcome.SERVER_LEFT:
                 return calls.NotRun(calls.NotRunReason.NOT_SENT, "the server left")
         self._sequence += 1
         attempt_number = self._sequence
@@ -159,64 +139,12 @@
             return await self._send(call, attempt_number)
         finally:
             self._started_at.pop(attempt_number, None)
-            self._limit.release()
-            self._start_waiting_calls()
+            self._calls.release()
             self._close_pool_if_idle()
 
     def release_moved_calls(self, is_owned: Callable[[calls.Call], bool]) -> None:
         """Remove calls from the queue whose keys this server no longer owns."""
-        moved = self._queue.remove_where(lambda waiting: not is_owned(waiting.call))
-        self._end_waits(moved, _WaitOutcome.KEY_MOVED)
-        if moved:
-            self._schedule_expiry()
-
-    def _end_waits(self, waiting_calls: Iterable[_WaitingCall], outcome: _WaitOutcome) -> None:
-        for waiting in waiting_calls:
-            if not waiting.turn.called:
-                waiting.turn.callback(outcome)
-
-    async def _wait_for_turn(self, call: calls.Call) -> _WaitOutcome:
-        if not self._queue and self._limit.try_start():
-            return _WaitOutcome.TAKEN
-        turn: defer.Deferred[_WaitOutcome] = defer.Deferred()
-        waiting = _WaitingCall(call, turn)
-        now = self._now()
-        shed = self._queue.push(
-            waiting, deadline=call.deadline, now=now, concurrency=self._limit.limit
-        )
-        self._end_waits(shed, _WaitOutcome.SHED)
-        self._schedule_expiry()
-        try:
-            return await turn
-        except defer.CancelledError:
-            if not self._queue.remove(waiting):
-                self._limit.release()
-                self._start_waiting_calls()
-            raise
-
-    def _start_waiting_calls(self) -> None:
-        while self._queue and self._limit.try_start():
-            waiting = self._queue.pop()
-            if waiting is None or waiting.turn.called:
-                self._limit.release()
-                continue
-            waiting.turn.callback(_WaitOutcome.TAKEN)
-        self._schedule_expiry()
-
-    def _schedule_expiry(self) -> None:
-        if self._expiry_timer is not None:
-            self._expiry_timer.cancel()
-            self._expiry_timer = None
-        expiry = self._queue.next_expiry()
-        if expiry is not None:
-            self._expiry_timer = self._reactor.callLater(
-                max(0.0, expiry - self._now()), self._expire
-            )
-
-    def _expire(self) -> None:
-        self._expiry_timer = None
-        self._end_waits(self._queue.expire(self._now()), _WaitOutcome.SHED)
-        self._schedule_expiry()
+        self._calls.remove_where(lambda call: not is_owned(call), call_queue.WaitOutcome.KEY_MOVED)
 
     async def _send(self, call: calls.Call, attempt_number: int) -> calls.Attempt:
         started = self._now()
@@ -247,36 +175,33 @@
             if broken:
                 self.note_failure()
             return calls.OutcomeUnknown(error.reason, broken=broken)
-        return self._record_answer(
-            self._request_codec.classify(call, self.incarnation, response), started
-        )
+        attempt = self._request_codec.classify(call, self.incarnation, response)
+        self._record_answer(call, attempt, self._now() - started)
+        return attempt
 
     def _was_sent_before(self, call: calls.Call) -> bool:
         """Return whether the call was sent to this incarnation, which may repeat its response."""
         return any(step.server == self.incarnation for step in call.steps)
 
-    def _record_answer(self, attempt: calls.Attempt, started: float) -> calls.Attempt:
+    def _record_answer(self, call: calls.Call, attempt: calls.Attempt, latency_s: float) -> None:
         now = self._now()
         self._last_answer_at = now
         self._failed_connects = 0
         match attempt:
             case calls.Answered():
-                latency_s = now - started
                 self.latency_s += LATENCY_WEIGHT * (latency_s - self.latency_s)
-                self._queue.observe(latency_s)
+                self._calls.observe(call, latency_s)
                 self._limit.on_answer(latency_s, now)
                 self._failures = 0
                 self._suspect_until = 0.0
-                self._on_answer(self, latency_s)
+                self._on_answer(self, call, latency_s)
             case calls.NotRun(reason=calls.NotRunReason.FULL):
                 self._limit.on_shed(now)
-        return attempt
 
     def close(self, reason: str) -> None:
         """Remove all calls from the queue; close the connections when no exchange is running."""
         self._close_reason = reason
-        self._end_waits(self._queue.remove_where(lambda _: True), _WaitOutcome.SERVER_LEFT)
-        self._schedule_expiry()
+        self._calls.remove_where(lambda _: True, call_queue.WaitOutcome.SERVER_LEFT)
         self._close_pool_if_idle()
 
     def _close_pool_if_idle(self) -> None:
@@ -292,7 +217,8 @@
 def best(server_queues: list[ServerQueue], *, zone: str, now: float) -> ServerQueue | None:
     """Return the server queue with the lowest expected latency; None if there is none.
 
-    A server that is suspected or whose entry expired is only chosen if there is no other.
+    A server that is suspected or whose entry expired is only chosen if there is no other, and one
+    for which the call would have to wait only if no server has room.
     """
     return min(server_queues, key=lambda server_queue: _cost(server_queue, zone, now), default=None)
 
@@ -303,7 +229,7 @@
 """Factor on the expected latency of a server that has not warmed up yet."""
 
 
-def _cost(server_queue: ServerQueue, zone: str, now: float) -> tuple[bool, float, int]:
+def _cost(server_queue: ServerQueue, zone: str, now: float) -> tuple[bool, bool, float, int]:
     cost = (server_queue.load + 1) * server_queue.latency_s
     if server_queue.record.entry.zone != zone:
         cost *= REMOTE_ZONE_COST_FACTOR
@@ -311,6 +237,7 @@
         cost *= COLD_COST_FACTOR
     return (
         server_queue.is_suspect() or server_queue.record.expired,
+        not server_queue.has_room,
         cost,
         hash(server_queue.incarnation),
     )
--- /dev/null
+++ b/src/celerystack/gateway/service_queue.py
@@ -0,0 +1,80 @@
+"""Limit on the calls of this VM that are in flight to all servers of an undivided service."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from typing import Any
+
+from celerystack.gateway import call_queue, calls
+from celerystack.limits import concurrency
+
+SHARE_FACTOR = 1.4
+"""In flight are at most so many times this VM's equal share of the slots: the VMs' loads differ.
+More would wait in the queues of the servers, which know neither priorities nor deadlines."""
+PLACES_MINIMUM = 2
+"""Calls that may be in flight even if the share is smaller, so that one slow server does not block
+the calls to the others."""
+HOLD_FACTOR = 5.0
+"""A call counts as in flight for at most so many mean latencies of its route, as a server that
+stays silent would otherwise keep the places of its calls until their deadlines."""
+HOLD_MINIMUM_S = 0.7
+"""Smallest time in seconds for which a call counts as in flight."""
+
+
+class Place:
+    """The right of one call to be in flight."""
+
+    def __init__(self, on_release: Callable[[], None]) -> None:
+        self._on_release: Callable[[], None] | None = on_release
+        self.timer: Any = None
+
+    def release(self) -> None:
+        """Give the place to another call; idempotent."""
+        release, self._on_release = self._on_release, None
+        if release is None:
+            return
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        release()
+
+
+class ServiceQueue:
+    """Queues the calls for one service and lets them start by priority and deadline.
+
+    Because calls wait here and not for one server, each starts at the server that is best when its
+    turn comes.
+
+    Parameters
+    ----------
+    now : callable
+        Clock in seconds to which deadlines refer.
+    """
+
+    def __init__(self, reactor: Any, *, now: Callable[[], float]) -> None:
+        self._reactor = reactor
+        self._limit = concurrency.FixedLimit(PLACES_MINIMUM)
+        self._calls = call_queue.CallQueue(reactor, self._limit, now=now)
+
+    def set_slots(self, slots: int, *, entry_vms: int) -> None:
+        """Set the number of slots of all servers, and of entry VMs that share them."""
+        share = math.ceil(SHARE_FACTOR * slots / max(1, entry_vms))
+        self._limit.limit = max(PLACES_MINIMUM, share)
+        self._calls.start_waiting_calls()
+
+    async def take_place(self, call: calls.Call) -> Place | None:
+        """Wait for a place; return None if the call cannot be answered before its deadline."""
+        if await self._calls.wait_for_turn(call) is not call_queue.WaitOutcome.TAKEN:
+            return None
+        place = Place(self._calls.release)
+        hold_s = max(HOLD_MINIMUM_S, HOLD_FACTOR * self._calls.service_time_s(call))
+        place.timer = self._reactor.callLater(hold_s, place.release)
+        return place
+
+    def observe(self, call: calls.Call, latency_s: float) -> None:
+        """Record the latency of an answered call."""
+        self._calls.observe(call, latency_s)
+
+    def wait_estimate_s(self, call: calls.Call) -> float:
+        """Return the expected time that a new call of the same route would wait."""
+        return self._calls.wait_estimate_s(self._calls.service_time_s(call))
--- a/src/celerystack/limits/concurrency.py
+++ b/src/celerystack/limits/concurrency.py
@@ -1,7 +1,9 @@
-"""Adaptive limit on the requests in flight from one entry VM to one server."""
+"""Limits on the requests in flight from one entry VM: to one server, and to a service."""
 
 from __future__ import annotations
 
+from typing import Protocol
+
 SHED_FACTOR = 0.5
 """Factor by which the limit is lowered when the server sheds a request."""
 SLOW_FACTOR = 0.9
@@ -23,6 +25,54 @@
 congestion again."""
 
 
+class Limit(Protocol):
+    """Limit on the number of requests in flight."""
+
+    @property
+    def limit(self) -> int:
+        """Maximum number of requests in flight, at least 1."""
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests in flight."""
+
+    def try_start(self) -> bool:
+        """Count a request as in flight if the limit allows; return whether it does."""
+
+    def release(self) -> None:
+        """Record that a request is no longer in flight."""
+
+
+class FixedLimit:
+    """Limit that changes only when it is set.
+
+    Attributes
+    ----------
+    limit : int
+        Maximum number of requests in flight, at least 1.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self._in_flight = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests in flight."""
+        return self._in_flight
+
+    def try_start(self) -> bool:
+        """Count a request as in flight if the limit allows; return whether it does."""
+        if self._in_flight >= self.limit:
+            return False
+        self._in_flight += 1
+        return True
+
+    def release(self) -> None:
+        """Record that a request is no longer in flight."""
+        self._in_flight -= 1
+
+
 class ConcurrencyLimit:
     """Limit with additive increase and multiplicative decrease, at least 1.
 
--- a/src/celerystack/limits/deadline_queue.py
+++ b/src/celerystack/limits/deadline_queue.py
@@ -1,8 +1,9 @@
-"""Queue of the requests for one server, in deadline order."""
+"""Queue of the requests for one server, in the order of priority and deadline."""
 
 from __future__ import annotations
 
 import bisect
+import dataclasses
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
@@ -14,21 +15,50 @@
 T = TypeVar("T")
 
 
+@dataclasses.dataclass(slots=True)
+class _Entry(Generic[T]):
+    """A queued item; the attributes are those of `DeadlineQueue.push`.
+
+    Attributes
+    ----------
+    number : int
+        Number of arrival.
+    is_late : bool
+        Whether the item is not expected to be answered by the time at which it is due.
+    """
+
+    item: T
+    number: int
+    priority: int
+    due: float
+    deadline: float
+    service_time_s: float | None
+    is_late: bool = False
+
+    @property
+    def order(self) -> tuple[int, bool, float, int]:
+        """Sort key; items with smaller ones go first."""
+        at = self.deadline if self.is_late else self.due
+        return self.priority, self.is_late, at, self.number
+
+
 class DeadlineQueue(Generic[T]):
-    """Bounded queue in deadline order that sheds items which cannot be answered in time.
+    """Bounded queue that sheds items which cannot be answered in time.
 
-    A request that starts just before its deadline occupies the server but is answered too late.
-    Without shedding, an overloaded queue in deadline order would start mostly such requests.
+    Items are ordered by priority, where 0 is the most urgent, and by due time within it. Those that
+    miss their due time go behind the others of their priority, because an overloaded queue in the
+    order of time alone would start each item when it has just become late. Items that cannot be
+    answered before their deadline are shed: they would occupy the server in vain.
 
     Parameters
     ----------
     length_max : int
-        Maximum number of items; beyond it the item with the latest deadline is shed.
+        Maximum number of items; beyond it the last item in order is shed.
     """
 
     def __init__(self, *, length_max: int = LENGTH_MAX) -> None:
         self._length_max = length_max
-        self._entries: list[tuple[float, int, T]] = []
+        self._entries: list[_Entry[T]] = []
         self._sequence = 0
         self._service_time_s = 0.0
 
@@ -48,68 +78,122 @@
             change = service_time_s - self._service_time_s
             self._service_time_s += SERVICE_TIME_WEIGHT * change
 
-    def push(self, item: T, *, deadline: float, now: float, concurrency: int) -> list[T]:
+    def push(
+        self,
+        item: T,
+        *,
+        deadline: float,
+        now: float,
+        concurrency: int,
+        priority: int = 0,
+        due: float | None = None,
+        service_time_s: float | None = None,
+    ) -> list[T]:
         """Add an item and return the items that are shed as a result, possibly including it.
 
         Parameters
         ----------
         concurrency : int
             Number of requests that run concurrently, at least 1.
+        priority : int
+            Rank of the item; 0 is the most urgent.
+        due : float or None
+            Time by which the answer is wanted; None for the deadline.
+        service_time_s : float or None
+            Expected service time of the item in seconds; None for the average of all items.
         """
         self._sequence += 1
-        entry = (deadline, self._sequence, item)
-        index = bisect.bisect_left(self._entries, entry[:2], key=lambda other: other[:2])
-        self._entries.insert(index, entry)
+        due = deadline if due is None else min(due, deadline)
+        entry = _Entry(item, self._sequence, priority, due, deadline, service_time_s)
+        bisect.insort(self._entries, entry, key=_order)
+        self._move_late_items_back(now, concurrency)
         shed = self._shed_late(now, concurrency)
         if len(self._entries) > self._length_max:
-            shed.append(self._entries.pop()[2])
+            shed.append(self._entries.pop().item)
         return shed
 
+    def _move_late_items_back(self, now: float, concurrency: int) -> None:
+        step_s = self._service_time_s / concurrency
+        ahead = 0
+        is_sorted = True
+        for entry in self._entries:
+            answered_at = now + (ahead + 1) * step_s + self._service_time_of(entry)
+            if entry.is_late or entry.due == entry.deadline or answered_at <= entry.due:
+                ahead += 1
+            else:
+                entry.is_late = True
+                is_sorted = False
+        if not is_sorted:
+            self._entries.sort(key=_order)
+
     def _shed_late(self, now: float, concurrency: int) -> list[T]:
         """Remove and return the items that are not expected to be answered before their deadline.
 
         While items wait, ``concurrency`` requests are running. The item at position ``p`` starts
         when ``p + 1`` requests have finished, on average after ``(p + 1) / concurrency`` service
-        times, and is answered one service time later.
+        times, and is answered one service time of its own later.
         """
         step_s = self._service_time_s / concurrency
-        answered_from_start = now + self._service_time_s
-        kept: list[tuple[float, int, T]] = []
+        kept: list[_Entry[T]] = []
         shed: list[T] = []
         for entry in self._entries:
-            if answered_from_start + (len(kept) + 1) * step_s < entry[0]:
+            starts_at = now + (len(kept) + 1) * step_s
+            if starts_at + self._service_time_of(entry) < entry.deadline:
                 kept.append(entry)
             else:
-                shed.append(entry[2])
+                shed.append(entry.item)
         self._entries = kept
         return shed
 
-    def pop(self) -> T | None:
-        """Remove and return the item with the earliest deadline; None if the queue is empty."""
-        return self._entries.pop(0)[2] if self._entries else None
+    def _service_time_of(self, entry: _Entry[T]) -> float:
+        return self._service_time_s if entry.service_time_s is None else entry.service_time_s
+
+    def _latest_start(self, entry: _Entry[T]) -> float:
+        return entry.deadline - self._service_time_of(entry)
+
+    def pop(self, now: float | None = None) -> T | None:
+        """Remove and return the first item; None if the queue is empty.
+
+        At the time ``now``, items that have become late since they were queued go behind others.
+        """
+        while self._entries:
+            entry = self._entries.pop(0)
+            if now is None or not self._becomes_late(entry, now):
+                return entry.item
+            entry.is_late = True
+            bisect.insort(self._entries, entry, key=_order)
+        return None
+
+    def _becomes_late(self, entry: _Entry[T], now: float) -> bool:
+        has_due_time = not entry.is_late and entry.due < entry.deadline
+        return has_due_time and now + self._service_time_of(entry) > entry.due
 
     def expire(self, now: float) -> list[T]:
         """Remove and return the items that can no longer be answered before their deadline."""
-        latest = now + self._service_time_s
-        count = bisect.bisect_right(self._entries, latest, key=lambda entry: entry[0])
-        expired = [entry[2] for entry in self._entries[:count]]
-        del self._entries[:count]
-        return expired
+        expired = [entry for entry in self._entries if self._latest_start(entry) <= now]
+        if expired:
+            self._entries = [entry for entry in self._entries if self._latest_start(entry) > now]
+        return [entry.item for entry in expired]
 
     def remove(self, item: T) -> bool:
         """Remove an item, compared by identity; return whether it was queued."""
         for index, entry in enumerate(self._entries):
-            if entry[2] is item:
+            if entry.item is item:
                 del self._entries[index]
                 return True
         return False
 
     def remove_where(self, predicate: Callable[[T], bool]) -> list[T]:
         """Remove and return the items for which ``predicate`` is true."""
-        removed = [entry[2] for entry in self._entries if predicate(entry[2])]
-        self._entries = [entry for entry in self._entries if not predicate(entry[2])]
+        removed = [entry.item for entry in self._entries if predicate(entry.item)]
+        if removed:
+            self._entries = [entry for entry in self._entries if not predicate(entry.item)]
         return removed
 
     def next_expiry(self) -> float | None:
-        """Return when the first item can no longer be answered in time; None if there is none."""
-        return self._entries[0][0] - self._service_time_s if self._entries else None
+        """Return when an item can first no longer be answered in time; None if there is none."""
+        return min(map(self._latest_start, self._entries), default=None)
+
+
+def _order(entry: _Entry[T]) -> tuple[int, bool, float, int]:
+    return entry.order
--- a/tests/differential/test_deadline_queue.py
+++ b/tests/differential/test_deadline_queue.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import testtools
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -23,45 +25,83 @@
     """A queued request; compared by identity."""
 
 
+@dataclasses.dataclass
+class Entry:
+    """An item of the reference implementation and what it was queued with."""
+
+    item: Item
+    arrival: int
+    priority: int
+    due: float
+    deadline: float
+    service_time_s: float
+    late: bool = False
+
+
 class NaiveQueue:
-    """Reference implementation: a list of (deadline, arrival number, item)."""
+    """Reference implementation: a list that is sorted and searched at each operation."""
 
     def __init__(self) -> None:
-        self.entries: list[tuple[float, int, Item]] = []
+        self.entries: list[Entry] = []
         self.arrivals = 0
         self.service_time_s = 0.0
 
-    def ordered(self) -> list[tuple[float, int, Item]]:
-        return sorted(self.entries, key=lambda entry: entry[:2])
-
-    def push(self, item: Item, deadline: float, now: float, concurrency: int) -> list[Item]:
+    def ordered(self) -> list[Entry]:
+        return sorted(
+            self.entries,
+            key=lambda one: (
+                one.priority,
+                one.late,
+                one.deadline if one.late else one.due,
+                one.arrival,
+            ),
+        )
+
+    def own_time(self, entry: Entry) -> float:
+        return self.service_time_s if entry.service_time_s is None else entry.service_time_s
+
+    def push(self, entry: Entry, now: float, concurrency: int) -> list[Item]:
         self.arrivals += 1
-        self.entries.append((deadline, self.arrivals, item))
+        entry.arrival = self.arrivals
+        self.entries.append(entry)
+        step = self.service_time_s / concurrency
+        in_time = 0
+        for one in self.ordered():
+            completion = now + (in_time + 1) * step + self.own_time(one)
+            if not one.late and one.due < one.deadline and completion > one.due:
+                one.late = True
+            else:
+                in_time += 1
         kept, shed = [], []
-        for entry in self.ordered():
-            start = now + self.service_time_s
-            completion = start + (len(kept) + 1) * (self.service_time_s / concurrency)
-            (kept if completion < entry[0] else shed).append(entry)
+        for one in self.ordered():
+            completion = now + (len(kept) + 1) * step + self.own_time(one)
+            (kept if completion < one.deadline else shed).append(one)
         shed += kept[LENGTH_MAX:]
         self.entries = kept[:LENGTH_MAX]
-        return [entry[2] for entry in shed]
-
-    def pop(self) -> Item | None:
-        if not self.entries:
-            return None
-        first = self.ordered()[0]
-        self.entries.remove(first)
-        return first[2]
+        return [one.item for one in shed]
+
+    def pop(self, now: float) -> Item | None:
+        while self.entries:
+            first = self.ordered()[0]
+            missed = now + self.own_time(first) > first.due
+            if not first.late and first.due < first.deadline and missed:
+                first.late = True
+                continue
+            self.entries.remove(first)
+            return first.item
+        return None
+
+    def latest_start(self, entry: Entry) -> float:
+        return entry.deadline - self.own_time(entry)
 
     def expire(self, now: float) -> list[Item]:
-        expiry_limit = now + self.service_time_s
-        expired = [entry for entry in self.ordered() if entry[0] <= expiry_limit]
-        self.entries = [entry for entry in self.entries if entry[0] > expiry_limit]
-        return [entry[2] for entry in expired]
+        expired = [one for one in self.ordered() if self.latest_start(one) <= now]
+        self.entries = [one for one in self.entries if one not in expired]
+        return [one.item for one in expired]
 
     def remove(self, item: Item) -> bool:
         length_before = len(self.entries)
-        self.entries = [entry for entry in self.entries if entry[2] is not item]
+        self.entries = [entry for entry in self.entries if entry.item is not item]
         return len(self.entries) < length_before
 
 
@@ -79,13 +119,26 @@
             match kind:
                 case "push":
                     items.append(Item())
-                    deadline = now + number / 2
+                    entry = Entry(
+                        item=items[-1],
+                        arrival=0,
+                        priority=number % 3,
+                        due=now + number / (4 if number % 5 else 2),
+                        deadline=now + number / 2,
+                        service_time_s=number / 32 if number % 2 else None,
+                    )
                     shed = queue.push(
-                        items[-1], deadline=deadline, now=now, concurrency=concurrency
+                        entry.item,
+                        priority=entry.priority,
+                        due=entry.due,
+                        deadline=entry.deadline,
+                        service_time_s=entry.service_time_s,
+                        now=now,
+                        concurrency=concurrency,
                     )
-                    self.assertEqual(naive.push(items[-1], deadline, now, concurrency), shed)
+                    self.assertEqual(naive.push(entry, now, concurrency), shed)
                 case "pop":
-                    self.assertIs(naive.pop(), queue.pop())
+                    self.assertIs(naive.pop(now), queue.pop(now))
                 case "expire":
                     self.assertEqual(naive.expire(now), queue.expire(now))
                 case "remove" if items:
@@ -95,6 +148,5 @@
                     queue.observe(number / 16)
                     naive.service_time_s = queue.service_time_s
             self.assertEqual(len(naive.entries), len(queue))
-            earliest = min((entry[0] for entry in naive.entries), default=None)
-            expiry = None if earliest is None else earliest - naive.service_time_s
+            expiry = min(map(naive.latest_start, naive.entries), default=None)
             self.assertEqual(expiry, queue.next_expiry())
--- a/tests/limits/test_deadline_queue.py
+++ b/tests/limits/test_deadline_queue.py
@@ -47,6 +47,35 @@
         self.assertEqual(self.push(queue, "b", 2.1, concurrency=2), [])
         self.assertEqual(self.push(queue, "c", 2.2, concurrency=2), ["c"])
 
+    def test_urgent_priority_goes_first(self):
+        """Guards against urgent requests that wait behind others with earlier deadlines."""
+        queue = self.queue()
+        for item, priority, deadline in (("low", 2, 1.0), ("high", 0, 3.0), ("mid", 1, 2.0)):
+            queue.push(item, priority=priority, deadline=deadline, now=0.0, concurrency=1)
+        self.assertEqual(["high", "mid", "low"], [queue.pop() for _ in range(3)])
+
+    def test_own_service_time_decides(self):
+        """Guards against shedding short requests because the average one is long."""
+        queue = self.queue(1.0)
+        options = {"deadline": 1.5, "now": 0.0, "concurrency": 2}
+        self.assertEqual([], queue.push("short", service_time_s=0.1, **options))
+        self.assertEqual(["long"], queue.push("long", service_time_s=1.4, **options))
+        self.assertEqual(1.4, queue.next_expiry())
+
+    def test_late_items_go_behind_those_in_time(self):
+        """Guards against an overloaded queue that answers every request late."""
+        queue = self.queue(1.0)
+        for item, due in (("a", 2.0), ("late", 2.5), ("b", 3.0)):
+            queue.push(item, due=due, deadline=10.0, now=0.0, concurrency=1)
+        self.assertEqual(["a", "b", "late"], [queue.pop() for _ in range(3)])
+
+    def test_items_become_late_while_they_wait(self):
+        """Guards against starting a request that has become late before one that is in time."""
+        queue = self.queue(1.0)
+        queue.push("first", due=3.0, deadline=10.0, now=0.0, concurrency=1)
+        queue.push("second", due=5.0, deadline=10.0, now=0.0, concurrency=1)
+        self.assertEqual(["second", "first", None], [queue.pop(2.5) for _ in range(3)])
+
     def test_length_bound_sheds_the_latest_deadline(self):
         """Guards against unbounded memory, and against shedding the item with an early deadline."""
         queue = self.queue(length_max=2)
