Answer connections that wait in the backlog, or whose request is unread, at a shutdown

Cause: a shutdown closed the listener while accepted connections waited in its backlog, which resets them, and closed connections as idle although the next request of their caller was in the socket. Both were seen by operators as requests that were accepted and then cut off without an answer. Ruled out: requests that have been read; these were answered before. Change: the backlog is accepted before the listener closes. A connection is idle only if nothing has arrived on it unread, and a new one is kept for 0.5 s for its first request.

--- a/src/celerystack/gateway/frontend.py
+++ b/src/celerystack/gateway/frontend.py
@@ -13,7 +13,7 @@
 
 from celerystack.backend import http
 from celerystack.gateway import calls, config, dispatch
-from celerystack.requests import callerhttp
+from celerystack.requests import callerhttp, listening
 
 _log = logging.getLogger(__name__)
 
@@ -80,7 +80,7 @@
         """Close the listener; open connections are still served."""
         port, self._port = self._port, None
         if port is not None:
-            port.stopListening()
+            listening.stop_listening(port)
 
     def close_idle(self) -> None:
         """Close connections on which no request is being received or answered."""
--- a/src/celerystack/requests/callerhttp.py
+++ b/src/celerystack/requests/callerhttp.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import io
+import socket
 import time
 from collections.abc import Callable
 from typing import Any
@@ -22,6 +23,12 @@
 """While draining, idle connections stay open this long after the last response, so that a
 request that is already on its way is still answered."""
 
+DRAIN_POLL_S = 0.05
+"""Interval in seconds at which a drain looks for connections that have become idle."""
+
+FIRST_REQUEST_S = 0.5
+"""While draining, a new connection stays open this long for its first request."""
+
 LINGER_S = 1.0
 """Longest time in seconds for which the rest of a rejected request is read and discarded."""
 
@@ -183,6 +190,16 @@
     """Discard bytes that a caller sends after its request was rejected."""
 
 
+def _has_unread_bytes(transport: Any) -> bool:
+    """Return whether bytes of the peer have arrived that the transport has not read yet."""
+    if not isinstance(transport, tcp.Connection) or not transport.connected:
+        return False
+    try:
+        return bool(transport.getHandle().recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
+
+
 def _can_send_directly(transport: Any) -> bool:
     """Return whether a TCP transport is open and has no buffered bytes to send first."""
     if not isinstance(transport, tcp.Connection):
@@ -215,6 +232,7 @@
         self.maxHeaders = limits.header_count_max
         self.factory.channels.add(self)
         self.received_at = self.factory.now()
+        self._first_request_until = self.received_at + FIRST_REQUEST_S
         self._pipeline: pipeline.Pipeline[CallerRequest] = pipeline.Pipeline(
             self.factory.may_overlap
         )
@@ -281,6 +299,15 @@
         self._handlingRequest = False
         self.setLineMode()
 
+    def is_idle(self) -> bool:
+        """Return whether no request is being received, answered or about to be read."""
+        if self.requests or self._buffer or self._dataBuffer:
+            return False
+        return self._has_waited_for_first_request() and not _has_unread_bytes(self.transport)
+
+    def _has_waited_for_first_request(self) -> bool:
+        return self.factory.now() >= self._first_request_until
+
     def _keep_unparsed(self, data: bytes) -> None:
         """Keep bytes for a later request; beyond a limit nothing more is received."""
         # Bytes that are left over from a replay are older than the ones that are kept.
@@ -483,7 +510,7 @@
     def close_idle(self) -> None:
         """Close connections on which no request is being received or answered."""
         for channel in list(self.channels):
-            if not channel.requests:
+            if channel.is_idle():
                 channel.loseConnection()
 
     def drained(self) -> defer.Deferred[None]:
@@ -508,8 +535,10 @@
         self._drain_timer = None
         if self._active:
             return
-        for channel in list(self.channels):
-            channel.loseConnection()
+        self.close_idle()
+        if any(not channel.transport.disconnecting for channel in self.channels):
+            self._drain_timer = self._reactor.callLater(DRAIN_POLL_S, self._finish_drain)
+            return
         waiters, self._drain_waiters = self._drain_waiters, []
         for result in waiters:
             result.callback(None)
--- a/src/celerystack/requests/frontend.py
+++ b/src/celerystack/requests/frontend.py
@@ -14,7 +14,15 @@
 
 from celerystack import ids, model
 from celerystack.backend import exchange, http
-from celerystack.requests import callerhttp, calls, encoding, forwarder, ports, replies
+from celerystack.requests import (
+    callerhttp,
+    calls,
+    encoding,
+    forwarder,
+    listening,
+    ports,
+    replies,
+)
 
 _log = logging.getLogger(__name__)
 
@@ -89,7 +97,7 @@
         port, self._port = self._port, None
         if port is None:
             return defer.succeed(None)
-        return defer.maybeDeferred(port.stopListening)
+        return listening.stop_listening(port)
 
     def drained(self) -> defer.Deferred[None]:
         """Return a Deferred that fires when no call is being received or answered."""
