Count the wait for lost entry VMs from their last report, and leave a silent zone its keys

Ruled out: shorter leases (5 s); they must outlast the loss of both renewing VMs and of the planner. Change: a map that a VM has read itself is valid for 7.5 s; the planner confirms maps by reports that it has received. So the leases of a VM that does not report end 16 s after its last report, or after the start of the planner's term, or 7.5 s after the change if that is later. While no entry VM of a zone reports, its servers keep their keys for as long as taking them would gain nothing. Grants of which no byte was sent begin no lease.

--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -15,6 +15,7 @@
 from celerystack.ranges import (
     codec,
     leadership,
+    leases,
     lessor,
     map_datagrams,
     map_distribution,
@@ -306,9 +307,11 @@
         self.range_maps.confirm(self.range_maps.versions(), self.leadership.confirmed_at)
 
     async def _read_nodes(self) -> None:
+        started = self._now()
         by_vm = await nodes.read_all(self._store)
         self._nodes_read_at = self._now()
         self._map_distributor.update_nodes(by_vm)
+        self.planner.update_vms(by_vm, started)
 
     async def _follow(self) -> None:
         now = self._now()
@@ -330,12 +333,12 @@
 
     async def _read_ranges(self) -> None:
         """Read the range maps from the store, as no planner sends them."""
-        started = self._now()
+        confirmed_at = leases.confirmation_by_read(self._now())
         answer = await self._store.scan(leadership.RANGES_TABLE)
         for row in answer.rows:
             if row.value is not None:
                 service = ids.ServiceName(row.key)
-                self.range_maps.adopt(codec.decode(service, row.value), row.version, started)
+                self.range_maps.adopt(codec.decode(service, row.value), row.version, confirmed_at)
 
     def _send_heartbeats(self, now: float) -> None:
         versions = self.range_maps.versions()
--- a/src/celerystack/ranges/lease_reports.py
+++ b/src/celerystack/ranges/lease_reports.py
@@ -25,6 +25,10 @@
     expires_at: float
 
 
+HEARD_S = 1.2
+"""Time in seconds since the last report of an entry VM up to which it counts as heard."""
+
+
 class LeaseReports:
     """Collects what the entry VMs report about the leases that they granted to possible holders.
 
@@ -40,11 +44,56 @@
     ) -> None:
         self._zone_of = zone_of
         self._zone_by_vm: dict[ids.EntryVmId, ids.ZoneName] = {}
+        self._heard_at_by_vm: dict[ids.EntryVmId, float] = {}
+        self._term_began_at = float("inf")
         self._vms_read_at = float("-inf")
         self._report_by_key: dict[
             tuple[ids.EntryVmId, model.ServerIncarnation, ids.ServiceName], LeaseReport
         ] = {}
 
+    def begin_term(self, now: float) -> None:
+        """Forget when entry VMs were heard, because maps were confirmed by other planners since.
+
+        ``now`` is a time at which no other planner can confirm a map any more.
+        """
+        self._term_began_at = now
+        self._heard_at_by_vm.clear()
+
+    def note_heard(self, vm: ids.EntryVmId, zone: ids.ZoneName, now: float) -> None:
+        """Record that a report of an entry VM arrived."""
+        self._zone_by_vm[vm] = zone
+        self._heard_at_by_vm[vm] = now
+
+    def is_zone_waited_for(self, zone: ids.ZoneName, now: float) -> bool:
+        """Return whether a change of the keys of a zone's servers would not take effect sooner.
+
+        This is so while none of the zone's entry VMs is heard and `_expires_at_unheard` does not
+        depend on the time of the change.
+        """
+        vms = [vm for vm, vm_zone in self._zone_by_vm.items() if vm_zone == zone]
+        if not vms:
+            return False
+        heard_at = max(self._confirmed_until(vm) for vm in vms)
+        is_silent = all(now - self._heard_at_by_vm.get(vm, float("-inf")) >= HEARD_S for vm in vms)
+        return is_silent and now + leases.READ_MAP_VALID_S < heard_at + leases.MAP_VALID_S
+
+    def _confirmed_until(self, vm: ids.EntryVmId) -> float:
+        """Return a time up to which planners may have confirmed the maps of an entry VM.
+
+        A planner confirms a map by the time stamp of a report that it received.
+        """
+        return max(self._term_began_at, self._heard_at_by_vm.get(vm, float("-inf")))
+
+    def _expires_at_unheard(self, vm: ids.EntryVmId, committed_at: float) -> float:
+        """Return when the leases of an entry VM end that may not know a change yet.
+
+        It may have read the map itself until the change was committed.
+        """
+        return max(
+            self._confirmed_until(vm) + leases.MAP_VALID_S,
+            committed_at + leases.READ_MAP_VALID_S,
+        )
+
     def update_vms(self, zone_by_vm: dict[ids.EntryVmId, ids.ZoneName], read_at: float) -> None:
         """Add the registered entry VMs of a list whose read began at ``read_at``.
 
@@ -52,7 +101,7 @@
         change therefore knows the changed map only, and cannot have granted by an older one.
         """
         self._zone_by_vm.update(zone_by_vm)
-        self._vms_read_at = read_at
+        self._vms_read_at = max(self._vms_read_at, read_at)
 
     def record(
         self,
@@ -90,8 +139,9 @@
         for vm in self._vms_that_may_grant(incarnation):
             report = self._report_by_key.get((vm, incarnation, service))
             if report is None or report.version < version:
-                return bound
-            latest = max(latest, report.expires_at)
+                latest = max(latest, self._expires_at_unheard(vm, committed_at))
+            else:
+                latest = max(latest, report.expires_at)
         return min(bound, max(latest, committed_at))
 
     def _vms_that_may_grant(self, incarnation: model.ServerIncarnation) -> Iterable[ids.EntryVmId]:
--- a/src/celerystack/ranges/leases.py
+++ b/src/celerystack/ranges/leases.py
@@ -31,6 +31,9 @@
 
 Longer than store outages, so that keys stay served while the store is unavailable.
 """
+READ_MAP_VALID_S = 7.5
+"""The same time after an entry VM has read the map from the store itself. It is shorter because the
+planner does not learn of the read; an entry VM without a planner reads again every 1 s or so."""
 
 
 @dataclasses.dataclass
@@ -57,11 +60,17 @@
         """Record a grant that is about to be sent."""
         self._by_incarnation.setdefault(incarnation, _Lease()).in_flight += 1
 
-    def grant_ended(self, incarnation: model.ServerIncarnation, now: float) -> None:
-        """Record that a grant was answered or that its connection was aborted."""
+    def grant_ended(
+        self, incarnation: model.ServerIncarnation, now: float, *, was_sent: bool
+    ) -> None:
+        """Record that a grant was answered or that its connection was aborted.
+
+        No lease began if no byte of it was sent.
+        """
         lease = self._by_incarnation[incarnation]
         lease.in_flight -= 1
-        lease.ends_at = max(lease.ends_at, now + LEASE_BOUND_S)
+        if was_sent:
+            lease.ends_at = max(lease.ends_at, now + LEASE_BOUND_S)
 
     def remaining_s(self, incarnation: model.ServerIncarnation, now: float) -> float:
         """Return the seconds until all leases that this VM granted to an incarnation have ended."""
@@ -84,6 +93,11 @@
             del self._by_incarnation[incarnation]
 
 
+def confirmation_by_read(read_at: float) -> float:
+    """Return the time from which a map counts as checked if it was read at ``read_at``."""
+    return read_at - (MAP_VALID_S - READ_MAP_VALID_S)
+
+
 def may_grant(*, confirmed_at: float, now: float) -> bool:
     """Return whether a lease granted now ends at most `MAP_VALID_S` after ``confirmed_at``."""
     return now + GRANT_TIMEOUT_S + LEASE_BOUND_S <= confirmed_at + MAP_VALID_S
--- a/src/celerystack/ranges/lessor.py
+++ b/src/celerystack/ranges/lessor.py
@@ -241,6 +241,7 @@
         due_at_by_key = self._due_at_by_incarnation.setdefault(incarnation, {})
         is_first = all(token != segment.token for _, _, token in due_at_by_key)
         self.leases.grant_sent(incarnation)
+        was_sent = True
         try:
             result = await self._port.grant(
                 record.entry.address,
@@ -249,24 +250,12 @@
                 timeout_s=leases.GRANT_TIMEOUT_S,
             )
         except errors.BackendError as error:
-            failures = self._failures_by_incarnation.get(incarnation, 0) + 1
-            self._failures_by_incarnation[incarnation] = failures
-            self._failed_at_by_incarnation[incarnation] = self._now()
-            self._granted_incarnations.discard(incarnation)
+            was_sent = not isinstance(error, errors.NotRunError)
             due_at_by_key[_segment_key(segment)] = self._now() + RETRY_S
-            if failures <= FAILURES_TO_UNREACHABLE:
-                _log.warning(
-                    "server did not answer a grant: %s",
-                    error,
-                    extra={
-                        "step": "lessor.grant",
-                        "peer": incarnation.server,
-                        "token": segment.token,
-                    },
-                )
+            self._note_grant_failure(incarnation, segment, error)
             return False
         finally:
-            self.leases.grant_ended(incarnation, self._now())
+            self.leases.grant_ended(incarnation, self._now(), was_sent=was_sent)
         if result is orders.GrantResult.OTHER_SERVER:
             self._failed_at_by_incarnation[incarnation] = self._now()
         else:
@@ -283,3 +272,20 @@
                 extra={"step": "lessor.grant", "peer": incarnation.server, "token": segment.token},
             )
         return True
+
+    def _note_grant_failure(
+        self,
+        incarnation: model.ServerIncarnation,
+        segment: model.Segment,
+        error: errors.BackendError,
+    ) -> None:
+        failures = self._failures_by_incarnation.get(incarnation, 0) + 1
+        self._failures_by_incarnation[incarnation] = failures
+        self._failed_at_by_incarnation[incarnation] = self._now()
+        self._granted_incarnations.discard(incarnation)
+        if failures <= FAILURES_TO_UNREACHABLE:
+            _log.warning(
+                "server did not answer a grant: %s",
+                error,
+                extra={"step": "lessor.grant", "peer": incarnation.server, "token": segment.token},
+            )
--- a/src/celerystack/ranges/plan.py
+++ b/src/celerystack/ranges/plan.py
@@ -95,6 +95,8 @@
     is_silent : callable
         Whether an incarnation does not answer orders, so that its keys can be granted to another
         server only when its leases have ended.
+    keeps_keys : callable
+        Whether an incarnation that is no candidate keeps its keys for the time being.
     load : key_load.Snapshot
         Recent request rates by key.
     """
@@ -104,6 +106,7 @@
     successor: Callable[[model.ServerIncarnation], model.ServerIncarnation | None]
     is_silent: Callable[[model.ServerIncarnation], bool]
     load: key_load.Snapshot
+    keeps_keys: Callable[[model.ServerIncarnation], bool] = lambda _: False
 
 
 class _Draft:
@@ -132,6 +135,11 @@
     def rate(self, segment: model.Segment) -> float:
         return self.service_state.load.rate(segment.start, segment.end)
 
+    def keeps_keys(self, segment: model.Segment) -> bool:
+        """Return whether the owner of a settled segment keeps it although it is no candidate."""
+        owner = segment.owner
+        return owner is not None and segment.is_settled and self.service_state.keeps_keys(owner)
+
     def utilization(self, incarnation: model.ServerIncarnation) -> float:
         return (
             self.rate_by_incarnation[incarnation]
@@ -278,7 +286,7 @@
     move_whole = draft.is_fragmented()
     result: list[model.Segment] = []
     for segment_index, segment in enumerate(draft.segments):
-        if segment.owner in candidates:
+        if segment.owner in candidates or draft.keeps_keys(segment):
             result.append(segment)
             continue
         if move_whole:
--- a/src/celerystack/ranges/planner.py
+++ b/src/celerystack/ranges/planner.py
@@ -17,6 +17,7 @@
     key_load,
     leadership,
     lease_reports,
+    leases,
     model,
     orders,
     plan,
@@ -123,11 +124,13 @@
         self._releases.clear()
         self._commit_by_token.clear()
         self._term_began_at = self._now()
+        self._lease_reports.begin_term(self._term_began_at)
 
     def on_report(self, report: messages.Report) -> None:
         """Record the report of an entry VM."""
         now = self._now()
         versions = report.versions_by_service
+        self._lease_reports.note_heard(report.vm, report.zone, now)
         for incarnation, remaining_s in report.remaining_by_incarnation.items():
             by_service = {
                 service: lease_reports.LeaseReport(version=version, expires_at=now + remaining_s)
@@ -179,13 +182,13 @@
 
     async def _load_maps(self) -> None:
         """Read all range maps; from then on only this VM changes them."""
-        started = self._now()
+        confirmed_at = leases.confirmation_by_read(self._now())
         answer = await self._store.scan(leadership.RANGES_TABLE)
         for row in answer.rows:
             if row.value is None:
                 continue
             service = ids.ServiceName(row.key)
-            self._range_maps.adopt(codec.decode(service, row.value), row.version, started)
+            self._range_maps.adopt(codec.decode(service, row.value), row.version, confirmed_at)
         self._maps_loaded = True
 
     async def _refresh_nodes(self) -> None:
@@ -194,7 +197,11 @@
             return
         by_vm = await nodes.read_all(self._store)
         self._nodes_read_at = now
-        self._lease_reports.update_vms({vm: node.zone for vm, node in by_vm.items()}, now)
+        self.update_vms(by_vm, now)
+
+    def update_vms(self, by_vm: dict[ids.EntryVmId, nodes.Node], read_at: float) -> None:
+        """Add the registered entry VMs of a list whose read began at ``read_at``."""
+        self._lease_reports.update_vms({vm: node.zone for vm, node in by_vm.items()}, read_at)
 
     def _has_silent_pending(self) -> bool:
         return any(
@@ -268,9 +275,22 @@
             has_ended=self._directory.has_ended,
             successor=self._directory.successor,
             is_silent=silent.__contains__,
+            keeps_keys=self._keeps_keys,
             load=load.snapshot(now, keys=model.KEY_MAX + 1),
         )
 
+    def _keeps_keys(self, incarnation: model.ServerIncarnation) -> bool:
+        """Return whether an incarnation that is not usable keeps its keys for now.
+
+        If no entry VM of its availability zone reports, the zone is probably cut off from this VM.
+        Its entry VMs may go on renewing leases by the present map, so the keys could not be granted
+        to others sooner if they were taken away earlier.
+        """
+        zone = self._zone_of(incarnation)
+        if zone is None or self._directory.has_ended(incarnation):
+            return False
+        return self._lease_reports.is_zone_waited_for(zone, self._now())
+
     def _silent_incarnations(self) -> set[model.ServerIncarnation]:
         """Return the incarnations that count as silent.
 
--- a/tests/ranges/fakes.py
+++ b/tests/ranges/fakes.py
@@ -36,12 +36,16 @@
 
 
 class FakeOrders:
-    """An order port that answers at once, or fails every order while ``failing`` is set."""
+    """An order port that answers at once.
+
+    Every order fails while ``failing`` is set, and is not even sent while ``refusing`` is set.
+    """
 
     def __init__(self) -> None:
         self.granted: list[tuple[str, model.Segment]] = []
         self.released: list[tuple[str, model.Segment]] = []
         self.failing = False
+        self.refusing = False
         self.connected = True
 
     def is_connected(self, address):
@@ -49,6 +53,8 @@
 
     def grant(self, address, segment, *, lease_s, timeout_s):
         self.granted.append((address, segment))
+        if self.refusing:
+            return defer.fail(errors.ConnectFailedError("refused", step="grant", peer=address))
         if self.failing:
             return defer.fail(
                 errors.OutcomeUnknownError("connection lost", step="grant", peer=address)
--- a/tests/ranges/test_lease_reports.py
+++ b/tests/ranges/test_lease_reports.py
@@ -53,3 +53,65 @@
         self.lease_reports.update_vms({VM: ZONE, OTHER: ids.ZoneName("z2")}, read_at=50.1)
         self.report(VM, version=7, expires_at=53.0)
         self.assertEqual(53.0, self.all_expired_at())
+
+
+class LostVmTest(testtools.TestCase):
+    """An entry VM that was heard last at 40 s; the map changes at 50 s or later."""
+
+    def setUp(self):
+        super().setUp()
+        self.lease_reports = lease_reports.LeaseReports(zone_of=lambda _: ZONE)
+        self.lease_reports.begin_term(10.0)
+        self.lease_reports.note_heard(OTHER, ZONE, 40.0)
+
+    def all_expired_at(self, committed_at):
+        self.lease_reports.note_heard(VM, ZONE, committed_at + 0.1)
+        report = lease_reports.LeaseReport(version=7, expires_at=committed_at + 2.0)
+        self.lease_reports.record(VM, ZONE, INCARNATION, {SERVICE: report})
+        self.lease_reports.update_vms({}, read_at=committed_at)
+        return self.lease_reports.all_expired_at(
+            INCARNATION, SERVICE, version=7, committed_at=committed_at
+        )
+
+    def test_wait_counts_from_the_last_report(self):
+        """Guards against a wait that counts from the change, although the VM was lost before."""
+        self.assertEqual(40.0 + leases.MAP_VALID_S, self.all_expired_at(45.0))
+
+    def test_map_may_have_been_read_until_the_change(self):
+        """Guards against two owners: a VM without a planner reads the map and renews leases."""
+        self.assertEqual(70.0 + leases.READ_MAP_VALID_S, self.all_expired_at(70.0))
+
+    def test_earlier_planner_may_have_heard_it(self):
+        """Guards against two owners: reports to the planner before this one are not known."""
+        self.lease_reports.begin_term(60.0)
+        self.assertEqual(60.0 + leases.MAP_VALID_S, self.all_expired_at(62.0))
+
+    def test_vm_that_still_reports_an_older_map(self):
+        """Guards against a wait from before the change for a VM that has not adopted it."""
+        self.lease_reports.note_heard(OTHER, ZONE, 53.0)
+        self.assertEqual(50.0 + leases.MAP_VALID_S, self.all_expired_at(50.0))
+
+
+class SilentZoneTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.lease_reports = lease_reports.LeaseReports(zone_of=lambda _: ZONE)
+        self.lease_reports.begin_term(10.0)
+        for vm in (VM, OTHER):
+            self.lease_reports.note_heard(vm, ZONE, 40.0)
+
+    def test_zone_is_waited_for_while_a_change_would_gain_nothing(self):
+        """Guards against taking keys away that nobody else could be granted any sooner."""
+        latest = 40.0 + leases.MAP_VALID_S - leases.READ_MAP_VALID_S
+        self.assertTrue(self.lease_reports.is_zone_waited_for(ZONE, 42.0))
+        self.assertTrue(self.lease_reports.is_zone_waited_for(ZONE, latest - 0.1))
+        self.assertFalse(self.lease_reports.is_zone_waited_for(ZONE, latest))
+
+    def test_zone_with_an_entry_vm_that_reports(self):
+        """Guards against waiting for servers that were lost in a zone that is reachable."""
+        self.lease_reports.note_heard(VM, ZONE, 41.5)
+        self.assertFalse(self.lease_reports.is_zone_waited_for(ZONE, 42.0))
+
+    def test_zone_without_entry_vms(self):
+        """Guards against waiting for a zone in which nobody renews leases."""
+        self.assertFalse(self.lease_reports.is_zone_waited_for(ids.ZoneName("z9"), 42.0))
--- a/tests/ranges/test_lessor.py
+++ b/tests/ranges/test_lessor.py
@@ -132,3 +132,12 @@
         self.lessor.tick()
         remaining_s = self.lessor.remaining_s(fakes.incarnation("a"))
         self.assertAlmostEqual(leases.LEASE_BOUND_S, remaining_s)
+
+    def test_grant_that_was_not_sent_begins_no_lease(self):
+        """Guards against keys that stay unserved longer with each connection that is refused."""
+        self.lessor.tick()
+        self.orders.refusing = True
+        self.clock.advance(leases.RENEW_S + 0.1)
+        self.lessor.tick()
+        remaining_s = self.lessor.remaining_s(fakes.incarnation("a"))
+        self.assertAlmostEqual(leases.LEASE_BOUND_S - leases.RENEW_S - 0.1, remaining_s)
--- a/tests/ranges/test_ownership_model.py
+++ b/tests/ranges/test_ownership_model.py
@@ -1,8 +1,8 @@
 """Model checker that explores every order of events for two entry VMs, servers and ranges.
 
-The decisions come from the code under test (`plan.plan`, `plan.settle`, `leases.may_grant` and its
-bounds). The model adds the environment: entry VMs that learn of changes late, grants that servers
-apply late, and servers that do not answer.
+The decisions come from the code under test (`plan.plan`, `plan.settle`, `leases.may_grant`,
+`lease_reports.LeaseReports` and their bounds). The model adds the environment: entry VMs that learn
+of changes late, grants that servers apply late, and servers that do not answer.
 Times are relative to the present, which keeps the number of states finite.
 """
 
@@ -15,7 +15,8 @@
 
 import testtools
 
-from celerystack.ranges import key_load, leases, model, plan
+from celerystack import ids
+from celerystack.ranges import key_load, lease_reports, leases, model, plan
 from tests.ranges import fakes
 
 STEP_S = 4.0
@@ -37,10 +38,15 @@
 
 
 class Vm(NamedTuple):
-    """The map that an entry VM uses, and the time since it was last known to be current."""
+    """The map that an entry VM uses, and its age.
+
+    ``age_s`` is the time since the map was last known to be current, ``heard_s`` the time since the
+    planner received the report by which it last confirmed the map.
+    """
 
     ranges: int
     age_s: float
+    heard_s: float
 
 
 class DelayedGrant(NamedTuple):
@@ -78,7 +84,7 @@
     )
     ranges = model.RangeMap(service=fakes.SERVICE, next_token=3, segments=segments)
     number = map_index(ranges)
-    vm = Vm(number, 0.0)
+    vm = Vm(number, 0.0, 0.0)
     return State(number, 0.0, (vm, vm), ((Lease(), Lease()), (Lease(), Lease())), None)
 
 
@@ -105,23 +111,51 @@
     return MAPS[number].find(start)
 
 
+@functools.cache
+def silent_owner_expired(heard_s: tuple[float, ...], commit_age_s: float) -> bool:
+    """Return whether the planner takes all leases for ended if no entry VM reports any more."""
+    waits = lease_reports.LeaseReports(zone_of=lambda _: fakes.ZONE)
+    waits.begin_term(-2 * leases.MAP_VALID_S)
+    for index, since_s in enumerate(heard_s):
+        waits.note_heard(ids.EntryVmId(f"vm-{index}"), fakes.ZONE, -since_s)
+    waits.update_vms({}, -commit_age_s)
+    expired_at = waits.all_expired_at(FIRST, fakes.SERVICE, version=1, committed_at=-commit_age_s)
+    return expired_at <= 0.0
+
+
 class Rules(NamedTuple):
-    """Rules of the protocol. Weaker ones show that the search finds violations."""
+    """Rules of the protocol. Weaker ones show that the search finds violations.
+
+    Attributes
+    ----------
+    read_age_s : float or None
+        Age of a map that an entry VM has just read from the store; None if there are no reads.
+    has_delays : bool
+        Whether servers may apply grants late.
+    """
 
     wait_s: float = leases.MAP_VALID_S
     release_under_new_token: bool = True
+    read_age_s: float | None = None
+    has_delays: bool = True
 
     def successors(self, state: State) -> Iterator[State]:
         yield self._advance_time(state)
         for index in range(2):
             yield self._learn(state, index)
+            yield from self._reads(state, index)
             yield from self._grants(state, index)
         yield from self._apply_delayed(state)
         yield from self._plans(state)
 
     def _advance_time(self, state: State) -> State:
         aged = tuple(
-            vm._replace(age_s=min(vm.age_s + STEP_S, leases.MAP_VALID_S)) for vm in state.vms
+            Vm(
+                vm.ranges,
+                min(vm.age_s + STEP_S, leases.MAP_VALID_S),
+                min(vm.heard_s + STEP_S, leases.MAP_VALID_S),
+            )
+            for vm in state.vms
         )
         left = tuple(
             tuple(
@@ -139,9 +173,20 @@
 
     def _learn(self, state: State, index: int) -> State:
         vms = list(state.vms)
-        vms[index] = Vm(state.ranges, 0.0)
+        vms[index] = Vm(state.ranges, 0.0, 0.0)
         return state._replace(vms=tuple(vms))
 
+    def _reads(self, state: State, index: int) -> Iterator[State]:
+        """Let an entry VM read the map itself, which the planner does not notice."""
+        if self.read_age_s is None:
+            return
+        vms = list(state.vms)
+        known = vms[index]
+        known_age_s = known.age_s if known.ranges == state.ranges else leases.MAP_VALID_S
+        age_s = min(known_age_s, self.read_age_s)
+        vms[index] = Vm(state.ranges, age_s, known.heard_s)
+        yield state._replace(vms=tuple(vms))
+
     def _grants(self, state: State, index: int) -> Iterator[State]:
         vm = state.vms[index]
         if not leases.may_grant(confirmed_at=-vm.age_s, now=0.0):
@@ -151,7 +196,7 @@
             if segment.is_settled:
                 server = INCARNATIONS.index(segment.owner)
                 yield self._with_grant(state, server, range_index, segment.token, HELD_S)
-                if state.delayed is None:
+                if state.delayed is None and self.has_delays:
                     yield state._replace(
                         delayed=DelayedGrant(server, range_index, segment.token, 0.0)
                     )
@@ -190,7 +235,10 @@
                 if after != state.ranges and MAPS[after].next_token <= 3 + 2 * MOVES_MAX:
                     yield state._replace(ranges=after, commit_age_s=0.0)
             return
-        if state.commit_age_s > self.wait_s:
+        heard_s = tuple(vm.heard_s for vm in state.vms)
+        if state.commit_age_s > self.wait_s or (
+            self.read_age_s is not None and silent_owner_expired(heard_s, state.commit_age_s)
+        ):
             yield state._replace(ranges=settled(state.ranges, ""), commit_age_s=0.0)
         after = state
         for range_index, start in enumerate(STARTS):
@@ -244,3 +292,15 @@
         """Guards against a search that misses delayed grants, which only a new token fences off."""
         _, broken = explore(Rules(release_under_new_token=False))
         self.assertIsNotNone(broken)
+
+    def test_entry_vms_that_read_the_map_themselves(self):
+        """Guards against two owners after a wait that counts from the last report of a lost VM."""
+        count, broken = explore(Rules(read_age_s=-leases.confirmation_by_read(0), has_delays=False))
+        print(f"{count} states explored")
+        self.assertIsNone(broken)
+        self.assertGreater(count, 1000)
+
+    def test_read_that_confirms_a_map_in_full_is_noticed(self):
+        """Guards against a search that misses reads which the planner does not know of."""
+        _, broken = explore(Rules(read_age_s=0.0, has_delays=False))
+        self.assertIsNotNone(broken)
--- a/tests/ranges/test_planner.py
+++ b/tests/ranges/test_planner.py
@@ -167,6 +167,77 @@
         self.assertEqual(set(), waiting & still)
 
 
+class CutZoneTest(PlannerCase):
+    """The pattern of a zone that is cut off for seconds: no reports, and its entries are removed.
+
+    Server ``c`` is in another zone than ``a`` and ``b``.
+    """
+
+    far_zone = ids.ZoneName("z2")
+    far_vm = ids.EntryVmId("vm-2")
+
+    def setUp(self):
+        super().setUp()
+        node = nodes.Node(vm=self.far_vm, zone=self.far_zone, address=("10.0.0.2", 7000))
+        result_of(nodes.register(self.store, node))
+        far = fakes.entry("c", zone=self.far_zone)
+        self.directory.apply_changes([far], [], self.clock.seconds())
+        self.drain("a")
+        self.tick()
+        self.tick()
+        self.assertIn(fakes.incarnation("c"), self.owners())
+        self.hear(self.far_vm, self.far_zone)
+        self.orders.failing = True
+        self.cut_at = self.clock.seconds()
+
+    def owners(self):
+        return {segment.owner for segment in self.ranges().segments}
+
+    def hear(self, vm=VM, zone=fakes.ZONE):
+        self.planner.on_report(
+            messages.Report(
+                vm=vm,
+                zone=zone,
+                vm_incarnation=1,
+                stamp=self.clock.seconds(),
+                versions_by_service=self.range_maps.versions(),
+                remaining_by_incarnation={},
+                unreachable=(),
+                keys_by_service={},
+                service_time_by_server={},
+            )
+        )
+
+    def cut(self, seconds):
+        """Let time pass while the other zone reports; the entry of ``c`` is removed after 1.5 s."""
+        end = self.cut_at + seconds
+        while self.clock.seconds() < end:
+            if self.clock.seconds() >= self.cut_at + 1.5:
+                self.directory.apply_changes([], [ids.ServerId("c")], self.clock.seconds())
+            self.hear()
+            self.planner.update_vms({}, self.clock.seconds())
+            self.tick()
+
+    def test_server_of_a_zone_that_comes_back_keeps_its_keys(self):
+        """Guards against keys without owner after a short cut, until all leases have ended."""
+        self.cut(6.0)
+        self.assertIn(fakes.incarnation("c"), self.owners())
+        self.assertTrue(all(segment.is_settled for segment in self.ranges().segments))
+
+    def test_keys_of_a_lost_zone_come_back_as_soon_as_without_the_wait(self):
+        """Guards against a wait for the zone that delays the recovery of its keys."""
+        self.cut(leases.MAP_VALID_S + 0.9)
+        self.assertEqual({fakes.incarnation("b")}, self.owners())
+        self.assertTrue(all(segment.is_settled for segment in self.ranges().segments))
+
+    def test_lost_server_of_a_zone_that_reports(self):
+        """Guards against a wait for a server that was lost alone."""
+        self.directory.apply_changes([], [ids.ServerId("c")], self.clock.seconds())
+        self.hear(self.far_vm, self.far_zone)
+        self.tick()
+        self.assertNotIn(fakes.incarnation("c"), self.owners())
+
+
 class FirstAssignmentTest(PlannerCase):
     other = ids.ServiceName("swaps")
     sharded_services = (fakes.SERVICE, other)
