Remove the rows of entry VMs that have been lost

Cause: rows of the table vms were only added. An entry VM that was replaced kept its share of the limits and its place in the wait for the keys of a silent server, for the rest of the fleet's life. Ruled out: an expiry by time alone. A VM that only the planner does not hear goes on renewing leases by maps that it reads itself, so a change must wait for it. Change: the planner removes a row after 16 s without a report if the row has not changed for 8.5 s, conditional on its own row and on the version of the removed one. A VM registers again less than 1 s before it reads a map, unless a planner has confirmed a report of it within 8 s. While a row may be removed, no report of its VM is accepted; a report counts from the time at which the planner that answered it was confirmed by the store; the age of a row counts from the end of the read.

--- a/src/celerystack/fleet/nodes.py
+++ b/src/celerystack/fleet/nodes.py
@@ -17,11 +17,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Node:
-    """A registered entry VM; ``address`` is where it receives datagrams."""
+    """A registered entry VM.
+
+    Attributes
+    ----------
+    address : tuple
+        Where it receives datagrams.
+    version : RowVersion
+        Version of its row, which increases when it registers again; 0 if the row was not read.
+    """
 
     vm: ids.EntryVmId
     zone: ids.ZoneName
     address: tuple[str, int]
+    version: ids.RowVersion = dataclasses.field(default=ids.RowVersion(0), compare=False)
 
 
 async def register(store: rows.RowStore, node: Node) -> None:
@@ -48,5 +57,5 @@
             )
             continue
         vm = ids.EntryVmId(row.key)
-        by_vm[vm] = Node(vm=vm, zone=ids.ZoneName(zone), address=address)
+        by_vm[vm] = Node(vm=vm, zone=ids.ZoneName(zone), address=address, version=row.version)
     return by_vm
--- a/src/celerystack/platform/store.py
+++ b/src/celerystack/platform/store.py
@@ -94,7 +94,7 @@
         body = {
             "precondition": [
                 {**_row_address(condition.table, condition.key), "row_version": condition.version}
-                for condition in conditions
+                for condition in (*conditions, *removes)
             ],
             "put": [
                 {**_row_address(put.table, put.key), "value": base64.b64encode(put.value).decode()}
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -157,6 +157,7 @@
         self._assembler = map_datagrams.Assembler()
         self._planner_heard_at = now()
         self._heard_term = 0
+        self._confirmed_at = float("-inf")
         self._planner_address: tuple[str, int] | None = None
         self._pending_incarnations: tuple[model.ServerIncarnation, ...] = ()
         self._keys_by_service: dict[ids.ServiceName, list[int]] = {}
@@ -310,8 +311,12 @@
         started = self._now()
         by_vm = await nodes.read_all(self._store)
         self._nodes_read_at = self._now()
+        if self._node.vm not in by_vm:
+            await nodes.register(self._store, self._node)
+            by_vm[self._node.vm] = self._node
         self._map_distributor.update_nodes(by_vm)
         self.planner.update_vms(by_vm, started)
+        await self.planner.remove_lost_vms(by_vm)
 
     async def _follow(self) -> None:
         now = self._now()
@@ -332,7 +337,15 @@
             await self._begin_term()
 
     async def _read_ranges(self) -> None:
-        """Read the range maps from the store, as no planner sends them."""
+        """Read the range maps from the store, as no planner sends them.
+
+        The planner may have removed the row of this VM if it has received no report for long.
+        """
+        started = self._now()
+        if started - self._confirmed_at >= leases.REGISTRATION_VALID_S:
+            await nodes.register(self._store, self._node)
+        if self._now() - started > leases.REGISTER_TO_READ_S:
+            return
         confirmed_at = leases.confirmation_by_read(self._now())
         answer = await self._store.scan(leadership.RANGES_TABLE)
         for row in answer.rows:
@@ -393,7 +406,7 @@
                 self._take_part(message)
 
     def _take_report(self, report: messages.Report) -> None:
-        if not self.leadership.held:
+        if not self.leadership.held or self.planner.is_in_removal(report.vm):
             return
         self._map_distributor.on_report(report)
         self._note_address_reused(report.incarnations_with_reused_address)
@@ -418,9 +431,9 @@
         self.quarantine.update(heartbeat.quarantined)
         self._update_vms(heartbeat.zone_vms, heartbeat.entry_vms)
         if heartbeat.echo_vm_incarnation == self._vm_incarnation and heartbeat.echo_stamp >= 0:
-            self.range_maps.confirm(
-                heartbeat.versions_by_service, heartbeat.echo_stamp - heartbeat.confirm_age_s
-            )
+            confirmed_at = heartbeat.echo_stamp - heartbeat.confirm_age_s
+            self._confirmed_at = max(self._confirmed_at, confirmed_at)
+            self.range_maps.confirm(heartbeat.versions_by_service, confirmed_at)
         self._note_address_reused(heartbeat.incarnations_with_reused_address)
         if heartbeat.update is not None:
             self._updates.apply(heartbeat.update)
--- a/src/celerystack/ranges/leadership.py
+++ b/src/celerystack/ranges/leadership.py
@@ -13,7 +13,7 @@
 import msgpack
 
 from celerystack import errors, ids
-from celerystack.fleet import rows
+from celerystack.fleet import nodes, rows
 from celerystack.ranges import codec, model
 
 _log = logging.getLogger(__name__)
@@ -125,6 +125,14 @@
         self.confirmed_at = started
         return written
 
+    async def remove_vm(self, node: nodes.Node) -> None:
+        """Remove the row of an entry VM, unless it registers again meanwhile."""
+        leader = rows.Condition(table=LEADER_TABLE, key=LEADER_KEY, version=self._version)
+        removed = rows.Condition(
+            table=nodes.NODES_TABLE, key=ids.RowKey(node.vm), version=node.version
+        )
+        await self._store.transact([leader], (), [removed])
+
     async def release(self) -> None:
         """Clear the leader's row, so that another VM can become planner without waiting."""
         term, self.term = self.term, 0
--- a/src/celerystack/ranges/lease_reports.py
+++ b/src/celerystack/ranges/lease_reports.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 
 from celerystack import ids
+from celerystack.fleet import nodes
 from celerystack.ranges import leases, model
 
 
@@ -25,10 +26,21 @@
     expires_at: float
 
 
+ROW_UNCHANGED_S = leases.REGISTER_TO_READ_S + leases.READ_MAP_VALID_S
+"""Time in seconds for which the row of a lost entry VM must be unchanged before it is removed. All
+leases by maps that the VM has read since it registered have ended then."""
 HEARD_S = 1.2
 """Time in seconds since the last report of an entry VM up to which it counts as heard."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _SeenRow:
+    """Version of an entry VM's row, and a time by which the VM had certainly written it."""
+
+    version: int
+    written_before: float
+
+
 class LeaseReports:
     """Collects what the entry VMs report about the leases that they granted to possible holders.
 
@@ -44,6 +56,8 @@
     ) -> None:
         self._zone_of = zone_of
         self._zone_by_vm: dict[ids.EntryVmId, ids.ZoneName] = {}
+        self._row_by_vm: dict[ids.EntryVmId, _SeenRow] = {}
+        self._vms_in_removal: set[ids.EntryVmId] = set()
         self._heard_at_by_vm: dict[ids.EntryVmId, float] = {}
         self._term_began_at = float("inf")
         self._vms_read_at = float("-inf")
@@ -58,6 +72,8 @@
         """
         self._term_began_at = now
         self._heard_at_by_vm.clear()
+        self._row_by_vm.clear()
+        self._vms_in_removal.clear()
 
     def note_heard(self, vm: ids.EntryVmId, zone: ids.ZoneName, now: float) -> None:
         """Record that a report of an entry VM arrived."""
@@ -94,14 +110,54 @@
             committed_at + leases.READ_MAP_VALID_S,
         )
 
-    def update_vms(self, zone_by_vm: dict[ids.EntryVmId, ids.ZoneName], read_at: float) -> None:
-        """Add the registered entry VMs of a list whose read began at ``read_at``.
+    def update_vms(
+        self, by_vm: dict[ids.EntryVmId, nodes.Node], *, read_at: float, answered_at: float
+    ) -> None:
+        """Apply a list of the registered entry VMs.
 
+        ``read_at`` is when the read of the list began, ``answered_at`` when it had been answered.
         A VM registers before it reads a range map. One that is missing from a list read after a
-        change therefore knows the changed map only, and cannot have granted by an older one.
+        change therefore knows the changed map only, and cannot have granted by an older one. One
+        whose row was removed has no lease in force; see `lost_vms`.
         """
-        self._zone_by_vm.update(zone_by_vm)
         self._vms_read_at = max(self._vms_read_at, read_at)
+        for vm in [vm for vm in self._zone_by_vm if vm not in by_vm]:
+            if self._heard_at_by_vm.get(vm, float("-inf")) < read_at:
+                del self._zone_by_vm[vm]
+                self._heard_at_by_vm.pop(vm, None)
+                self._row_by_vm.pop(vm, None)
+                self._vms_in_removal.discard(vm)
+        for vm, node in by_vm.items():
+            self._zone_by_vm[vm] = node.zone
+            seen = self._row_by_vm.get(vm)
+            if seen is None or seen.version != node.version:
+                self._row_by_vm[vm] = _SeenRow(node.version, answered_at)
+                self._vms_in_removal.discard(vm)
+
+    def lost_vms(self, now: float) -> list[ids.EntryVmId]:
+        """Return the entry VMs whose rows may be removed, because their leases have ended.
+
+        No planner has confirmed their maps for `leases.MAP_VALID_S`, and they have not registered
+        since, which they must do before they read the maps themselves.
+        """
+        return [
+            vm
+            for vm, seen in self._row_by_vm.items()
+            if now - self._confirmed_until(vm) >= leases.MAP_VALID_S
+            and now - seen.written_before >= ROW_UNCHANGED_S
+        ]
+
+    def begin_removal(self, vm: ids.EntryVmId) -> None:
+        """Record that the row of an entry VM is about to be removed."""
+        self._vms_in_removal.add(vm)
+
+    def is_in_removal(self, vm: ids.EntryVmId) -> bool:
+        """Return whether the row of an entry VM may have been removed.
+
+        Its reports must not be accepted until it has registered again. Otherwise its maps would be
+        confirmed although it is missing from the next list.
+        """
+        return vm in self._vms_in_removal
 
     def record(
         self,
--- a/src/celerystack/ranges/leases.py
+++ b/src/celerystack/ranges/leases.py
@@ -93,6 +93,13 @@
             del self._by_incarnation[incarnation]
 
 
+REGISTRATION_VALID_S = 8.0
+"""An entry VM reads maps itself only if a planner that held the leadership has received a report of
+it within this time in seconds, or if it has registered again just before."""
+REGISTER_TO_READ_S = 1.0
+"""Longest time in seconds between the start of that registration and the start of the read."""
+
+
 def confirmation_by_read(read_at: float) -> float:
     """Return the time from which a map counts as checked if it was read at ``read_at``."""
     return read_at - (MAP_VALID_S - READ_MAP_VALID_S)
--- a/src/celerystack/ranges/map_distribution.py
+++ b/src/celerystack/ranges/map_distribution.py
@@ -84,7 +84,9 @@
         self._pushed_by_service.clear()
 
     def update_nodes(self, by_vm: dict[ids.EntryVmId, nodes.Node]) -> None:
-        """Add the registered entry VMs, or replace those whose data changed."""
+        """Replace the entry VMs by the registered ones; keep the state of those that remain."""
+        for vm in [vm for vm in self._by_vm if vm not in by_vm]:
+            del self._by_vm[vm]
         for vm, node in by_vm.items():
             peer = self._by_vm.get(vm)
             if peer is None or peer.node != node:
--- a/src/celerystack/ranges/planner.py
+++ b/src/celerystack/ranges/planner.py
@@ -200,8 +200,22 @@
         self.update_vms(by_vm, now)
 
     def update_vms(self, by_vm: dict[ids.EntryVmId, nodes.Node], read_at: float) -> None:
-        """Add the registered entry VMs of a list whose read began at ``read_at``."""
-        self._lease_reports.update_vms({vm: node.zone for vm, node in by_vm.items()}, read_at)
+        """Apply a list of the registered entry VMs whose read began at ``read_at``."""
+        self._lease_reports.update_vms(by_vm, read_at=read_at, answered_at=self._now())
+
+    async def remove_lost_vms(self, by_vm: dict[ids.EntryVmId, nodes.Node]) -> None:
+        """Remove the rows of entry VMs that have been lost, so that nothing waits for them."""
+        for vm in self._lease_reports.lost_vms(self._now()):
+            self._lease_reports.begin_removal(vm)
+            await self.leadership.remove_vm(by_vm[vm])
+            _log.info(
+                "removed the registration of an entry VM that does not report",
+                extra={"step": "fleet", "peer": vm},
+            )
+
+    def is_in_removal(self, vm: ids.EntryVmId) -> bool:
+        """Return whether the row of an entry VM may have been removed; see `LeaseReports`."""
+        return self._lease_reports.is_in_removal(vm)
 
     def _has_silent_pending(self) -> bool:
         return any(
--- a/tests/ranges/fakes.py
+++ b/tests/ranges/fakes.py
@@ -5,8 +5,8 @@
 from twisted.internet import defer
 
 from celerystack import errors, ids
-from celerystack.fleet import rows, servers
-from celerystack.ranges import model, orders
+from celerystack.fleet import nodes, rows, servers
+from celerystack.ranges import lease_reports, model, orders
 
 SERVICE = ids.ServiceName("rota")
 ZONE = ids.ZoneName("z1")
@@ -30,6 +30,32 @@
     return servers.ServerEntry(**(fields | changes))
 
 
+def registered(
+    zone_by_vm: dict[ids.EntryVmId, ids.ZoneName], version: int = 1
+) -> dict[ids.EntryVmId, nodes.Node]:
+    """Return the list of registered entry VMs with these zones."""
+    return {
+        vm: nodes.Node(vm=vm, zone=zone, address=("10.0.0.1", 7000), version=version)
+        for vm, zone in zone_by_vm.items()
+    }
+
+
+def list_vms(
+    reports: lease_reports.LeaseReports,
+    zone_by_vm: dict[ids.EntryVmId, ids.ZoneName],
+    read_at: float,
+    *,
+    answered_at: float | None = None,
+    version: int = 1,
+) -> None:
+    """Give a list of the registered entry VMs to ``reports``, answered at once by default."""
+    reports.update_vms(
+        registered(zone_by_vm, version),
+        read_at=read_at,
+        answered_at=read_at if answered_at is None else answered_at,
+    )
+
+
 def whole(owner: model.ServerIncarnation, token: int = 1) -> model.RangeMap:
     segment = model.Segment(start=0, end=model.KEY_MAX, token=ids.Token(token), owner=owner)
     return model.RangeMap(service=SERVICE, next_token=ids.Token(token + 1), segments=(segment,))
@@ -90,13 +116,15 @@
         return self.scan(table)
 
     def transact(self, conditions, puts, removes):
-        for condition in conditions:
+        for condition in (*conditions, *removes):
             row_id = condition.table, condition.key
             if self.rows.get(row_id, (b"", 0))[1] != condition.version:
                 return defer.fail(errors.TransactionConflictError("conflict", step="tx"))
         self.version += 1
         for put in puts:
             self.rows[put.table, put.key] = (put.value, self.version)
+        for removed in removes:
+            del self.rows[removed.table, removed.key]
         if self.lose_next_answer:
             self.lose_next_answer = False
             return defer.fail(errors.AnswerLostError("no answer", step="tx"))
--- a/tests/ranges/test_coordinator.py
+++ b/tests/ranges/test_coordinator.py
@@ -1,12 +1,14 @@
 """Tests of the planner election, without a network."""
 
+import dataclasses
+
 import msgpack
 import testtools
 from twisted.internet import task
 
 from celerystack import ids
 from celerystack.fleet import directory_sync, messages, nodes, rows, servers
-from celerystack.ranges import coordinator, leadership
+from celerystack.ranges import coordinator, leadership, leases
 from tests.ranges import fakes
 
 OWN, OTHER = ids.EntryVmId("vm-1"), ids.EntryVmId("vm-2")
@@ -131,3 +133,50 @@
         self.assertFalse(self.is_planner)
         self.run_for(LONG_S)
         self.assertTrue(self.is_planner)
+
+
+class RegistrationTest(CoordinatorCase):
+    def registered(self):
+        return (nodes.NODES_TABLE, OWN) in self.store.rows
+
+    def remove_row(self):
+        self.store.rows.pop((nodes.NODES_TABLE, OWN), None)
+
+    def test_vm_without_a_planner_registers_before_it_reads_the_maps(self):
+        """Guards against two owners: a VM whose row was removed renews leases by its own reads."""
+        self.run_for(1.0, confirm_age_s=0.0)
+        self.remove_row()
+        self.run_for(leases.REGISTRATION_VALID_S + 2.0)
+        self.assertTrue(self.registered())
+
+    def test_vm_that_the_planner_has_heard_does_not_write(self):
+        """Guards against a write of every entry VM to the store when the planner is replaced."""
+        self.run_for(1.0, confirm_age_s=0.0)
+        self.remove_row()
+        self.run_for(2.0)
+        self.assertFalse(self.registered())
+
+    def test_planner_that_the_store_does_not_confirm_has_not_kept_the_row(self):
+        """Guards against two owners: the next planner removed the row while an earlier one, cut off
+        from the store, still answered the reports of this VM."""
+        for _ in range(10):
+            self.run_for(1.0, confirm_age_s=10.0, store_answers=False)
+        self.remove_row()
+        self.run_for(2.0)
+        self.assertTrue(self.registered())
+
+    def test_report_during_the_removal_of_a_row_is_not_accepted(self):
+        """Guards against two owners: a VM that reports again while its row is removed would have
+        its maps confirmed, but be missing from the list by which leases are waited for."""
+        self.run_for(LONG_S)
+        self.coordinator._map_distributor.update_nodes(
+            {OTHER: nodes.Node(vm=OTHER, zone=fakes.ZONE, address=("10.0.0.2", 7000))}
+        )
+        self.coordinator.planner.update_vms(fakes.registered({OTHER: fakes.ZONE}), 0.0)
+        report = dataclasses.replace(self.coordinator._own_report(), vm=OTHER, stamp=1.0)
+        peer = next(self.coordinator._map_distributor.others())
+        self.coordinator._take_report(report)
+        self.assertEqual(1.0, peer.stamp)
+        self.coordinator.planner._lease_reports.begin_removal(OTHER)
+        self.coordinator._take_report(dataclasses.replace(report, stamp=2.0))
+        self.assertEqual(1.0, peer.stamp)
--- a/tests/ranges/test_ownership_model.py
+++ b/tests/ranges/test_ownership_model.py
@@ -118,7 +118,8 @@
     waits.begin_term(-2 * leases.MAP_VALID_S)
     for index, since_s in enumerate(heard_s):
         waits.note_heard(ids.EntryVmId(f"vm-{index}"), fakes.ZONE, -since_s)
-    waits.update_vms({}, -commit_age_s)
+    vms = [ids.EntryVmId(f"vm-{index}") for index in range(len(heard_s))]
+    fakes.list_vms(waits, dict.fromkeys(vms, fakes.ZONE), -commit_age_s)
     expired_at = waits.all_expired_at(FIRST, fakes.SERVICE, version=1, committed_at=-commit_age_s)
     return expired_at <= 0.0
 
--- a/tests/ranges/test_planner.py
+++ b/tests/ranges/test_planner.py
@@ -3,7 +3,7 @@
 import testtools
 from twisted.internet import task
 
-from celerystack import ids
+from celerystack import errors, ids
 from celerystack.fleet import messages, nodes, servers
 from celerystack.ranges import leadership, leases, planner, range_maps
 from tests.ranges import fakes
@@ -215,7 +215,8 @@
             if self.clock.seconds() >= self.cut_at + 1.5:
                 self.directory.apply_changes([], [ids.ServerId("c")], self.clock.seconds())
             self.hear()
-            self.planner.update_vms({}, self.clock.seconds())
+            vms = {VM: fakes.ZONE, self.far_vm: self.far_zone}
+            self.planner.update_vms(fakes.registered(vms), self.clock.seconds())
             self.tick()
 
     def test_server_of_a_zone_that_comes_back_keeps_its_keys(self):
@@ -238,6 +239,46 @@
         self.assertNotIn(fakes.incarnation("c"), self.owners())
 
 
+class LostVmTest(PlannerCase):
+    """An entry VM of the zone that never reports, as after its replacement by another."""
+
+    lost = ids.EntryVmId("vm-9")
+
+    def setUp(self):
+        super().setUp()
+        lost = nodes.Node(vm=self.lost, zone=fakes.ZONE, address=("10.0.0.9", 7000))
+        result_of(nodes.register(self.store, lost))
+
+    def run_for(self, seconds):
+        end = self.clock.seconds() + seconds
+        while self.clock.seconds() < end:
+            self.report()
+            read_at = self.clock.seconds()
+            by_vm = result_of(nodes.read_all(self.store))
+            self.planner.update_vms(by_vm, read_at)
+            result_of(self.planner.remove_lost_vms(by_vm))
+            self.tick(0.5)
+
+    def registered(self):
+        return set(result_of(nodes.read_all(self.store)))
+
+    def test_registration_is_removed_when_no_lease_can_be_left(self):
+        """Guards against registrations that stay for ever and delay each recovery."""
+        self.run_for(leases.MAP_VALID_S - 2.0)
+        self.assertEqual({VM, self.lost}, self.registered())
+        self.run_for(3.0)
+        self.assertEqual({VM}, self.registered())
+
+    def test_registration_that_was_renewed_stays(self):
+        """Guards against removing the row that a VM has written after the list was read."""
+        self.run_for(leases.MAP_VALID_S - 2.0)
+        by_vm = result_of(nodes.read_all(self.store))
+        result_of(nodes.register(self.store, by_vm[self.lost]))
+        removing = self.planner.leadership.remove_vm(by_vm[self.lost])
+        self.assertRaises(errors.TransactionConflictError, result_of, removing)
+        self.assertIn(self.lost, self.registered())
+
+
 class FirstAssignmentTest(PlannerCase):
     other = ids.ServiceName("swaps")
     sharded_services = (fakes.SERVICE, other)
