Send range maps as changes since the version that each entry VM has, paced

Three faults together: an entry VM that missed one version got the whole map (12 and more datagrams, encoded for each VM anew), such bursts overflowed the planner's link, so that the VMs at their end missed versions again; and each push of a change counted as the last sending of the map, so that a lost version was hardly ever sent again while the map kept changing. Ruled out: a planner without processor time (its plans kept their interval), lost heartbeats (the VMs followed the directory meanwhile). Change: the planner keeps the last 64 versions and sends the changes since the reported one, encoded once for all VMs that report it. A version counts as lost if a report arrives 0.25 s after it was sent without it; then all changes since the reported version are sent. A version without changed segments is sent too. Changes are applied in n log n. Updates of the directory are built once for all VMs with the same position.

--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -99,6 +99,7 @@
             directory=self.directory,
             updates=updates,
             sharded_services=self._sharded_services,
+            link_mbps=node_settings.link_mbps,
             is_small=node_settings.is_small,
             now=now,
         )
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import random
 from collections.abc import Callable, Iterable
@@ -21,6 +22,7 @@
     map_distribution,
     model,
     orders,
+    paced_sender,
     planner,
     range_maps,
 )
@@ -92,6 +94,8 @@
         the planner, otherwise from the planner to this VM.
     sharded_services : callable
         Returns the services whose keys are divided among servers.
+    link_mbps : float
+        Bandwidth of this VM's link in Mbit/s.
     is_small : bool
         Whether this VM leaves the leadership to larger VMs.
     now : callable
@@ -109,6 +113,7 @@
         directory: servers.Directory,
         updates: directory_sync.DirectorySync,
         sharded_services: Callable[[], Iterable[ids.ServiceName]],
+        link_mbps: float,
         is_small: bool,
         now: Callable[[], float],
     ) -> None:
@@ -146,7 +151,9 @@
         self._map_distributor = map_distribution.MapDistributor(
             own=node,
             maps=self.range_maps,
-            send=self._datagrams.send,
+            sender=paced_sender.PacedSender(
+                reactor, send=self._datagrams.send, link_mbps=link_mbps
+            ),
             term=lambda: self.leadership.term,
             now=now,
         )
@@ -366,6 +373,7 @@
         registered = max(1, len(self._map_distributor))
         self._update_vms(vms_by_zone[self._node.zone], registered)
         self._pending_incarnations = pending
+        updates_since = functools.cache(self._updates.update_since)
         for peer in self._map_distributor.others():
             heartbeat = messages.PlannerHeartbeat(
                 vm=self._node.vm,
@@ -379,7 +387,7 @@
                 pending=pending,
                 admitted_fraction_by_server=admitted,
                 quarantined=quarantined,
-                update=self._updates.update_since(peer.position),
+                update=updates_since(peer.position),
                 incarnations_with_reused_address=incarnations_with_reused_address,
             )
             self._datagrams.send(messages.encode(heartbeat), peer.node.address)
--- a/src/celerystack/ranges/map_datagrams.py
+++ b/src/celerystack/ranges/map_datagrams.py
@@ -13,8 +13,11 @@
 def encode(
     known: range_maps.KnownMap, segments: tuple[model.Segment, ...], *, term: int, base: int
 ) -> list[bytes]:
-    """Return the datagrams of a map or, unless ``base`` is 0, of its changes since that version."""
-    offsets = range(0, len(segments), SEGMENTS_PER_PART)
+    """Return the datagrams of a map or, unless ``base`` is 0, of its changes since that version.
+
+    There is at least one, because a version without changed segments has to arrive too.
+    """
+    offsets = range(0, max(1, len(segments)), SEGMENTS_PER_PART)
     return [
         messages.encode(
             messages.RangesPart(
--- a/src/celerystack/ranges/map_distribution.py
+++ b/src/celerystack/ranges/map_distribution.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+import collections
+import dataclasses
 from collections.abc import Callable, Iterator
 
 from celerystack import ids
 from celerystack.fleet import directory_sync, messages, nodes
-from celerystack.ranges import map_datagrams, model, range_maps
+from celerystack.ranges import map_datagrams, model, paced_sender, range_maps
 
 LIVE_S = 1.2
 """Age in seconds of its last report up to which an entry VM counts as live."""
 RESEND_S = 0.25
-"""Time in seconds after a map was last sent to an entry VM from which it is sent again."""
+"""Time in seconds between the sending of a version and a report without it from which it counts as
+lost."""
+VERSIONS_KEPT = 64
+"""Number of the latest versions of a map since which changes are sent instead of the whole map."""
 
 
 class Peer:
@@ -34,18 +39,51 @@
         self.stamp = -1.0
         self.position = directory_sync.UNKNOWN
         self.versions_by_service: dict[ids.ServiceName, int] = {}
-        self.sent_at_by_service: dict[ids.ServiceName, float] = {}
+        self._sent_by_service: dict[ids.ServiceName, dict[int, float]] = {}
+
+    def note_sent(self, service: ids.ServiceName, version: int, now: float) -> None:
+        """Record that a version of a map was sent."""
+        self._sent_by_service.setdefault(service, {})[version] = now
+
+    def lacks(self, service: ids.ServiceName, version: int) -> bool:
+        """Return whether a version of a map has to be sent again, or was never sent.
+
+        The versions are sent one after the other as changes, so the first one that is lost makes
+        those that were sent later useless.
+        """
+        reported = self.versions_by_service.get(service, 0)
+        sent_at_by_version = self._sent_by_service.setdefault(service, {})
+        for arrived in [sent for sent in sent_at_by_version if sent <= reported]:
+            del sent_at_by_version[arrived]
+        if reported >= version:
+            return False
+        first_sent_at = min(sent_at_by_version.values(), default=float("-inf"))
+        if self.reported_at - first_sent_at < RESEND_S:
+            return False
+        sent_at_by_version.clear()
+        return True
+
+
+@dataclasses.dataclass(slots=True)
+class _EncodedMap:
+    """Datagrams of one version of a map, by the version that the receiver has; 0 if none."""
+
+    version: int
+    datagrams_by_base: dict[int, list[bytes]] = dataclasses.field(default_factory=dict)
 
 
 class MapDistributor:
     """Tracks the registered entry VMs and sends them range maps.
 
+    An entry VM gets the changes since the version that it reported, and the whole map only if that
+    version is unknown here. So what is sent does not grow with the map when versions are lost.
+
     Parameters
     ----------
     own : Node
         This VM, to which nothing is sent.
-    send : callable
-        Sends a datagram to an address.
+    sender : PacedSender
+        Sends the datagrams of maps.
     term : callable
         Returns the planner's current term.
     now : callable
@@ -57,17 +95,22 @@
         *,
         own: nodes.Node,
         maps: range_maps.RangeMaps,
-        send: Callable[[bytes, tuple[str, int]], None],
+        sender: paced_sender.PacedSender,
         term: Callable[[], int],
         now: Callable[[], float],
     ) -> None:
         self._own = own
         self._range_maps = maps
-        self._send = send
+        self._sender = sender
         self._term = term
         self._now = now
         self._by_vm: dict[ids.EntryVmId, Peer] = {}
-        self._pushed_by_service: dict[ids.ServiceName, range_maps.KnownMap] = {}
+        self._recent_by_service: dict[
+            ids.ServiceName, collections.OrderedDict[int, model.RangeMap]
+        ] = {}
+        self._encoded_by_service: dict[ids.ServiceName, _EncodedMap] = {}
+        self._pushed_by_service: dict[ids.ServiceName, int] = {}
+        maps.on_change(self._keep_version)
 
     def __len__(self) -> int:
         return len(self._by_vm)
@@ -77,11 +120,21 @@
         return (peer for vm, peer in self._by_vm.items() if vm != self._own.vm)
 
     def begin_term(self) -> None:
-        """Forget which versions were pushed, so that the next push of each service is a whole map.
+        """Forget what was sent in earlier terms.
 
-        The versions that an earlier planner sent are unknown.
+        The versions that an earlier planner sent are unknown, so the first push of each service is
+        a whole map. The datagrams carry the term.
         """
         self._pushed_by_service.clear()
+        self._encoded_by_service.clear()
+
+    def _keep_version(self, service: ids.ServiceName) -> None:
+        """Keep a version of a map that was adopted, as the base of later changes."""
+        known = self._range_maps.by_service[service]
+        recent = self._recent_by_service.setdefault(service, collections.OrderedDict())
+        recent[known.version] = known.ranges
+        if len(recent) > VERSIONS_KEPT:
+            recent.popitem(last=False)
 
     def update_nodes(self, by_vm: dict[ids.EntryVmId, nodes.Node]) -> None:
         """Replace the entry VMs by the registered ones; keep the state of those that remain."""
@@ -113,32 +166,44 @@
     def push(self, service: ids.ServiceName) -> None:
         """Send the changes since the last push to all entry VMs, or the whole map the first time.
 
-        An entry VM that lacks the base version gets the whole map with the next `resend`.
+        An entry VM that lacks the base version gets its changes with the next `resend`.
         """
-        known = self._range_maps.by_service[service]
-        base = self._pushed_by_service.get(service)
-        self._pushed_by_service[service] = known
-        if base is None:
-            parts = self._encode_whole(service)
-        else:
-            changed = model.changed_segments(base.ranges, known.ranges)
-            parts = map_datagrams.encode(known, changed, term=self._term(), base=base.version)
+        datagrams = self._datagrams_since(service, self._pushed_by_service.get(service, 0))
+        self._pushed_by_service[service] = self._range_maps.by_service[service].version
         for peer in self.others():
-            self._send_parts(peer, parts, service)
+            self._send_map(peer, datagrams, service)
 
     def resend(self, peer: Peer, now: float) -> None:
-        """Send the whole maps of which a live entry VM reported an older version."""
+        """Send the changes of the maps of which a live entry VM reported an older version."""
         if now - peer.reported_at >= LIVE_S:
             return
         for service, version in self._range_maps.versions().items():
-            behind = peer.versions_by_service.get(service, 0) < version
-            if behind and now - peer.sent_at_by_service.get(service, 0.0) >= RESEND_S:
-                self._send_parts(peer, self._encode_whole(service), service)
-
-    def _encode_whole(self, service: ids.ServiceName) -> list[bytes]:
-        return map_datagrams.encode_whole(self._range_maps.by_service[service], term=self._term())
+            if peer.lacks(service, version):
+                reported = peer.versions_by_service.get(service, 0)
+                self._send_map(peer, self._datagrams_since(service, reported), service)
 
-    def _send_parts(self, peer: Peer, parts: list[bytes], service: ids.ServiceName) -> None:
-        peer.sent_at_by_service[service] = self._now()
-        for part in parts:
-            self._send(part, peer.node.address)
+    def _datagrams_since(self, service: ids.ServiceName, base: int) -> list[bytes]:
+        """Return the datagrams of the changes of a map, of the whole map if ``base`` is unknown."""
+        known = self._range_maps.by_service[service]
+        encoded = self._encoded_by_service.get(service)
+        if encoded is None or encoded.version != known.version:
+            encoded = self._encoded_by_service[service] = _EncodedMap(known.version)
+        before = self._recent_by_service[service].get(base)
+        base = 0 if before is None else base
+        if base not in encoded.datagrams_by_base:
+            encoded.datagrams_by_base[base] = (
+                map_datagrams.encode_whole(known, term=self._term())
+                if before is None
+                else map_datagrams.encode(
+                    known,
+                    model.changed_segments(before, known.ranges),
+                    term=self._term(),
+                    base=base,
+                )
+            )
+        return encoded.datagrams_by_base[base]
+
+    def _send_map(self, peer: Peer, datagrams: list[bytes], service: ids.ServiceName) -> None:
+        if self._sender.add(peer.node.address, service, datagrams):
+            version = self._range_maps.by_service[service].version
+            peer.note_sent(service, version, self._now())
--- a/src/celerystack/ranges/model.py
+++ b/src/celerystack/ranges/model.py
@@ -153,10 +153,14 @@
         None if the result would not cover all keys without gaps or overlaps.
     """
     changed = sorted(changed, key=lambda segment: segment.start)
+    starts = [segment.start for segment in changed]
+    ends = [segment.end for segment in changed]
+    # The changed segments from the first that ends in or after a segment to the last that starts in
+    # or before it overlap the segment.
     kept = [
         segment
         for segment in old.segments
-        if not any(new.start <= segment.end and segment.start <= new.end for new in changed)
+        if bisect.bisect_left(ends, segment.start) >= bisect.bisect_right(starts, segment.end)
     ]
     segments = tuple(sorted([*kept, *changed], key=lambda segment: segment.start))
     expected = 0
--- a/tests/ranges/test_coordinator.py
+++ b/tests/ranges/test_coordinator.py
@@ -49,6 +49,7 @@
             directory=self.directory,
             updates=directory_sync.DirectorySync(self.directory, now=self.clock.seconds),
             sharded_services=list,
+            link_mbps=100.0,
             is_small=self.is_small,
             now=self.clock.seconds,
         )
