Send many changes of the server directory in parts

Change: an update contains the changes of the first reads up to 40, with the position, the digest and the age of the last of them; the next update has the rest. One read with up to 120 changes is sent.

--- a/src/celerystack/fleet/directory_sync.py
+++ b/src/celerystack/fleet/directory_sync.py
@@ -22,7 +22,10 @@
 """Age in seconds at which updates expire; long enough that two of three planner heartbeats may be
 lost."""
 CHANGES_PER_UPDATE_MAX = 40
-"""Limit on the size of a datagram; a VM that lacks more changes reads the store itself."""
+"""Limit on the size of a datagram with the changes of several reads; the next update has the rest.
+"""
+CHANGES_PER_READ_MAX = 120
+"""Number of changes of one read above which the other VMs read the store themselves."""
 BATCHES_KEPT = 200
 """Number of the latest reads with changes from which updates are built; a VM whose position is from
 before them reads the store itself."""
@@ -62,6 +65,16 @@
     changes: tuple[Change, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Batch:
+    """Changes of one read, the position and digest after them, and when the read began."""
+
+    position: ids.RowVersion
+    changes: tuple[Change, ...]
+    digest: int
+    read_at: float
+
+
 class DirectorySync:
     """Tracks which version of the servers this VM knows, and creates and applies updates.
 
@@ -83,9 +96,7 @@
     def __init__(self, directory: servers.Directory, *, now: Callable[[], float]) -> None:
         self._directory = directory
         self._now = now
-        self._batches: collections.deque[tuple[ids.RowVersion, tuple[Change, ...]]] = (
-            collections.deque(maxlen=BATCHES_KEPT)
-        )
+        self._batches: collections.deque[_Batch] = collections.deque(maxlen=BATCHES_KEPT)
         self._batches_since = UNKNOWN
         self._read_at = float("-inf")
         self._announced_at = float("-inf")
@@ -163,30 +174,43 @@
         )
         if changes:
             if len(self._batches) == BATCHES_KEPT:
-                self._batches_since = self._batches[0][0]
-            self._batches.append((position, changes))
+                self._batches_since = self._batches[0].position
+            batch = _Batch(position, changes, self._directory.digest(), self._read_at)
+            self._batches.append(batch)
         self.position = max(self.position, position)
 
     def update_since(self, since: ids.RowVersion) -> DirectoryUpdate | None:
-        """Return the update since a position, or None if the receiver must read the store."""
+        """Return the update since a position, or None if the receiver must read the store.
+
+        If there are many changes it contains only those of the first reads.
+        """
         if self.position == UNKNOWN or since < self._batches_since or since == UNKNOWN:
             return None
         # Later batches overwrite earlier ones, so only the last change of each server remains.
-        changes = {
-            change.entry.server: change
-            for position, batch in self._batches
-            if position > since
-            for change in batch
-        }
-        if len(changes) > CHANGES_PER_UPDATE_MAX:
-            return None
+        change_by_server: dict[ids.ServerId, Change] = {}
+        last: _Batch | None = None
+        for batch in self._batches:
+            if batch.position <= since:
+                continue
+            merged = change_by_server | {change.entry.server: change for change in batch.changes}
+            if len(merged) > CHANGES_PER_UPDATE_MAX and last is not None:
+                return self._update(since, change_by_server, last)
+            if len(merged) > CHANGES_PER_READ_MAX:
+                return None
+            change_by_server, last = merged, batch
+        newest = _Batch(self.position, (), self._directory.digest(), self._read_at)
+        return self._update(since, change_by_server, newest)
+
+    def _update(
+        self, since: ids.RowVersion, change_by_server: dict[ids.ServerId, Change], until: _Batch
+    ) -> DirectoryUpdate:
         return DirectoryUpdate(
             since=since,
-            position=self.position,
-            age_s=max(0.0, self._now() - self._read_at),
-            digest=self._directory.digest(),
+            position=until.position,
+            age_s=max(0.0, self._now() - until.read_at),
+            digest=until.digest,
             config_row=self.config_row,
-            changes=tuple(changes.values()),
+            changes=tuple(change_by_server.values()),
         )
 
     def apply(self, update: DirectoryUpdate) -> None:
