Break ties between equally fast servers at random on each entry VM

Cause: servers that a VM knows nothing about were ordered by their hash, which is the same on all VMs where hashes are not randomized. Change: each VM orders equals by a random number of its own. Shown: tests/gateway/test_server_queue.py.

--- a/src/celerystack/gateway/server_queue.py
+++ b/src/celerystack/gateway/server_queue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 from typing import Any
 
@@ -72,6 +73,7 @@
         self._failed_connects = 0
         self._close_reason: str | None = None
         self.latency_s = INITIAL_LATENCY_S
+        self.tie_breaker = random.random()
 
     @property
     def load(self) -> int:
@@ -218,7 +220,8 @@
     """Return the server queue with the lowest expected latency; None if there is none.
 
     A server that is suspected or whose entry expired is only chosen if there is no other, and one
-    for which the call would have to wait only if no server has room.
+    for which the call would have to wait only if no server has room. The order of servers with the
+    same expected latency differs between VMs, which would otherwise all choose the same one.
     """
     return min(server_queues, key=lambda server_queue: _cost(server_queue, zone, now), default=None)
 
@@ -229,7 +232,7 @@
 """Factor on the expected latency of a server that has not warmed up yet."""
 
 
-def _cost(server_queue: ServerQueue, zone: str, now: float) -> tuple[bool, bool, float, int]:
+def _cost(server_queue: ServerQueue, zone: str, now: float) -> tuple[bool, bool, float, float]:
     cost = (server_queue.load + 1) * server_queue.latency_s
     if server_queue.record.entry.zone != zone:
         cost *= REMOTE_ZONE_COST_FACTOR
@@ -239,5 +242,5 @@
         server_queue.is_suspect() or server_queue.record.expired,
         not server_queue.has_room,
         cost,
-        hash(server_queue.incarnation),
+        server_queue.tie_breaker,
     )
--- a/tests/gateway/test_server_queue.py
+++ b/tests/gateway/test_server_queue.py
@@ -1,5 +1,7 @@
 """Tests of the failure detection and the concurrency limit for one server."""
 
+import collections
+
 import testtools
 from twisted.internet import defer, task
 
@@ -100,3 +102,31 @@
         for _ in range(20):
             self.run_call(errors.OutcomeUnknownError("connection lost", step="s"))
         self.assertTrue(self.server_queue.is_idle)
+
+
+class ManyVmsTest(testtools.TestCase):
+    """Twenty entry VMs that have sent nothing yet, and ten servers of one service."""
+
+    def open_queues(self):
+        return [
+            server_queue.ServerQueue(
+                task.Clock(),
+                servers.ServerRecord(
+                    entry=fakes.entry(f"s{number}"), appeared_at=0.0, seen_at=0.0, warm_at=0.0
+                ),
+                pool=None,
+                request_codec=None,
+                entry_vms=20,
+                on_answer=lambda *_: None,
+                now=lambda: 100.0,
+            )
+            for number in range(10)
+        ]
+
+    def test_first_calls_of_many_vms_spread_over_the_servers(self):
+        """Guards against one server that rejects calls while the others are idle."""
+        chosen = collections.Counter(
+            server_queue.best(self.open_queues(), zone=fakes.ZONE, now=100.0).incarnation
+            for _ in range(20)
+        )
+        self.assertGreater(len(chosen), 3)
