Compute the silent servers once for all suspects of crashes

Cause: for each suspect request and server, the planner counted anew which servers the entry VMs report as unreachable. Change: the set is computed once for all suspects of a heartbeat. Tests of suspects pass the predicate with the call; what they check is unchanged.

--- a/src/celerystack/limits/crash_suspects.py
+++ b/src/celerystack/limits/crash_suspects.py
@@ -43,16 +43,9 @@
 
 
 class Suspects:
-    """Requests with broken connections, as reported to the planner by all entry VMs.
+    """Requests with broken connections, as reported to the planner by all entry VMs."""
 
-    Parameters
-    ----------
-    is_down : callable
-        Returns whether a server incarnation has ended or is silent.
-    """
-
-    def __init__(self, *, is_down: Callable[[model.ServerIncarnation], bool]) -> None:
-        self._is_down = is_down
+    def __init__(self) -> None:
         self._seen_at_by_fingerprint: dict[
             ids.Fingerprint, dict[model.ServerIncarnation, float]
         ] = {}
@@ -81,10 +74,17 @@
             self._forget(next(iter(self._seen_at_by_fingerprint)))
         self._seen_at_by_fingerprint.setdefault(suspect, {})[incarnation] = now
 
-    def quarantined(self, now: float) -> tuple[ids.Fingerprint, ...]:
+    def quarantined(
+        self, now: float, *, is_down: Callable[[model.ServerIncarnation], bool]
+    ) -> tuple[ids.Fingerprint, ...]:
         """Return the quarantined fingerprints.
 
         First starts the quarantines that are due, and drops outdated suspects and clearances.
+
+        Parameters
+        ----------
+        is_down : callable
+            Returns whether a server incarnation has ended or is silent.
         """
         for expired in [
             suspect for suspect, end in self._clearance_end_by_fingerprint.items() if end <= now
@@ -98,7 +98,7 @@
             newly_down = {
                 incarnation
                 for incarnation in seen_at_by_incarnation
-                if incarnation not in down_incarnations and self._is_down(incarnation)
+                if incarnation not in down_incarnations and is_down(incarnation)
             }
             down_incarnations |= newly_down
             if newly_down and len(down_incarnations) >= LOSSES_TO_QUARANTINE:
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -366,7 +366,7 @@
         pending = self.planner.pending_incarnations()
         admitted = self.planner.admitted_fraction_by_server()
         self.admission.update(admitted)
-        quarantined = self.planner.suspects.quarantined(now)
+        quarantined = self.planner.quarantined(now)
         self.quarantine.update(quarantined)
         incarnations_with_reused_address = self._directory.incarnations_with_reused_address()
         # A new planner has received few reports, so the number of live VMs would be too low.
--- a/src/celerystack/ranges/planner.py
+++ b/src/celerystack/ranges/planner.py
@@ -103,7 +103,7 @@
         self._unreachable_by_vm: dict[
             ids.EntryVmId, tuple[float, tuple[model.ServerIncarnation, ...]]
         ] = {}
-        self.suspects = crash_suspects.Suspects(is_down=self._is_down)
+        self.suspects = crash_suspects.Suspects()
         self._nodes_read_at = 0.0
         self._term_began_at = 0.0
         self._maps_loaded = False
@@ -149,8 +149,15 @@
         for suspect in report.completed_suspects:
             self.suspects.clear(suspect, now)
 
-    def _is_down(self, incarnation: model.ServerIncarnation) -> bool:
-        return self._directory.has_ended(incarnation) or incarnation in self._silent_incarnations()
+    def quarantined(self, now: float) -> tuple[ids.Fingerprint, ...]:
+        """Return the fingerprints of the requests that crash servers and must be rejected."""
+        silent = self._silent_incarnations()
+        return self.suspects.quarantined(
+            now,
+            is_down=lambda incarnation: (
+                incarnation in silent or self._directory.has_ended(incarnation)
+            ),
+        )
 
     def pending_incarnations(self) -> tuple[model.ServerIncarnation, ...]:
         """Return the possible holders, whose remaining leases delay the next grant of some keys.
--- a/tests/limits/test_crash_suspects.py
+++ b/tests/limits/test_crash_suspects.py
@@ -18,42 +18,47 @@
     def setUp(self):
         super().setUp()
         self.down = set()
-        self.suspects = crash_suspects.Suspects(is_down=self.down.__contains__)
+        self.suspects = crash_suspects.Suspects()
 
     def test_one_lost_server_quarantines_nothing(self):
         """Guards against rejecting requests that were in flight at a crash by chance."""
         self.down.add(incarnation("a"))
         self.suspects.add(REQUEST, incarnation("a"), 1.0)
-        self.assertEqual((), self.suspects.quarantined(1.0))
+        self.assertEqual((), self.suspects.quarantined(1.0, is_down=self.down.__contains__))
 
     def test_second_lost_server_quarantines(self):
         """Guards against a request whose retries crash one server after the other."""
         self.down.update({incarnation("a"), incarnation("b")})
         self.suspects.add(REQUEST, incarnation("a"), 1.0)
         self.suspects.add(REQUEST, incarnation("b"), 2.0)
-        self.assertEqual((REQUEST,), self.suspects.quarantined(2.0))
+        self.assertEqual((REQUEST,), self.suspects.quarantined(2.0, is_down=self.down.__contains__))
 
     def test_reset_connections_of_living_servers_do_not_count(self):
         """Guards against rejecting frequent requests while running servers reset connections."""
         for name in "abc":
             self.suspects.add(REQUEST, incarnation(name), 1.0)
-        self.assertEqual((), self.suspects.quarantined(1.0))
+        self.assertEqual((), self.suspects.quarantined(1.0, is_down=self.down.__contains__))
 
     def test_loss_that_shows_later_counts(self):
         """Guards against missing a crash that is detected after the connection broke."""
         self.suspects.add(REQUEST, incarnation("a"), 1.0)
         self.suspects.add(REQUEST, incarnation("b"), 1.0)
-        self.suspects.quarantined(1.0)
+        self.suspects.quarantined(1.0, is_down=self.down.__contains__)
         self.down.update({incarnation("a"), incarnation("b")})
-        self.assertEqual((REQUEST,), self.suspects.quarantined(4.0))
+        self.assertEqual((REQUEST,), self.suspects.quarantined(4.0, is_down=self.down.__contains__))
 
     def test_quarantine_ends(self):
         """Guards against a request that is rejected indefinitely."""
         self.down.update({incarnation("a"), incarnation("b")})
         self.suspects.add(REQUEST, incarnation("a"), 1.0)
         self.suspects.add(REQUEST, incarnation("b"), 1.0)
-        self.suspects.quarantined(1.0)
-        self.assertEqual((), self.suspects.quarantined(1.0 + crash_suspects.QUARANTINE_S))
+        self.suspects.quarantined(1.0, is_down=self.down.__contains__)
+        self.assertEqual(
+            (),
+            self.suspects.quarantined(
+                1.0 + crash_suspects.QUARANTINE_S, is_down=self.down.__contains__
+            ),
+        )
 
 
 class QuarantineTest(testtools.TestCase):
@@ -92,16 +97,16 @@
         The restarted VM has not seen the request complete, but another VM has.
         """
         down = {incarnation("a"), incarnation("b")}
-        suspects = crash_suspects.Suspects(is_down=down.__contains__)
+        suspects = crash_suspects.Suspects()
         for lost in sorted(down):
             suspects.add(REQUEST, lost, NOW)
         serving, restarted = crash_suspects.Quarantine(), crash_suspects.Quarantine()
         serving.record_completion(b"GET", b"/a/1", b"", NOW)
         for quarantine in (serving, restarted):
-            quarantine.update(suspects.quarantined(NOW))
+            quarantine.update(suspects.quarantined(NOW, is_down=down.__contains__))
         for cleared in serving.cleared(NOW):
             suspects.clear(cleared, NOW)
         for lost in sorted(down):
             suspects.add(REQUEST, lost, NOW + 1)
-        restarted.update(suspects.quarantined(NOW + 1))
+        restarted.update(suspects.quarantined(NOW + 1, is_down=down.__contains__))
         self.assertFalse(restarted.rejects(b"GET", b"/a/1", b"", NOW + 1))
