Follow busy neighbouring keys sooner, and spread them over many servers in one plan

Causes: - A surge was searched for each key by itself (six requests within 0.7 s). When 200 neighbouring keys get two requests/s each, no key is one, and the rates follow with the time constant of 4 s. - Between two reports the counts decayed, so that the rates rose and fell by a third with each report. - A range that is too busy for the target was cut so that it evens out two servers. A moved range cannot be cut again before it is settled, so hot keys halved their way over the fleet; and a key that seemed to dominate its server ended the search for other ranges to move. Ruled out: too few moves per plan (one for each server) and a map that is full (750 segments of 1,500). Change: requests are also counted by ranges of 64 keys; a range whose short-term count exceeds the predicted one by three deviations counts with its short-term rate, from the time of the last report. If a target has no room for a range near its limit, it gets the shortest one above it.

--- a/src/celerystack/ranges/key_load.py
+++ b/src/celerystack/ranges/key_load.py
@@ -13,10 +13,18 @@
 FAST_DECAY_S = 0.7
 """Time constant in seconds of the short-term rates, which show sudden increases."""
 SURGE_COUNT = 6.0
-"""Smallest short-term count of a key whose rate has increased suddenly."""
-SURGE_RATIO = 2.0
-"""The rate of a key with `SURGE_COUNT` has increased suddenly if its short-term rate is above this
-multiple of its long-term rate. The short-term rate is then used."""
+"""Smallest short-term count of a surge, a sudden increase of the rate."""
+SURGE_DEVIATIONS = 3.0
+"""A short-term count is a surge if it exceeds the one that the long-term rate predicts by this
+multiple of the prediction's square root."""
+REPORT_INTERVAL_S = 0.4
+"""Usual time in seconds between two reports of requests. A report is about requests of the whole
+interval, and the rates between two reports are those at the earlier one."""
+SURGE_AGE_S = 0.3
+"""Time in seconds for which a surge has lasted when it is found, as requests are reported late."""
+SURGE_RANGE_BITS = 6
+"""Keys that are equal but for this number of low bits are counted together in the search for
+surges: when many neighbouring keys become busy, each of them still has few requests."""
 DECAY_STEP_S = 0.1
 """Shortest interval in seconds between two updates of the decayed counts."""
 COUNT_MINIMUM = 0.02
@@ -41,15 +49,23 @@
         self._long_term_count_by_key: dict[int, float] = {}
         self._short_term_count_by_key: dict[int, float] = {}
         self._decayed_at = 0.0
+        self._surge_found_at_by_range: dict[int, float] = {}
 
     def add(self, keys: Iterable[int], now: float) -> None:
         """Count one request for each key."""
         self._decay(now)
         if self._started_at is None:
             self._started_at = now
+        mean_age_s = REPORT_INTERVAL_S / 2
+        long_term_count = math.exp(-mean_age_s / DECAY_S)
+        short_term_count = math.exp(-mean_age_s / FAST_DECAY_S)
         for key in keys:
-            self._long_term_count_by_key[key] = self._long_term_count_by_key.get(key, 0.0) + 1.0
-            self._short_term_count_by_key[key] = self._short_term_count_by_key.get(key, 0.0) + 1.0
+            self._long_term_count_by_key[key] = (
+                self._long_term_count_by_key.get(key, 0.0) + long_term_count
+            )
+            self._short_term_count_by_key[key] = (
+                self._short_term_count_by_key.get(key, 0.0) + short_term_count
+            )
 
     def _decay(self, now: float) -> None:
         elapsed_s = now - self._decayed_at
@@ -65,15 +81,39 @@
 
     def snapshot(self, now: float, *, keys: int) -> Snapshot:
         """Return the rates at ``now`` for a key space of ``keys`` keys."""
-        self._decay(now)
+        self._decay(now - REPORT_INTERVAL_S)
         window_s = self._window_s(now)
-        rate_by_key = {key: count / window_s for key, count in self._long_term_count_by_key.items()}
+        rise_by_range = self._rise_by_range(window_s, now)
+        rate_by_key = {
+            key: count / window_s * rise_by_range.get(key >> SURGE_RANGE_BITS, 1.0)
+            for key, count in self._long_term_count_by_key.items()
+        }
         for key, count in self._short_term_count_by_key.items():
-            rate = count / FAST_DECAY_S
-            if count >= SURGE_COUNT and rate > SURGE_RATIO * rate_by_key.get(key, 0.0):
-                rate_by_key[key] = rate
+            if _is_surge(count, rate_by_key.get(key, 0.0)):
+                rate_by_key[key] = count / FAST_DECAY_S
         return Snapshot(sorted(rate_by_key.items()), keys=keys, window_s=window_s)
 
+    def _rise_by_range(self, window_s: float, now: float) -> dict[int, float]:
+        """Return the short-term rate relative to the long-term rate for each range in a surge.
+
+        Ranges are numbered by the high bits of their keys. How a range's rate is divided among its
+        keys is taken from the long-term counts, which vary less.
+        """
+        long_term_count_by_range = _sum_by_range(self._long_term_count_by_key)
+        found_at_by_range: dict[int, float] = {}
+        rise_by_range: dict[int, float] = {}
+        for number, count in _sum_by_range(self._short_term_count_by_key).items():
+            long_term_rate = long_term_count_by_range.get(number, 0.0) / window_s
+            if not _is_surge(count, long_term_rate):
+                continue
+            found_at = self._surge_found_at_by_range.get(number, now)
+            found_at_by_range[number] = found_at
+            age_s = now - found_at + SURGE_AGE_S
+            short_window_s = FAST_DECAY_S * (1 - math.exp(-age_s / FAST_DECAY_S))
+            rise_by_range[number] = count / short_window_s / long_term_rate
+        self._surge_found_at_by_range = found_at_by_range
+        return rise_by_range
+
     def _window_s(self, now: float) -> float:
         """Return the effective averaging time of the long-term counts; it grows up to `DECAY_S`."""
         if self._started_at is None:
@@ -82,6 +122,20 @@
         return DECAY_S * (1 - math.exp(-elapsed_s / DECAY_S))
 
 
+def _is_surge(short_term_count: float, long_term_rate: float) -> bool:
+    predicted = long_term_rate * FAST_DECAY_S
+    excess = short_term_count - predicted
+    return short_term_count >= SURGE_COUNT and excess > SURGE_DEVIATIONS * math.sqrt(predicted)
+
+
+def _sum_by_range(count_by_key: dict[int, float]) -> dict[int, float]:
+    count_by_range: dict[int, float] = {}
+    for key, count in count_by_key.items():
+        number = key >> SURGE_RANGE_BITS
+        count_by_range[number] = count_by_range.get(number, 0.0) + count
+    return count_by_range
+
+
 def _decayed(count_by_key: dict[int, float], factor: float) -> dict[int, float]:
     return {
         key: count * factor
--- a/src/celerystack/ranges/plan.py
+++ b/src/celerystack/ranges/plan.py
@@ -383,10 +383,11 @@
     target = draft.least_utilized(0.0)
     if target is None or target == source or draft.utilization(target) >= FULL_UTILIZATION:
         return False
+    window = None
     if dominant is not None:
         # Other keys of this server move, so that they do not queue behind the dominant key.
         window = _find_other_keys(draft, source, dominant[1], _spare_rate(draft, target))
-    else:
+    if window is None:
         window = _find_share(draft, source, target)
     if window is None:
         return False
@@ -399,20 +400,20 @@
 ) -> tuple[int, int, int] | None:
     """Return a range of ``source`` that brings ``target`` up to the utilization limit.
 
-    A moved range cannot be cut again before it is settled, so a range that evens out the two
-    servers is moved only if there is no suitable smaller one.
+    If its keys are too busy for that, the range with the lowest rate above it is returned, so that
+    one plan spreads them over many servers: a moved range cannot be cut again before it is settled.
     """
     candidates = draft.service_state.candidates_by_incarnation
     gap = draft.utilization(source) - draft.utilization(target)
     equalizing_rate = gap / (1 / candidates[source].capacity + 1 / candidates[target].capacity)
-    rate_to_limit = (_utilization_limit(draft) - draft.utilization(target)) * candidates[
-        target
-    ].capacity
-    if 0 < rate_to_limit < equalizing_rate:
-        window = _find_window(draft, source, rate_to_limit)
-        if window is not None:
-            return window
-    return _find_window(draft, source, equalizing_rate)
+    limit = _utilization_limit(draft)
+    if draft.utilization(target) >= limit:
+        limit = FULL_UTILIZATION
+    rate_to_limit = (limit - draft.utilization(target)) * candidates[target].capacity
+    if rate_to_limit >= equalizing_rate:
+        return _find_window(draft, source, equalizing_rate)
+    window = _find_window(draft, source, rate_to_limit)
+    return window or _find_lightest_window(draft, source, rate_to_limit, equalizing_rate)
 
 
 def _utilization_limit(draft: _Draft) -> float:
@@ -510,6 +511,46 @@
     return best
 
 
+def _find_lightest_window(
+    draft: _Draft, source: model.ServerIncarnation, rate: float, rate_max: float
+) -> tuple[int, int, int] | None:
+    """Return segment index, start and end of the range with the lowest rate above ``rate``.
+
+    The range is at one end of a segment of ``source``, or a whole one, and its rate is at most
+    ``rate_max``.
+    """
+    if draft.is_full():
+        return None
+    load = draft.service_state.load
+    best: tuple[int, int, int] | None = None
+    for segment_index, segment in enumerate(draft.segments):
+        if segment.owner != source or not segment.is_settled:
+            continue
+        for start, end in _ends_above(load, segment, rate):
+            if load.rate(start, end) <= rate_max:
+                best, rate_max = (segment_index, start, end), load.rate(start, end)
+    return best
+
+
+def _ends_above(
+    load: key_load.Snapshot, segment: model.Segment, rate: float
+) -> Iterator[tuple[int, int]]:
+    """Yield the shortest ranges from both ends of a segment whose measured rates reach ``rate``."""
+    first, last = load.index_range(segment.start, segment.end)
+    total = 0.0
+    for index in range(first, last):
+        total += load.rates[index]
+        if total >= rate:
+            yield segment.start, load.keys[index]
+            break
+    total = 0.0
+    for index in range(last - 1, first - 1, -1):
+        total += load.rates[index]
+        if total >= rate:
+            yield load.keys[index], segment.end
+            break
+
+
 def _windows(
     load: key_load.Snapshot, segment: model.Segment, target_rate: float
 ) -> Iterator[tuple[int, int, int]]:
