Ignore a late entry of a draining server, and forget addresses with their servers

Causes (found by reading): a delayed entry that says ready was logged as 'server is ready' for a draining server and counted as a change of the directory, which the planner then sent to all entry VMs; the newest incarnation at an address was kept for ever. Shown: two tests in tests/fleet/test_servers.py, both failed before.

--- a/src/celerystack/fleet/servers.py
+++ b/src/celerystack/fleet/servers.py
@@ -277,11 +277,11 @@
                 entry=entry, appeared_at=now, seen_at=now, warm_at=now + entry.cold_s
             )
             return
-        if record.removed or record.expired or record.entry.state is not entry.state:
-            self._record_change(f"server is {entry.state.value}", entry)
         if record.entry.state is ServerState.DRAINING and entry.state is ServerState.READY:
             # A delayed entry from before the drain; an incarnation never becomes ready again.
             entry = dataclasses.replace(entry, state=ServerState.DRAINING)
+        if record.removed or record.expired or record.entry.state is not entry.state:
+            self._record_change(f"server is {entry.state.value}", entry)
         record.entry = entry
         record.seen_at = now
         record.latest_version = max(record.latest_version, entry.row_version)
@@ -316,7 +316,12 @@
                     "server entry was not written again after the outage of the store", record.entry
                 )
             elif record.removed and now - record.seen_at > REMOVED_KEPT_S:
-                del self.by_id[server]
+                self._forget(server)
+
+    def _forget(self, server: ids.ServerId) -> None:
+        entry = self.by_id.pop(server).entry
+        if self._newest_incarnation_by_address.get(entry.address) == entry.incarnation:
+            del self._newest_incarnation_by_address[entry.address]
 
     def _record_change(self, message: str, entry: ServerEntry) -> None:
         self.version += 1
--- a/tests/fleet/test_servers.py
+++ b/tests/fleet/test_servers.py
@@ -51,6 +51,24 @@
         self.directory.apply_changes([fakes.entry("a")], [], 10.6)
         self.assertEqual(["b"], self.usable())
 
+    def test_late_heartbeat_of_a_draining_server_is_no_change(self):
+        """Guards against telling the other entry VMs and the log that the server is ready."""
+        leaving = fakes.entry("a", state=servers.ServerState.DRAINING)
+        self.directory.apply_changes([leaving], [], 10.5)
+        self.directory.take_changed()
+        version = self.directory.version
+        self.directory.apply_changes([fakes.entry("a")], [], 10.6)
+        self.assertEqual((version, []), (self.directory.version, self.directory.take_changed()))
+
+    def test_forgotten_server_leaves_no_proof_of_an_end_at_its_address(self):
+        """Guards against memory of every address that was ever used."""
+        self.directory.apply_changes([], ["a"], 10.5)
+        for later in (10.6 + servers.REMOVED_KEPT_S, 11.0 + servers.REMOVED_KEPT_S):
+            self.directory.expire(later)
+        address = fakes.entry("a").address
+        self.assertNotIn("a", self.directory.by_id)
+        self.assertNotIn(address, self.directory._newest_incarnation_by_address)
+
     def test_entry_of_an_earlier_incarnation_is_ignored(self):
         """Guards against a delayed entry that replaces the entry of the current process."""
         self.directory.apply_changes([fakes.entry("a", 5)], [], 10.5)
