Reject malformed rows, divisions and hosts with typed errors

Causes (found by reading): a row without a key or with a malformed field in a response of the store raised an error that ends the task which reads the store; the text 'false' counted as true for the division of keys; an IPv6 host was cut at its first colon. Ruled out: the entry on range_maps.adopt. A callback that cancels another wait removes it behind the position of the loop, so none is skipped; tests/ranges/test_range_maps.py shows it, and passed before. Change: such a response counts as lost, such a configuration as corrupt; a host in brackets is kept whole.

--- a/src/celerystack/platform/config.py
+++ b/src/celerystack/platform/config.py
@@ -49,7 +49,7 @@
 def _decode_service(fields: dict[str, Any]) -> config.ServicePolicy:
     return config.ServicePolicy(
         name=ids.ServiceName(_nonempty_string(fields["name"])),
-        sharded=bool(fields.get("sharded", False)),
+        sharded=_boolean(fields.get("sharded", False)),
         connections_max=int(fields["max_connections"]),
         health_path=_nonempty_string(fields["health_check_path"]),
     )
@@ -96,6 +96,12 @@
     )
 
 
+def _boolean(value: object) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError(f"{value!r} is not true or false")
+    return value
+
+
 def _nonempty_string(value: object) -> str:
     if not isinstance(value, str) or not value:
         raise ValueError(f"{value!r} is not a non-empty string")
--- a/src/celerystack/platform/requests.py
+++ b/src/celerystack/platform/requests.py
@@ -38,7 +38,7 @@
             request_id=ids.RequestId(
                 (http.first_value(headers, ATTEMPT_ID) or b"").decode("latin-1")
             ),
-            host=hosts[0].decode("latin-1").partition(":")[0].lower(),
+            host=_host_without_port(hosts[0].decode("latin-1")),
             remaining_s=_decode_remaining_s(http.first_value(headers, REMAINING_MS)),
             key=_decode_key(http.first_value(headers, KEY)),
             forwarded=forwarded,
@@ -104,6 +104,14 @@
         return ()
 
 
+def _host_without_port(value: str) -> str:
+    """Return the host of a ``Host`` header in lower case; an IPv6 address keeps its brackets."""
+    if value.startswith("["):
+        address, bracket, _ = value.partition("]")
+        return (address + bracket).lower()
+    return value.partition(":")[0].lower()
+
+
 def _decode_remaining_s(value: bytes | None) -> float | None:
     if value is None or not value.isdigit() or len(value) > 9:
         return None
--- a/src/celerystack/platform/store.py
+++ b/src/celerystack/platform/store.py
@@ -195,19 +195,32 @@
 
 
 def _decode_rows(body_fields: dict[str, Any], table: str) -> rows.Rows:
-    """Decode the rows of a response; a value that is not base64 becomes empty."""
-    found: list[rows.Row] = []
-    for fields in body_fields.get("rows", ()):
-        if fields.get("table_name", table) != table or fields.get("part", ""):
-            continue
-        found.append(
-            rows.Row(
-                key=ids.RowKey(str(fields["key"])),
-                value=None if fields.get("deleted") else _decode_value(fields),
-                version=ids.RowVersion(int(fields.get("row_version", 0))),
-            )
+    """Decode the rows of a response; a value that is not base64 becomes empty.
+
+    Raises
+    ------
+    errors.AnswerLostError
+        If the response has no version, or a row without a key or with a malformed field.
+    """
+    try:
+        found = tuple(
+            _decode_row(fields)
+            for fields in body_fields.get("rows", ())
+            if fields.get("table_name", table) == table and not fields.get("part", "")
         )
-    return rows.Rows(rows=tuple(found), version=_decode_version(body_fields))
+    except (KeyError, ValueError, TypeError, AttributeError) as error:
+        raise errors.AnswerLostError(
+            f"malformed row in the response: {error!r}", step=_STEP
+        ) from error
+    return rows.Rows(rows=found, version=_decode_version(body_fields))
+
+
+def _decode_row(fields: dict[str, Any]) -> rows.Row:
+    return rows.Row(
+        key=ids.RowKey(str(fields["key"])),
+        value=None if fields.get("deleted") else _decode_value(fields),
+        version=ids.RowVersion(int(fields.get("row_version", 0))),
+    )
 
 
 def _decode_value(fields: dict[str, Any]) -> bytes:
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -66,6 +66,15 @@
         data = range_cluster.config_row_value(1)
         self.assertRaises(errors.CorruptRowError, config.decode, data[: len(data) // 2])
 
+    def test_only_true_and_false_say_whether_keys_are_divided(self):
+        """Guards against a service whose keys are divided because of the text "false"."""
+        for value in ("false", "true", 0, 1, None):
+            with self.subTest(value=value):
+                fields = json.loads(range_cluster.config_row_value(1))
+                fields["services"][0]["sharded"] = value
+                data = json.dumps(fields).encode()
+                self.assertRaises(errors.CorruptRowError, config.decode, data)
+
 
 class WireTest(testtools.TestCase):
     def test_durations(self):
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -63,3 +63,27 @@
         """Guards against taking a failure without the server's statement for a refusal."""
         for status in (408, 429, 500, 502, 503, 504):
             self.assertNotIsInstance(classify(status, ECHO), calls.NotRun, status)
+
+
+class HeadersOfACaller:
+    """Headers of a request, as the listener passes them on."""
+
+    def __init__(self, *headers):
+        self._headers = headers
+
+    def header_list(self):
+        return self._headers
+
+
+class HostTest(testtools.TestCase):
+    def host(self, value):
+        return requests.HeaderRequestCodec().read(HeadersOfACaller((b"host", value))).host
+
+    def test_port_is_no_part_of_the_host(self):
+        """Guards against a route that is not found because the caller names the port."""
+        self.assertEqual("jepu9.example", self.host(b"Jepu9.example:8080"))
+
+    def test_address_in_brackets(self):
+        """Guards against cutting an IPv6 address at its first colon."""
+        self.assertEqual("[2001:db8::1]", self.host(b"[2001:DB8::1]:8080"))
+        self.assertEqual("[2001:db8::1]", self.host(b"[2001:db8::1]"))
