Assume an older surge, and count only served load for the utilization limit

Causes: a surge that was found counted as 0.3 s old, which overstates its rate by up to 2.9; and load beyond the capacity of a server (a single hot key) raised the limit up to which other servers are filled. Ruled out: more moves (the share of keys that moved is unchanged). Change: a surge counts as at least 0.8 s old; the limit counts served load only, like the balance does.

--- a/src/celerystack/ranges/key_load.py
+++ b/src/celerystack/ranges/key_load.py
@@ -20,7 +20,7 @@
 REPORT_INTERVAL_S = 0.4
 """Usual time in seconds between two reports of requests. A report is about requests of the whole
 interval, and the rates between two reports are those at the earlier one."""
-SURGE_AGE_S = 0.3
+SURGE_AGE_S = 0.8
 """Time in seconds for which a surge has lasted when it is found, as requests are reported late."""
 SURGE_RANGE_BITS = 6
 """Keys that are equal but for this number of low bits are counted together in the search for
--- a/src/celerystack/ranges/plan.py
+++ b/src/celerystack/ranges/plan.py
@@ -146,6 +146,18 @@
             / self.service_state.candidates_by_incarnation[incarnation].capacity
         )
 
+    def mean_utilization(self) -> float:
+        """Return the utilization of all candidates together, at most 1.
+
+        Load beyond a server's capacity is rejected, so it does not count.
+        """
+        candidates = self.service_state.candidates_by_incarnation
+        served = sum(
+            min(rate, candidates[incarnation].capacity)
+            for incarnation, rate in self.rate_by_incarnation.items()
+        )
+        return served / sum(candidate.capacity for candidate in candidates.values())
+
     def utilization_lower_bound(self, incarnation: model.ServerIncarnation) -> float:
         """Return a lower confidence bound of the utilization of a candidate."""
         rate = self.service_state.load.rate_lower_bound(self.rate_by_incarnation[incarnation])
@@ -333,13 +345,7 @@
 def _balance(draft: _Draft) -> None:
     """Move ranges from the most utilized servers to the least utilized ones."""
     candidates = draft.service_state.candidates_by_incarnation
-    capacity = sum(candidate.capacity for candidate in candidates.values())
-    # Load beyond a server's capacity is rejected, so it does not count as served.
-    served = sum(
-        min(rate, candidates[incarnation].capacity)
-        for incarnation, rate in draft.rate_by_incarnation.items()
-    )
-    mean = served / capacity
+    mean = draft.mean_utilization()
     exhausted: set[model.ServerIncarnation] = set()
     for _ in range(max(MOVES_PER_PLAN, round(MOVES_PER_SERVER * len(candidates)))):
         source = max(
@@ -421,9 +427,7 @@
 
     It is at least `REBALANCE_UTILIZATION_MIN`.
     """
-    candidates = draft.service_state.candidates_by_incarnation
-    capacity = sum(candidate.capacity for candidate in candidates.values())
-    return max(REBALANCE_UTILIZATION_MIN, sum(draft.rate_by_incarnation.values()) / capacity)
+    return max(REBALANCE_UTILIZATION_MIN, draft.mean_utilization())
 
 
 def _spare_rate(draft: _Draft, incarnation: model.ServerIncarnation) -> float:
