Choose the servers to grant to once for each change of the directory

Change: the owners are chosen once for a map, a version of the directory and a set of live entry VMs. Shown: three tests in tests/ranges/test_lessor.py; without the version two of them fail.

--- a/src/celerystack/ranges/lessor.py
+++ b/src/celerystack/ranges/lessor.py
@@ -41,12 +41,22 @@
     return sum(weight(other) > own for other in vms if other != vm)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class _Ownership:
-    """Settled segments of a range map by their owner."""
+    """Settled segments of a range map by their owner.
+
+    Attributes
+    ----------
+    granted_owners : tuple of ServerIncarnation
+        The owners to which this VM grants, as of `granted_directory_version`.
+    granted_directory_version : int or None
+        Version of the directory from which they were chosen; None if they have to be chosen again.
+    """
 
     ranges: model.RangeMap
     settled_by_owner: dict[model.ServerIncarnation, list[model.Segment]]
+    granted_owners: tuple[model.ServerIncarnation, ...] = ()
+    granted_directory_version: int | None = None
 
     @classmethod
     def of(cls, ranges: model.RangeMap) -> _Ownership:
@@ -102,6 +112,8 @@
         if vms != self._vms:
             self._vms = vms
             self._has_lessor_rank_by_server.clear()
+            for ownership in self._ownership_by_service.values():
+                ownership.granted_directory_version = None
 
     @property
     def unreachable(self) -> tuple[model.ServerIncarnation, ...]:
@@ -138,9 +150,8 @@
             owners.update(ownership.settled_by_owner)
             if not leases.may_grant(confirmed_at=known.confirmed_at, now=now):
                 continue
-            for owner, segments in ownership.settled_by_owner.items():
-                if not self._may_be_granted(owner):
-                    continue
+            for owner in self._granted_owners(ownership):
+                segments = ownership.settled_by_owner[owner]
                 due = [(service, s) for s in segments if self._due_at(owner, s) <= now]
                 if due:
                     due_by_incarnation.setdefault(owner, []).extend(due)
@@ -172,6 +183,15 @@
             found = self._ownership_by_service[service] = _Ownership.of(ranges)
         return found
 
+    def _granted_owners(self, ownership: _Ownership) -> tuple[model.ServerIncarnation, ...]:
+        """Return the owners to which this VM grants, which are chosen once per directory change."""
+        if ownership.granted_directory_version != self._directory.version:
+            ownership.granted_directory_version = self._directory.version
+            ownership.granted_owners = tuple(
+                filter(self._may_be_granted, ownership.settled_by_owner)
+            )
+        return ownership.granted_owners
+
     def _may_be_granted(self, owner: model.ServerIncarnation) -> bool:
         """Return whether an incarnation is registered and this VM is one of its lessors."""
         record = self._directory.find_record(owner)
--- a/tests/ranges/test_lessor.py
+++ b/tests/ranges/test_lessor.py
@@ -141,3 +141,33 @@
         self.lessor.tick()
         remaining_s = self.lessor.remaining_s(fakes.incarnation("a"))
         self.assertAlmostEqual(leases.LEASE_BOUND_S - leases.RENEW_S - 0.1, remaining_s)
+
+    def test_removed_server_gets_no_renewal(self):
+        """Guards against lessors that are remembered although a server's entry was removed."""
+        self.lessor.tick()
+        self.directory.apply_changes([], ["a"], self.clock.seconds())
+        self.clock.advance(leases.RENEW_S)
+        self.lessor.tick()
+        self.assertEqual(1, len(self.orders.granted))
+
+    def test_registered_server_gets_its_grant_later(self):
+        """Guards against an owner that stays without a lease because its entry came after the map.
+
+        The entry VM knows the range map before the server.
+        """
+        self.range_maps.adopt(fakes.whole(fakes.incarnation("b"), 2), 8, self.clock.seconds())
+        self.lessor.tick()
+        self.directory.apply_changes([fakes.entry("b")], [], self.clock.seconds())
+        self.lessor.tick()
+        self.assertEqual([2], [segment.token for _, segment in self.orders.granted])
+
+    def test_lessors_follow_the_live_entry_vms(self):
+        """Guards against a server that nobody renews after its lessors were lost."""
+        others = tuple(ids.EntryVmId(f"vm-{number}") for number in range(2, 40))
+        closest = [vm for vm in others if lessor.rank(VM, (VM, vm), ids.ServerId("a")) == 1][:2]
+        self.lessor.vms = (VM, *closest)
+        self.lessor.tick()
+        self.assertEqual([], self.orders.granted)
+        self.lessor.vms = (VM, closest[0])
+        self.lessor.tick()
+        self.assertEqual(1, len(self.orders.granted))
