Ask callers of an overloaded server to return within their target latency's scale

Cause: all callers that were rejected for an overload were asked to return after 0.15 to 0.35 s. Ruled out: one fixed longer time; callers with short deadlines could not return within it. Change: the range is 0.4 to 0.8 of the route's target latency, at least the former one. Shown: tests/gateway/test_dispatch.py, OverloadedServerTest; one of its tests fails without the change.

--- a/src/celerystack/gateway/dispatch.py
+++ b/src/celerystack/gateway/dispatch.py
@@ -37,8 +37,11 @@
 RETRY_AFTER_QUARANTINE_S = 30.0
 """Retry time for requests that are in quarantine because they crash servers."""
 RETRY_AFTER_OVERLOAD_S = (0.15, 0.35)
-"""Range of the randomised retry time for callers of an overloaded server, so that they do not all
-retry at once."""
+"""Smallest range of the randomised retry time for callers of an overloaded server, so that they do
+not all retry at once."""
+RETRY_AFTER_OVERLOAD_TARGET_SHARES = (0.4, 0.8)
+"""The same range in fractions of the route's target latency: where requests take longer, an
+overload takes longer to end, and a caller that returns too soon is refused again."""
 CONNECTIONS_SHARE = 0.7
 """Fraction of a server's connections that all entry VMs together may use for requests."""
 CONNECTIONS_MINIMUM = 3
@@ -196,7 +199,7 @@
                         self._note_broken(call, chosen)
                     fallback = self._failed_reply(call, detail)
             if rejections >= REJECTIONS_MAX:
-                return fallback or self._refuse_overload("no server has run the request")
+                return fallback or self._refuse_overload(call, "no server has run the request")
             final = self._final_reply(call, policy, attempt, possible_runs, fallback)
             if final is not None:
                 return final
@@ -308,7 +311,7 @@
         arrived = not (isinstance(attempt, calls.NotRun) and attempt.reason in _UNSENT_REASONS)
         vms = self._key_routing.entry_vms
         if arrived and not self._budget.try_retry(call.service, now, entry_vms=vms):
-            return fallback or self._refuse_overload("the retry budget is used up")
+            return fallback or self._refuse_overload(call, "the retry budget is used up")
         return None
 
     def _failed_reply(self, call: calls.Call, detail: str) -> calls.Failed:
@@ -318,9 +321,16 @@
     def _refuse(self, reason: str, retry_after_s: float) -> calls.Refused:
         return calls.Refused(reason=reason, retry_after_s=max(RETRY_AFTER_MINIMUM_S, retry_after_s))
 
-    def _refuse_overload(self, reason: str) -> calls.Refused:
+    def _refuse_overload(self, call: calls.Call, reason: str) -> calls.Refused:
         """Return a refusal with a randomised retry time, which spreads the retries of callers."""
-        return self._refuse(reason, random.uniform(*RETRY_AFTER_OVERLOAD_S))
+        target_s = call.route.target_latency_s
+        earliest_s, latest_s = (
+            max(minimum_s, share * target_s)
+            for minimum_s, share in zip(
+                RETRY_AFTER_OVERLOAD_S, RETRY_AFTER_OVERLOAD_TARGET_SHARES, strict=True
+            )
+        )
+        return self._refuse(reason, random.uniform(earliest_s, latest_s))
 
     async def _choose_queue(
         self, call: calls.Call, policy: config.ServicePolicy, tried: set[model.ServerIncarnation]
@@ -337,7 +347,7 @@
             owner = self._owner_queue(segment)
             if owner is not None and owner.incarnation not in tried and not owner.is_unreachable:
                 if not tried and not self._key_routing.admit(owner.incarnation.server):
-                    return self._refuse_overload("the key's server is overloaded")
+                    return self._refuse_overload(call, "the key's server is overloaded")
                 if owner.is_silent:
                     return self._refuse("the key's server does not answer", RETRY_AFTER_SILENT_S)
                 return owner
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -69,6 +69,8 @@
 
 
 class KeyRouting:
+    admits = True
+
     def __init__(self):
         self.range_maps = range_maps.RangeMaps()
         self.find = self.range_maps.find
@@ -82,7 +84,7 @@
         pass
 
     def admit(self, server):
-        return True
+        return self.admits
 
     def count_request(self, service, key):
         pass
@@ -232,6 +234,25 @@
         self.assertIsInstance(replies[0], calls.Refused)
 
 
+class OverloadedServerTest(DispatchCase):
+    """Calls for keys of a server that is given more requests than it can process."""
+
+    def retry_after_s(self, target_latency_s):
+        self.key_routing.admits = False
+        replies = [self.call(target_latency_s=target_latency_s)[0] for _ in range(50)]
+        return sorted(reply.retry_after_s for reply in replies)
+
+    def test_callers_return_spread_over_a_part_of_their_target(self):
+        """Guards against callers that return before the overload can have ended."""
+        found = self.retry_after_s(1.5)
+        self.assertTrue(0.6 <= found[0] < 0.8 and 1.0 < found[-1] <= 1.2, found)
+
+    def test_callers_with_a_short_target_do_not_return_at_once(self):
+        """Guards against a second wave of requests right after the first."""
+        found = self.retry_after_s(0.1)
+        self.assertTrue(found[0] >= 0.15 and found[-1] <= 0.35, found)
+
+
 class LeavingServerTest(DispatchCase):
     """The servers of a service are replaced while calls are queued for them."""
 
