Bound the fleet's retries at a failing store, and let only larger VMs look for a lost planner

While the store turned away 68 entry VMs, among them the planner, it made 800/s: 330/s reads of the servers and 260/s of configurations, half of them retries of the 68, and 168/s by all entry VMs that looked for a planner. At the start 195 of 1,398 calls were reads of the leader's row. Ruled out: commits and renewals of the planner (2/s), and servers that need confirmation (46 reads in 2 s). Change: the backoff of followers grows with the number of entry VMs (100 retries/s for each of two tasks, at most 2 s); the planner keeps 0.6 s. Small VMs look for a planner 1.8 s after larger ones (0.6 s before), and not at their start. Cost: if only small VMs are left, a lost planner is replaced 1.2 s later; leases outlast it (maps are valid for 16 s). Shown: tests/gateway/test_store_watcher.py, tests/ranges/test_coordinator.py; two of the new tests failed before.

--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -133,6 +133,7 @@
             updates=updates,
             on_config=self._apply,
             needs_confirmation=self.coordinator.lessor.needs_confirmation,
+            entry_vms=lambda: self.coordinator.entry_vms,
             now=now,
         )
 
--- a/src/celerystack/gateway/store_watcher.py
+++ b/src/celerystack/gateway/store_watcher.py
@@ -28,6 +28,11 @@
 RETRY_MAX_S = 0.6
 """Upper bound of the exponential backoff in seconds; calls that the store rejects consume
 resources too."""
+FLEET_RETRIES_PER_S = 100
+"""Retries of each task that all entry VMs together make per second at most, by a longer backoff."""
+FLEET_RETRY_MAX_S = 2.0
+"""Upper bound of this longer backoff in seconds. The planner, which tells the other entry VMs when
+the store is back, does not use it."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -53,6 +58,8 @@
         Called with each configuration that is newer than the last one.
     needs_confirmation : callable
         Returns whether a server needs confirmation, so that its entry must be read from the store.
+    entry_vms : callable
+        Returns the number of entry VMs that share the store.
     """
 
     def __init__(
@@ -65,6 +72,7 @@
         updates: directory_sync.DirectorySync,
         on_config: Callable[[config.RoutingConfig], None],
         needs_confirmation: Callable[[], bool],
+        entry_vms: Callable[[], int],
         now: Callable[[], float],
     ) -> None:
         self._reactor = reactor
@@ -74,6 +82,7 @@
         self._updates = updates
         self._on_config = on_config
         self._needs_confirmation = needs_confirmation
+        self._entry_vms = entry_vms
         self._now = now
         self._config_version = ids.ConfigVersion(-1)
         self._store_is_up = True
@@ -208,7 +217,11 @@
 
     def _retry_delay_s(self) -> float:
         """Return the backoff delay, with jitter so that the VMs do not retry at the same time."""
-        delay_max_s = min(RETRY_MAX_S, RETRY_S * 2.0 ** min(self._failures, 8))
+        bound_s = RETRY_MAX_S
+        if not self._updates.is_leader:
+            fleet_s = min(FLEET_RETRY_MAX_S, self._entry_vms() / FLEET_RETRIES_PER_S)
+            bound_s = max(RETRY_MAX_S, fleet_s)
+        delay_max_s = min(bound_s, RETRY_S * 2.0 ** min(self._failures, 8))
         return delay_max_s * random.uniform(0.7, 1.0)
 
     def _note_store_result(self, error: errors.PlatformError | None) -> None:
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -42,8 +42,9 @@
 """Shortest interval in seconds between plans."""
 SILENCE_S = 1.1
 """Time without a planner heartbeat after which the planner is looked up in the store."""
-SMALL_VM_DELAY_S = 0.6
-"""Extra time that small VMs wait for a lost planner, so that a larger VM becomes planner."""
+SMALL_VM_DELAY_S = 1.8
+"""Extra time that small VMs wait for a lost planner. It is longer than a larger VM needs to become
+planner, so that only the few larger VMs read the store in search of one."""
 UNCONFIRMED_S = 1.8
 """A planner that the store has not confirmed for this time is replaced by a VM that can reach the
 store; longer than `planner.CONFIRM_S` plus the age of a report."""
@@ -290,11 +291,11 @@
     async def _reacquire_own_leadership(self) -> None:
         """Become planner at start if an earlier process of this VM was, or if there is none.
 
-        A small VM does not fill a vacancy.
+        A small VM leaves both to larger VMs, and does not read the leader's row.
         """
-        leader = await self.leadership.read()
-        if self._is_small and leader.vm == "":
+        if self._is_small:
             return
+        leader = await self.leadership.read()
         if leader.vm in ("", self._node.vm) and await self.leadership.acquire(leader):
             await self._begin_term()
 
--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -69,6 +69,7 @@
         self.directory_sync = directory_sync.DirectorySync(self.directory, now=self.clock.seconds)
         self.taken = []
         self.needs_confirmation = False
+        self.entry_vms = 12
         row_layout = store_watcher.RowLayout(
             config_table="op",
             config_key=ids.RowKey("config"),
@@ -84,6 +85,7 @@
             updates=self.directory_sync,
             on_config=lambda routing: self.taken.append(routing.version),
             needs_confirmation=lambda: self.needs_confirmation,
+            entry_vms=lambda: self.entry_vms,
             now=self.clock.seconds,
         ).start()
 
@@ -184,6 +186,25 @@
         self.assertGreaterEqual(reads, 2 * 3.0 / (store_watcher.RETRY_MAX_S + 0.1))
         self.assertLessEqual(self.reads_in(6.0), 2 * 6.0 / (0.7 * store_watcher.RETRY_MAX_S))
 
+    def test_many_entry_vms_do_not_overload_a_failing_store(self):
+        """Guards against retries whose rate grows with the number of entry VMs."""
+        self.entry_vms = 195
+        self.clock.pump([0.1] * 40)
+        self.store.error = errors.PlatformUnavailableError("rejected", step="store")
+        self.clock.pump([0.1] * 60)
+        seconds = 20.0
+        rate_of_both_tasks = self.entry_vms * self.reads_in(seconds) / seconds
+        self.assertLessEqual(rate_of_both_tasks, 2 * store_watcher.FLEET_RETRIES_PER_S / 0.7)
+
+    def test_planner_of_many_entry_vms_notices_the_return_of_the_store_soon(self):
+        """Guards against entry VMs that learn late of the return, because the planner does."""
+        self.entry_vms = 1_000
+        self.directory_sync.set_leader(True)
+        self.clock.pump([0.1] * 40)
+        self.store.error = errors.PlatformUnavailableError("rejected", step="store")
+        self.clock.pump([0.1] * 100)
+        self.assertGreaterEqual(self.reads_in(6.0), 2 * 6.0 / (store_watcher.RETRY_MAX_S + 0.1))
+
     def test_own_reads_of_the_servers_tell_nothing_of_the_configuration(self):
         """Guards against a new configuration that is not read while there is no planner."""
         for row in range(100, 200, 10):
--- a/tests/ranges/test_coordinator.py
+++ b/tests/ranges/test_coordinator.py
@@ -135,6 +135,15 @@
         self.run_for(LONG_S)
         self.assertTrue(self.is_planner)
 
+    def test_small_vm_reads_nothing_while_a_larger_one_becomes_planner(self):
+        """Guards against reads of the maps by all of many entry VMs at each loss of the planner."""
+        scanned = []
+        scan = self.store.scan
+        self.store.scan = lambda table: scanned.append(table) or scan(table)
+        longest_s = coordinator.SILENCE_S + 0.4 + coordinator.LEADER_WATCH_S
+        self.run_for(longest_s + 0.2)
+        self.assertEqual([], scanned)
+
 
 class RegistrationTest(CoordinatorCase):
     def registered(self):
