Replace a planner that says it is unconfirmed without watching its row first

Ruled out: replacing it sooner by time alone; its confirmation may be 0.8 s old and a report 0.45 s. Change: the row is watched only for a planner that is not heard. Shown: tests/ranges/test_coordinator.py, failed before.

--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -175,6 +175,7 @@
         self.quarantine = crash_suspects.Quarantine()
         self._assembler = map_datagrams.Assembler()
         self._planner_heard_at = now()
+        self._is_planner_unconfirmed = False
         self._heard_term = 0
         self._confirmed_at = float("-inf")
         self._planner_address: tuple[str, int] | None = None
@@ -343,7 +344,7 @@
             return
         await self._read_ranges()
         before = await self.leadership.read()
-        if before.vm not in ("", self._node.vm):
+        if before.vm not in ("", self._node.vm) and not self._is_planner_unconfirmed:
             await self._pause(LEADER_WATCH_S)
             if self._now() - self._planner_heard_at < SILENCE_S:
                 return
@@ -445,7 +446,10 @@
             _log.info("following planner %s", heartbeat.vm, extra={"step": "fleet"})
         self._heard_term = heartbeat.term
         now = self._now()
-        if heartbeat.confirm_age_s <= UNCONFIRMED_S or not self._directory.is_current(now):
+        self._is_planner_unconfirmed = (
+            heartbeat.confirm_age_s > UNCONFIRMED_S and self._directory.is_current(now)
+        )
+        if not self._is_planner_unconfirmed:
             self._planner_heard_at = now
         self._planner_address = address
         self._pending_incarnations = heartbeat.pending
--- a/tests/ranges/test_coordinator.py
+++ b/tests/ranges/test_coordinator.py
@@ -104,6 +104,11 @@
         self.run_for(LONG_S, confirm_age_s=5.0)
         self.assertTrue(self.is_planner)
 
+    def test_planner_that_says_it_is_unconfirmed_is_not_watched_first(self):
+        """Guards against a further second without a planner that can change the maps."""
+        self.run_for(coordinator.SILENCE_S + 0.4 + 4 * STEP_S, confirm_age_s=5.0)
+        self.assertTrue(self.is_planner)
+
     def test_planner_stays_while_the_store_is_unavailable_for_all(self):
         """Guards against replacing a planner in a store outage, when no VM can do better."""
         self.run_for(LONG_S, confirm_age_s=5.0, store_answers=False)
