Begin a planner's term with the changes since its own version of the maps

Cause: a new planner sent the whole map to every entry VM with its first change. Ruled out: a planner without processor time (its commits kept their interval), slow releases (0.26 s median). Change: the first change of a term is based on the version that the planner had itself as a follower; who has another one reports it and gets the changes since that one, as within a term. Shown: tests/ranges/test_map_distribution.py, NewTermTest, its three tests failed before.

--- a/src/celerystack/ranges/map_distribution.py
+++ b/src/celerystack/ranges/map_distribution.py
@@ -120,12 +120,12 @@
         return (peer for vm, peer in self._by_vm.items() if vm != self._own.vm)
 
     def begin_term(self) -> None:
-        """Forget what was sent in earlier terms.
+        """Assume that the others have the versions that this VM has received as a follower.
 
-        The versions that an earlier planner sent are unknown, so the first push of each service is
-        a whole map. The datagrams carry the term.
+        A VM that has another version reports it, and gets the changes since that one. Datagrams of
+        an earlier term are not sent again, because they carry the term.
         """
-        self._pushed_by_service.clear()
+        self._pushed_by_service = self._range_maps.versions()
         self._encoded_by_service.clear()
 
     def _keep_version(self, service: ids.ServiceName) -> None:
--- a/tests/ranges/test_map_distribution.py
+++ b/tests/ranges/test_map_distribution.py
@@ -199,3 +199,42 @@
         self.distributor.push(fakes.SERVICE)
         self.run_for(0.5)
         self.assertEqual({2}, {follower.version for follower in self.followers})
+
+
+class NewTermTest(MapDistributionCase):
+    """An entry VM that has followed the maps becomes planner of 195 entry VMs."""
+
+    def setUp(self):
+        super().setUp()
+        for version in (1, 2, 3):
+            self.commit(version)
+            self.run_for(1.0)
+        self.exchange_heartbeats()
+
+    def test_first_change_of_a_term_reaches_every_vm_at_once(self):
+        """Guards against whole maps for all entry VMs, behind which the next changes wait."""
+        self.distributor.begin_term()
+        self.commit(4)
+        self.run_for(0.2)
+        self.assertEqual({4}, {follower.version for follower in self.followers})
+
+    def test_vm_with_another_version_gets_the_changes_since_it(self):
+        """Guards against an entry VM that cannot use the changes since the planner's version."""
+        behind = self.followers[7]
+        behind.range_maps = range_maps.RangeMaps()
+        behind.range_maps.adopt(many_segments(2), 2, 0.0)
+        self.distributor.begin_term()
+        self.commit(4)
+        self.run_for(0.3)
+        self.assertEqual(2, behind.version)
+        self.exchange_heartbeats()
+        self.run_for(0.2)
+        self.assertEqual(4, behind.version)
+
+    def test_change_that_only_the_store_had_reaches_every_vm(self):
+        """Guards against a gap: the last version of the planner before reached no entry VM."""
+        self.distributor.begin_term()
+        self.range_maps.adopt(many_segments(4), 4, self.clock.seconds())
+        self.commit(5)
+        self.run_for(0.2)
+        self.assertEqual({5}, {follower.version for follower in self.followers})
