Count an unanswered call in the choice of servers

Cause: a call that was not answered until its deadline left no trace. The server counted as suspected only while the call was in flight; after it, it was idle again with the assumed latency of 0.12 s, which no server that answers reaches, and was chosen before all others. Ruled out: full servers (1,349 arrivals rejected), a lost share of the connections. Change: the time that a call waited in vain adds to the expected latency by which servers are chosen, halves every 4 s and ends with the next answer.

--- a/src/celerystack/gateway/server_queue.py
+++ b/src/celerystack/gateway/server_queue.py
@@ -32,6 +32,10 @@
 """Weight of one answer in the moving average of the latency."""
 INITIAL_LATENCY_S = 0.12
 """Latency in seconds assumed before the first answer."""
+UNANSWERED_HALF_LIFE_S = 4.0
+"""Time in seconds in which the effect of an unanswered call on the choice of servers halves.
+
+A server that answers again is therefore tried again."""
 
 
 class ServerQueue:
@@ -72,6 +76,8 @@
         self._connect_failed_at = float("-inf")
         self._failed_connects = 0
         self._close_reason: str | None = None
+        self._unanswered_s = 0.0
+        self._unanswered_at = now()
         self.latency_s = INITIAL_LATENCY_S
         self.tie_breaker = random.random()
 
@@ -89,6 +95,19 @@
         """Return the expected time that a new call would spend in the queue."""
         return self._calls.wait_estimate_s(self.latency_s)
 
+    def expected_latency_s(self) -> float:
+        """Return the mean latency, plus the time for which recent calls waited in vain.
+
+        Without the latter a server that never answers would look as fast as an unknown one.
+        """
+        age_s = self._now() - self._unanswered_at
+        return self.latency_s + self._unanswered_s * 0.5 ** (age_s / UNANSWERED_HALF_LIFE_S)
+
+    def _note_unanswered(self, waited_s: float) -> None:
+        """Record that a call was not answered before its deadline."""
+        self._unanswered_s = self.expected_latency_s() - self.latency_s + waited_s
+        self._unanswered_at = self._now()
+
     def set_entry_vms(self, entry_vms: int) -> None:
         """Set the number of entry VMs that share the server."""
         self._limit.set_sharing(entry_vms=entry_vms, maximum=IN_FLIGHT_MAX)
@@ -176,6 +195,8 @@
             broken = self._now() < call.deadline
             if broken:
                 self.note_failure()
+            else:
+                self._note_unanswered(self._now() - started)
             return calls.OutcomeUnknown(error.reason, broken=broken)
         attempt = self._request_codec.classify(call, self.incarnation, response)
         self._record_answer(call, attempt, self._now() - started)
@@ -196,6 +217,7 @@
                 self._limit.on_answer(latency_s, now)
                 self._failures = 0
                 self._suspect_until = 0.0
+                self._unanswered_s = 0.0
                 self._on_answer(self, call, latency_s)
             case calls.NotRun(reason=calls.NotRunReason.FULL):
                 self._limit.on_shed(now)
@@ -233,7 +255,7 @@
 
 
 def _cost(server_queue: ServerQueue, zone: str, now: float) -> tuple[bool, bool, float, float]:
-    cost = (server_queue.load + 1) * server_queue.latency_s
+    cost = (server_queue.load + 1) * server_queue.expected_latency_s()
     if server_queue.record.entry.zone != zone:
         cost *= REMOTE_ZONE_COST_FACTOR
     if now < server_queue.record.warm_at:
--- a/tests/gateway/test_server_queue.py
+++ b/tests/gateway/test_server_queue.py
@@ -1,6 +1,7 @@
 """Tests of the failure detection and the concurrency limit for one server."""
 
 import collections
+import dataclasses
 
 import testtools
 from twisted.internet import defer, task
@@ -12,6 +13,19 @@
 from tests.gateway import fakes as gateway_fakes
 from tests.ranges import fakes
 
+CALL = calls.Call(
+    request_id=ids.RequestId("r1"),
+    route=gateway_fakes.ROUTE,
+    service=fakes.SERVICE,
+    method=b"GET",
+    target=b"/",
+    headers=(),
+    body=b"",
+    key=None,
+    arrived_at=10.0,
+    deadline=11.0,
+)
+
 
 class Pool:
     def __init__(self):
@@ -53,25 +67,10 @@
             now=self.clock.seconds,
         )
 
-    def call(self):
-        now = self.clock.seconds()
-        return calls.Call(
-            request_id=ids.RequestId("r1"),
-            route=gateway_fakes.ROUTE,
-            service=fakes.SERVICE,
-            method=b"GET",
-            target=b"/",
-            headers=(),
-            body=b"",
-            key=None,
-            arrived_at=now,
-            deadline=now + 1,
-        )
-
     def run_call(self, result):
         self.pool.results.append(result)
         outcome = []
-        running = defer.Deferred.fromCoroutine(self.server_queue.run(self.call()))
+        running = defer.Deferred.fromCoroutine(self.server_queue.run(CALL))
         # Without a reference the garbage collector would end the call.
         self.running.append(running.addCallback(outcome.append))
         return outcome
@@ -130,3 +129,72 @@
             for _ in range(20)
         )
         self.assertGreater(len(chosen), 3)
+
+
+class TimedPool:
+    """Answers after a time; without one it stays silent until the deadline."""
+
+    def __init__(self, clock, answer_s):
+        self._clock = clock
+        self.answer_s = answer_s
+        self.calls = 0
+
+    def exchange(self, request, *, deadline, **options):
+        self.calls += 1
+        if self.answer_s is None:
+            remaining_s = deadline - self._clock.seconds()
+            lost = errors.OutcomeUnknownError("the deadline passed", step="s")
+            return task.deferLater(self._clock, remaining_s, defer.fail, lost)
+        response = http.HttpResponse(status=200, reason=b"", headers=(), body=b"")
+        return task.deferLater(self._clock, self.answer_s, lambda: response)
+
+
+class SilentServerTest(testtools.TestCase):
+    """Load pattern: calls one after the other, and one of ten servers never answers."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = task.Clock()
+        self.clock.advance(10.0)
+        self.pools = [TimedPool(self.clock, 0.3) for _ in range(10)]
+        self.queues = [
+            server_queue.ServerQueue(
+                self.clock,
+                servers.ServerRecord(
+                    entry=fakes.entry(f"s{number}"), appeared_at=0.0, seen_at=0.0, warm_at=0.0
+                ),
+                pool=pool,
+                request_codec=RequestCodec(),
+                entry_vms=20,
+                on_answer=lambda *_: None,
+                now=self.clock.seconds,
+            )
+            for number, pool in enumerate(self.pools)
+        ]
+        self.silent = self.pools[0]
+        self.silent.answer_s = None
+
+    def send_for(self, seconds):
+        """Send a call every 0.5 s, each with a deadline 1.5 s later."""
+        running = []
+        for _ in range(round(seconds / 0.5)):
+            chosen = server_queue.best(self.queues, zone=fakes.ZONE, now=self.clock.seconds())
+            call = dataclasses.replace(CALL, deadline=self.clock.seconds() + 1.5)
+            running.append(defer.Deferred.fromCoroutine(chosen.run(call)))
+            self.clock.advance(0.5)
+        self.clock.advance(2.0)
+        self.assertTrue(all(sent.called for sent in running))
+
+    def test_silent_server_gets_few_calls(self):
+        """Guards against preferring a server because it has never answered slowly."""
+        self.send_for(60.0)
+        self.assertLessEqual(self.silent.calls, 60.0 / 1.5 / 5)
+
+    def test_server_that_answers_again_gets_its_share(self):
+        """Guards against a server that stays unused for good after it was silent."""
+        self.send_for(20.0)
+        self.silent.answer_s = 0.3
+        self.send_for(20.0)
+        before = self.silent.calls
+        self.send_for(30.0)
+        self.assertGreaterEqual(self.silent.calls - before, 3)
