Read the stored range maps when an entry VM starts

Cause: an entry VM that started waited for the planner's maps. Ruled out: late registration of servers (all known at 39.3 s), servers that reject grants (none did). Change: after its registration an entry VM reads the maps itself (7.5 s valid, as other own reads) and, if there are any, the list of entry VMs, so that it knows the lessors of its zone. One call more per start, two after a restart. Ruled out too: adopting the maps before the list, by which each entry VM would grant to every server of its zone. Shown: tests/ranges/test_coordinator.py, RestartTest, both tests failed before; FirstStartTest.

--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -279,9 +279,11 @@
     async def _work(self) -> None:
         try:
             if not self._registered:
+                registered_at = self._now()
                 await nodes.register(self._store, self._node)
                 self._registered = True
                 await self._reacquire_own_leadership()
+                await self._begin_following(registered_at)
             elif self.leadership.held:
                 await self._lead()
             else:
@@ -311,6 +313,24 @@
         if leader.vm in ("", self._node.vm) and await self.leadership.acquire(leader):
             await self._begin_term()
 
+    async def _begin_following(self, registered_at: float) -> None:
+        """Read the stored maps at the start, unless this VM is the planner.
+
+        After a restart of many entry VMs the planner's maps reach the last of them seconds later.
+        The registered entry VMs are read before the maps are used, because otherwise this VM would
+        take itself for the only lessor of its zone.
+        """
+        if self.leadership.held:
+            return
+        stored = await self._read_stored_maps(registered_at)
+        if not stored:
+            return
+        by_vm = await nodes.read_all(self._store)
+        if not self._heard_term:
+            zone_vms = tuple(vm for vm, node in by_vm.items() if node.zone == self._node.zone)
+            self._update_vms(zone_vms, max(1, len(by_vm)))
+        self._adopt_all(stored)
+
     async def _begin_term(self) -> None:
         self.planner.begin_term()
         self._map_distributor.begin_term()
@@ -364,14 +384,25 @@
         started = self._now()
         if started - self._confirmed_at >= leases.REGISTRATION_VALID_S:
             await nodes.register(self._store, self._node)
-        if self._now() - started > leases.REGISTER_TO_READ_S:
-            return
+        self._adopt_all(await self._read_stored_maps(started))
+
+    async def _read_stored_maps(self, registered_at: float) -> list[range_maps.KnownMap]:
+        """Read the range maps; none if the registration of this VM may be too old by now."""
+        if self._now() - registered_at > leases.REGISTER_TO_READ_S:
+            return []
         confirmed_at = leases.confirmation_by_read(self._now())
         answer = await self._store.scan(leadership.RANGES_TABLE)
-        for row in answer.rows:
-            if row.value is not None:
-                service = ids.ServiceName(row.key)
-                self.range_maps.adopt(codec.decode(service, row.value), row.version, confirmed_at)
+        return [
+            range_maps.KnownMap(
+                codec.decode(ids.ServiceName(row.key), row.value), row.version, confirmed_at
+            )
+            for row in answer.rows
+            if row.value is not None
+        ]
+
+    def _adopt_all(self, stored: list[range_maps.KnownMap]) -> None:
+        for known in stored:
+            self.range_maps.adopt(known.ranges, known.version, known.confirmed_at)
 
     def _send_heartbeats(self, now: float) -> None:
         versions = self.range_maps.versions()
--- a/tests/ranges/test_coordinator.py
+++ b/tests/ranges/test_coordinator.py
@@ -8,7 +8,7 @@
 
 from celerystack import ids
 from celerystack.fleet import directory_sync, messages, nodes, rows, servers
-from celerystack.ranges import coordinator, leadership, leases
+from celerystack.ranges import codec, coordinator, leadership, leases
 from tests.ranges import fakes
 
 OWN, OTHER = ids.EntryVmId("vm-1"), ids.EntryVmId("vm-2")
@@ -40,6 +40,10 @@
         self.store = fakes.MemoryRows()
         self.directory = servers.Directory()
         self.write_leader(OTHER, term=3)
+        self.write_before_start()
+        self.scanned = []
+        scan = self.store.scan
+        self.store.scan = lambda table: self.scanned.append(table) or scan(table)
         self.coordinator = coordinator.Coordinator(
             self.clock,
             node=nodes.Node(vm=OWN, zone=fakes.ZONE, address=("10.0.0.1", 7000)),
@@ -55,6 +59,9 @@
         )
         self.coordinator.start()
 
+    def write_before_start(self):
+        """Write rows that the store has when the entry VM starts."""
+
     def write_leader(self, vm, *, term):
         key = ids.RowKey(leadership.LEADER_KEY)
         _, version = self.store.rows.get((leadership.LEADER_TABLE, key), (b"", 0))
@@ -142,12 +149,46 @@
 
     def test_small_vm_reads_nothing_while_a_larger_one_becomes_planner(self):
         """Guards against reads of the maps by all of many entry VMs at each loss of the planner."""
-        scanned = []
-        scan = self.store.scan
-        self.store.scan = lambda table: scanned.append(table) or scan(table)
+        self.scanned.clear()
         longest_s = coordinator.SILENCE_S + 0.4 + coordinator.LEADER_WATCH_S
         self.run_for(longest_s + 0.2)
-        self.assertEqual([], scanned)
+        self.assertEqual([], self.scanned)
+
+
+class RestartTest(CoordinatorCase):
+    """All entry VMs start again; the store has their rows and a range map."""
+
+    is_small = True
+
+    def write_before_start(self):
+        for vm, zone in ((OTHER, fakes.ZONE), ("vm-far", ids.ZoneName("far"))):
+            node = nodes.Node(vm=ids.EntryVmId(vm), zone=zone, address=("10.0.0.2", 7000))
+            value = msgpack.packb([node.zone, *node.address])
+            put = rows.Put(table=nodes.NODES_TABLE, key=ids.RowKey(node.vm), value=value)
+            self.store.transact([], [put], [])
+        ranges = codec.encode(fakes.whole(fakes.incarnation("a")))
+        key = ids.RowKey(fakes.SERVICE)
+        put = rows.Put(table=leadership.RANGES_TABLE, key=key, value=ranges)
+        self.store.transact([], [put], [])
+
+    def test_stored_maps_are_used_before_a_planner_is_heard(self):
+        """Guards against seconds without leases until the planner has sent whole maps to all."""
+        self.run_for(0.2)
+        self.assertIn(fakes.SERVICE, self.coordinator.range_maps.by_service)
+
+    def test_other_entry_vms_of_the_zone_count_as_lessors(self):
+        """Guards against grants by every entry VM to every server of its zone."""
+        self.run_for(0.2)
+        self.assertEqual({OWN, OTHER}, set(self.coordinator.lessor.vms))
+        self.assertEqual(3, self.coordinator.entry_vms)
+
+
+class FirstStartTest(CoordinatorCase):
+    is_small = True
+
+    def test_list_of_entry_vms_is_not_read_without_maps(self):
+        """Guards against a needless read by each of many entry VMs at the first start."""
+        self.assertEqual([leadership.RANGES_TABLE], self.scanned)
 
 
 class RegistrationTest(CoordinatorCase):
