Join fragments of a map from 1,000 segments on

Cause: a map counted as fragmented above eight ranges per server. Ruled out: a smaller bound for all sites; up to 125 servers of a divided service nothing changes. Change: the bound is at most 1,000 segments.

--- a/src/celerystack/ranges/plan.py
+++ b/src/celerystack/ranges/plan.py
@@ -41,10 +41,13 @@
 FRAGMENTED_SEGMENTS = 200
 """Number of segments up to which no map is fragmented."""
 FRAGMENTED_SEGMENTS_PER_SERVER = 8
-"""Segments per server up to which no map is fragmented.
+"""Segments per server up to which no map is fragmented, unless it has `FRAGMENTED_SEGMENTS_MAX`.
 
 A map above both limits is fragmented: ranges without a usable owner then go whole to the owners of
 neighbouring ranges, and fragments are joined."""
+FRAGMENTED_SEGMENTS_MAX = 1_000
+"""Number of segments above which every map is fragmented; leaves room below `SEGMENTS_MAX` for the
+cuts of hot ranges."""
 FULL_SEGMENTS_PER_SERVER = 16
 """Segments per server above which a map is full, so that no range is cut.
 
@@ -125,7 +128,7 @@
     def is_fragmented(self) -> bool:
         """Return whether the map has so many segments that they are joined rather than cut."""
         limit = FRAGMENTED_SEGMENTS_PER_SERVER * len(self.service_state.candidates_by_incarnation)
-        return len(self.segments) > max(FRAGMENTED_SEGMENTS, limit)
+        return len(self.segments) > min(max(FRAGMENTED_SEGMENTS, limit), FRAGMENTED_SEGMENTS_MAX)
 
     def is_full(self) -> bool:
         """Return whether the map has too many segments to cut any."""
--- a/tests/ranges/test_plan.py
+++ b/tests/ranges/test_plan.py
@@ -182,7 +182,7 @@
 
     def setUp(self):
         super().setUp()
-        self.found = candidates(**{f"s{number:02}": 13.0 for number in range(self.SERVERS)})
+        self.found = candidates(**{f"s{number:03}": 13.0 for number in range(self.SERVERS)})
         incarnations = sorted(self.found)
         width = (model.KEY_MAX + 1) // self.SERVERS
         ends = [width * (number + 1) - 1 for number in range(self.SERVERS - 1)] + [model.KEY_MAX]
@@ -254,6 +254,8 @@
 class FragmentedMapTest(LargeFleetCase):
     """Load pattern: the hot keys change every half second (a step) while servers come and go."""
 
+    STEPS = 100
+
     def settled_after(self, ranges, seen):
         planned = plan.plan(ranges, seen)
         waiting = [segment for segment in planned.segments if segment.pending]
@@ -263,7 +265,7 @@
     def busy_fleet(self):
         rng = random.Random(7)
         ranges = self.ranges
-        for step in range(100):
+        for step in range(self.STEPS):
             hot = rng.randrange(model.KEY_MAX - 300)
             rates = dict.fromkeys(range(0, model.KEY_MAX, 30), 330.0 / 2185)
             rates |= dict.fromkeys(range(hot, hot + 200), 2.0)
@@ -314,6 +316,19 @@
         self.assertLess(max(plan.utilizations(ranges, self.service_state).values()), 1.0)
 
 
+class FragmentedMapOfManyServersTest(FragmentedMapTest):
+    """The same load pattern with 480 servers, so many that eight ranges for each would not fit."""
+
+    SERVERS = 480
+    STEPS = 60
+
+    def test_map_always_fits_its_row(self):
+        """Guards against a map that is too large for its row, after which no key can move."""
+        ranges = self.busy_fleet()
+        self.assertLess(len(codec.encode(ranges)), 65_536)
+        self.assertLessEqual(len(ranges.segments), plan.SEGMENTS_MAX)
+
+
 class OverloadedFleetTest(LargeFleetCase):
     """Load pattern: more requests than all servers can process, unevenly spread."""
 
