--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -20,11 +20,18 @@
         self.error = None
         self.polls_hang = False
         self.scan_s = 0.0
+        self.scans_in_flight = 0
+
+    def _end_scan(self, result):
+        self.scans_in_flight -= 1
+        return result
 
     def scan(self, table):
         self.scans.append(table)
         if self.scan_s:
+            self.scans_in_flight += 1
             waited = task.deferLater(self._clock, self.scan_s, lambda: None)
+            waited.addBoth(self._end_scan)
             return waited.addCallback(lambda _: self._answer(table, -1))
         return self._answer(table, -1)
 
@@ -283,3 +290,17 @@
             self.clock.pump([0.1] * 4)
         self.clock.advance(directory_sync.CONFIG_DELIVERY_S)
         self.assertEqual([3, 120], self.taken)
+
+    def test_configuration_from_the_planner_ends_a_slow_read(self):
+        """Guards against a read of a large configuration that fills a slow link, and delays the
+        requests of callers, although the row has arrived in the planner's datagrams."""
+        self.run_with_updates(8.0)
+        self.store.config_row, self.store.position = 100, 100
+        self.store.scan_s = 2.0
+        self.announce(100)
+        self.clock.advance(0.1)
+        self.assertEqual(1, self.store.scans_in_flight)
+        self.directory_sync.offer_config(ids.RowVersion(100), b"100")
+        self.assertEqual(([3, 100], 0), (self.taken, self.store.scans_in_flight))
+        self.run_with_updates(4.0, config_row=100)
+        self.assertEqual(0, self.store.scans_in_flight)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,13 +1,20 @@
-"""Tests of the row store's adapter on malformed responses."""
+"""Tests of the row store's adapter on malformed and slow responses."""
 
+import base64
 import json
+import time
 
 import testtools
-from twisted.internet import defer
+from twisted.internet import defer, reactor, task
+from twisted.trial import unittest
 
 from celerystack import errors
 from celerystack.backend import http
 from celerystack.platform import store
+from standins import scripted_backend
+
+PIECES, PIECE_S = 12, 0.3
+"""A slow transfer: 3.6 s in all, with no pause that is near the timeout of a call."""
 
 ROW = {"table_name": "servers", "part": "", "key": "i-1", "value": "e30=", "row_version": 7}
 
@@ -50,3 +57,35 @@
             with self.subTest(rows=found):
                 failure = self.scan({"rows": found, "row_version": 7})
                 self.assertIsInstance(failure.value, errors.PlatformError)
+
+
+class SlowAnswerTest(unittest.TestCase):
+    timeout = 20
+
+    def setUp(self):
+        value = base64.b64encode(b"r" * 60_000).decode()
+        rows = {"rows": [ROW | {"value": value}], "row_version": 7}
+        self.answer = scripted_backend.answer(json.dumps(rows).encode())
+        self.server = scripted_backend.FakeServer(self.send_slowly)
+        self.addCleanup(self.server.stop)
+        self.adapter = store.HttpRowStore(
+            reactor, ("127.0.0.1", self.server.port), now=time.monotonic
+        )
+        self.addCleanup(self.adapter._pool.close)
+
+    async def send_pieces(self, connection):
+        size = -(-len(self.answer) // PIECES)
+        for start in range(0, len(self.answer), size):
+            connection.send(self.answer[start : start + size])
+            await task.deferLater(reactor, PIECE_S, lambda: None)
+
+    def send_slowly(self, request):
+        sending = defer.Deferred.fromCoroutine(self.send_pieces(request.connection))
+        sending.addErrback(lambda failure: failure.trap(defer.CancelledError))
+        self.addCleanup(sending.cancel)
+
+    async def test_answer_that_takes_long_to_transfer_is_read(self):
+        """Guards against a large configuration that an entry VM on a slow link never gets, because
+        each read ends before the whole row has arrived and the next one begins anew."""
+        found = await self.adapter.scan("op")
+        self.assertEqual([b"r" * 60_000], [row.value for row in found.rows])
--- a/tests/ranges/test_coordinator.py
+++ b/tests/ranges/test_coordinator.py
@@ -236,3 +236,41 @@
         self.coordinator.planner._lease_reports.begin_removal(OTHER)
         self.coordinator._take_report(dataclasses.replace(report, stamp=2.0))
         self.assertEqual(1.0, peer.stamp)
+
+
+class ConfigResendTest(CoordinatorCase):
+    def report(self):
+        return messages.Report(
+            vm=OTHER,
+            zone=fakes.ZONE,
+            vm_incarnation=2,
+            stamp=self.clock.seconds(),
+            versions_by_service={},
+            remaining_by_incarnation={},
+            unreachable=(),
+            keys_by_service={},
+            service_time_by_server={},
+        )
+
+    def run_with_reports(self, seconds):
+        for _ in range(round(seconds / STEP_S)):
+            self.run_for(STEP_S)
+            self.coordinator._take_report(self.report())
+
+    def parts_sent(self):
+        return [
+            message for message, _ in self.clock.sent if isinstance(message, messages.ConfigPart)
+        ]
+
+    def test_configuration_is_sent_again_to_a_vm_that_reports_without_it(self):
+        """Guards against a large configuration that an entry VM must read from the store over its
+        slow link because one of the planner's datagrams was lost."""
+        self.run_for(LONG_S)
+        self.assertTrue(self.is_planner)
+        self.coordinator._map_distributor.update_nodes(
+            {OTHER: nodes.Node(vm=OTHER, zone=fakes.ZONE, address=("10.0.0.2", 7000))}
+        )
+        self.coordinator._updates.note_config(ids.RowVersion(20), b"a row")
+        self.assertEqual(1, len(self.parts_sent()))
+        self.run_with_reports(1.5)
+        self.assertGreaterEqual(len(self.parts_sent()), 2)
