Let entry VMs look for a configuration themselves when the planner cannot read it

Callers would be served by an old configuration on all entry VMs, in touch with the store or not, for as long as the planner's poll of the configuration hangs (2.7 s, then 1.8 s each). Cause: an announcement was valid for 1 s from the planner's last read of the servers, which goes on by itself while the poll of the configuration waits for an answer. Change: heartbeats tell how long ago the store confirmed the planner's configuration row, and are valid for the configuration by that age. Test: a planner whose polls hang and a follower with its own store; failed before (the follower kept version 3 to the end), passes now. A second test shows that a follower polls nothing while the planner does.

--- a/src/celerystack/fleet/directory_sync.py
+++ b/src/celerystack/fleet/directory_sync.py
@@ -21,6 +21,9 @@
 UPDATE_VALID_S = 1.0
 """Age in seconds at which updates expire; long enough that two of three planner heartbeats may be
 lost."""
+CONFIG_VALID_S = 1.4
+"""Age in seconds at which the planner's knowledge of the newest configuration expires; longer than
+two of its polls and a heartbeat interval."""
 CHANGES_PER_UPDATE_MAX = 40
 """Limit on the size of a datagram with the changes of several reads; the next update has the rest.
 """
@@ -58,6 +61,9 @@
         Digest of all present servers at ``position``, to detect differing directories.
     config_row : RowVersion
         Version of the newest configuration row.
+    config_age_s : float
+        Time in seconds since the store last confirmed to the planner that this row is the newest;
+        infinite if it never did.
     """
 
     since: ids.RowVersion
@@ -65,6 +71,7 @@
     age_s: float
     digest: int
     config_row: ids.RowVersion
+    config_age_s: float
     changes: tuple[Change, ...] = ()
 
 
@@ -102,7 +109,8 @@
         self._batches: collections.deque[_Batch] = collections.deque(maxlen=BATCHES_KEPT)
         self._batches_since = UNKNOWN
         self._read_at = float("-inf")
-        self._announced_at = float("-inf")
+        self._config_read_at = float("-inf")
+        self._announced_config_read_at = float("-inf")
         self._announced_config_row = UNKNOWN
         self._config_due_at = float("-inf")
         self._scan_needed = False
@@ -156,7 +164,7 @@
             return 0.0
         if self.lacks_config:
             return max(0.0, self._config_due_at - self._now())
-        return max(0.0, self._announced_at + UPDATE_VALID_S - self._now())
+        return max(0.0, self._announced_config_read_at + CONFIG_VALID_S - self._now())
 
     @property
     def lacks_config(self) -> bool:
@@ -184,6 +192,10 @@
         for listener in self._config_listeners:
             listener(row, value)
 
+    def note_config_read(self, confirmed_at: float) -> None:
+        """Record a time at which the newest configuration row that this VM has was the store's."""
+        self._config_read_at = max(self._config_read_at, confirmed_at)
+
     def offer_config(self, row: ids.RowVersion, value: bytes) -> None:
         """Pass on a configuration row that the planner has sent, unless it is known."""
         if row <= self.config_row:
@@ -240,6 +252,7 @@
             age_s=max(0.0, self._now() - until.read_at),
             digest=until.digest,
             config_row=self.config_row,
+            config_age_s=max(0.0, self._now() - self._config_read_at),
             changes=tuple(change_by_server.values()),
         )
 
@@ -248,7 +261,9 @@
         if not self.lacks_config:
             self._config_due_at = self._now() + CONFIG_DELIVERY_S
         self._announced_config_row = max(self._announced_config_row, update.config_row)
-        self._announced_at = max(self._announced_at, self._now() - update.age_s)
+        self._announced_config_read_at = max(
+            self._announced_config_read_at, self._now() - update.config_age_s
+        )
         if update.since <= self.position <= update.position and not self.must_scan:
             read_at = self._now() - update.age_s
             self._directory.apply_changes(
--- a/src/celerystack/fleet/messages.py
+++ b/src/celerystack/fleet/messages.py
@@ -183,17 +183,26 @@
         ]
         for change in update.changes
     ]
-    return [update.since, update.position, update.age_s, update.digest, update.config_row, changes]
+    return [
+        update.since,
+        update.position,
+        update.age_s,
+        update.digest,
+        update.config_row,
+        update.config_age_s,
+        changes,
+    ]
 
 
 def _decode_update(*fields: Any) -> directory_sync.DirectoryUpdate:
-    since, position, age_s, digest, config_row, changes = fields
+    since, position, age_s, digest, config_row, config_age_s, changes = fields
     return directory_sync.DirectoryUpdate(
         since=ids.RowVersion(int(since)),
         position=ids.RowVersion(int(position)),
         age_s=float(age_s),
         digest=int(digest),
         config_row=ids.RowVersion(int(config_row)),
+        config_age_s=float(config_age_s),
         changes=tuple(_decode_change(*change) for change in changes),
     )
 
--- a/src/celerystack/gateway/store_watcher.py
+++ b/src/celerystack/gateway/store_watcher.py
@@ -18,6 +18,8 @@
 
 CONFIG_WAIT_S = 1.2
 """Maximum duration of a long poll, which bounds the time until a dead connection is detected."""
+CONFIG_WAIT_PLANNER_S = 0.4
+"""The same on the planner, each of whose polls confirms the configuration for all entry VMs."""
 SERVERS_INTERVAL_S = 1.0
 """Polling interval; heartbeats change the rows so often that a long poll would return at once."""
 SERVERS_SHORT_INTERVAL_S = 0.4
@@ -151,8 +153,10 @@
                 continue
             # `changes` would return every version since; a scan returns only the newest one.
             after = None if self._updates.lacks_config else version
+            wait_s = CONFIG_WAIT_PLANNER_S if self._updates.is_leader else CONFIG_WAIT_S
+            started = self._now()
             reading = defer.Deferred.fromCoroutine(
-                self._read(self._row_layout.config_table, after, CONFIG_WAIT_S)
+                self._read(self._row_layout.config_table, after, wait_s)
             )
             # A scan is not restarted when further versions are announced meanwhile.
             self._config_poll = None if after is None else reading
@@ -169,6 +173,11 @@
             if answer is not None:
                 version = answer.version
                 self._apply_config(answer)
+                # An empty answer to a long poll is sent when its wait is over.
+                was_empty_poll = after is not None and not answer.rows
+                self._updates.note_config_read(
+                    min(started + wait_s, self._now()) if was_empty_poll else started
+                )
             if answer is None or self._updates.lacks_config:
                 await self._sleep(self._retry_delay_s())
 
--- a/tests/fleet/test_messages.py
+++ b/tests/fleet/test_messages.py
@@ -12,6 +12,7 @@
     age_s=0.25,
     digest=77,
     config_row=ids.RowVersion(3),
+    config_age_s=0.5,
     changes=(
         directory_sync.Change(entry=fakes.entry("a", 5, cold_s=1.5), present=True),
         directory_sync.Change(entry=fakes.entry("b"), present=False),
--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -105,6 +105,7 @@
                 age_s=0.0,
                 digest=self.directory.digest(),
                 config_row=ids.RowVersion(config_row),
+                config_age_s=0.0,
             )
         )
 
@@ -304,3 +305,63 @@
         self.assertEqual(([3, 100], 0), (self.taken, self.store.scans_in_flight))
         self.run_with_updates(4.0, config_row=100)
         self.assertEqual(0, self.store.scans_in_flight)
+
+
+class TwoVmsTest(testtools.TestCase):
+    """A planner and a follower, each with its own watcher of the same store."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = task.Clock()
+        self.planner_store, self.follower_store = Store(self.clock), Store(self.clock)
+        self.planner = self.start(self.planner_store, [])
+        self.taken = []
+        self.follower = self.start(self.follower_store, self.taken)
+        self.planner.set_leader(True)
+
+    def start(self, store, taken):
+        directory = servers.Directory()
+        updates = directory_sync.DirectorySync(directory, now=self.clock.seconds)
+        row_layout = store_watcher.RowLayout(
+            config_table="op",
+            config_key=ids.RowKey("config"),
+            servers_table="servers",
+            decode_config=_decode,
+            decode_server=lambda key, data: fakes.entry(key),
+        )
+        store_watcher.StoreWatcher(
+            self.clock,
+            store=store,
+            row_layout=row_layout,
+            directory=directory,
+            updates=updates,
+            on_config=lambda routing: taken.append(routing.version),
+            needs_confirmation=lambda: False,
+            entry_vms=lambda: 2,
+            now=self.clock.seconds,
+        ).start()
+        return updates
+
+    def run_for(self, seconds):
+        for _ in range(round(seconds / 0.1)):
+            self.clock.advance(0.1)
+            self.planner_store.position += 1
+            update = self.planner.update_since(self.follower.position)
+            self.follower.apply(update)
+
+    def test_follower_reads_the_configuration_while_the_planner_cannot(self):
+        """Guards against entry VMs with an old configuration because the planner's poll hangs: its
+        heartbeats went on, and told how recently it had read the servers, not the configuration."""
+        self.run_for(4.0)
+        self.planner_store.polls_hang = True
+        self.run_for(0.5)
+        self.follower_store.config_row = self.follower_store.position = 10_000
+        self.run_for(2.0)
+        self.assertEqual(10_000, self.taken[-1])
+
+    def test_follower_does_not_poll_while_the_planner_does(self):
+        """Guards against reads of the store by every entry VM while the planner reads it."""
+        self.run_for(4.0)
+        self.follower_store.polls.clear()
+        self.run_for(20.0)
+        self.assertEqual([], self.follower_store.polls)
