Keep to the rate limits that backend servers state

Cause: nothing read the header, and no VM knows how many requests the others send to the same server. Ruled out: a count per VM alone (nine VMs, none of them above the limit by itself). Change: the adapter decodes the header; every VM keeps to a share that is safe by itself; reports and heartbeats carry the limits; the planner takes them for capacities, moves keys away and states what fraction to admit; calls for undivided services go to servers whose shares are not used up.

--- a/src/celerystack/fleet/messages.py
+++ b/src/celerystack/fleet/messages.py
@@ -9,6 +9,7 @@
 
 from celerystack import errors, ids
 from celerystack.fleet import directory_sync, servers
+from celerystack.limits import rate_limits
 from celerystack.ranges import codec, model
 
 
@@ -47,6 +48,8 @@
         Quarantined requests that recently completed on the sender.
     config_row : RowVersion
         Version of the newest configuration row that the sender has.
+    rate_limits : tuple of RateLimit
+        Limits in servers' answers to the sender of which the planner has sent none or older ones.
     """
 
     vm: ids.EntryVmId
@@ -63,6 +66,7 @@
     incarnations_with_reused_address: tuple[model.ServerIncarnation, ...] = ()
     completed_suspects: tuple[ids.Fingerprint, ...] = ()
     config_row: ids.RowVersion = directory_sync.UNKNOWN
+    rate_limits: tuple[rate_limits.RateLimit, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -98,6 +102,8 @@
         Changes of the servers since the position of the receiver.
     incarnations_with_reused_address : tuple of ServerIncarnation
         Server incarnations at whose addresses another server answered.
+    rate_limits : tuple of RateLimit
+        Limits that servers stated; some of them if there are many.
     """
 
     vm: ids.EntryVmId
@@ -113,6 +119,7 @@
     quarantined: tuple[ids.Fingerprint, ...] = ()
     update: directory_sync.DirectoryUpdate | None = None
     incarnations_with_reused_address: tuple[model.ServerIncarnation, ...] = ()
+    rate_limits: tuple[rate_limits.RateLimit, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -168,6 +175,20 @@
     return [incarnation.server, incarnation.started_ms]
 
 
+def _encode_rate_limit(limit: rate_limits.RateLimit) -> list[Any]:
+    return [*_encode_incarnation(limit.incarnation), limit.per_s, limit.age_s]
+
+
+def _decode_rate_limit(
+    server: Any, started_ms: Any, per_s: Any, age_s: Any
+) -> rate_limits.RateLimit:
+    return rate_limits.RateLimit(
+        incarnation=codec.decode_incarnation([server, started_ms]),
+        per_s=None if per_s is None else float(per_s),
+        age_s=float(age_s),
+    )
+
+
 def _encode_update(update: directory_sync.DirectoryUpdate) -> list[Any]:
     changes = [
         [
@@ -252,6 +273,7 @@
                 ],
                 list(message.completed_suspects),
                 message.config_row,
+                [_encode_rate_limit(limit) for limit in message.rate_limits],
             ]
             return msgpack.packb(["report", *fields])
         case PlannerHeartbeat():
@@ -272,6 +294,7 @@
                     _encode_incarnation(incarnation)
                     for incarnation in message.incarnations_with_reused_address
                 ],
+                [_encode_rate_limit(limit) for limit in message.rate_limits],
             ]
             return msgpack.packb(["beacon", *fields])
         case RangesPart():
@@ -326,6 +349,7 @@
         incarnations_with_reused_address,
         completed_suspects,
         config_row,
+        limits,
     ) = rest
     return Report(
         vm=vm,
@@ -353,12 +377,21 @@
         ),
         completed_suspects=tuple(ids.Fingerprint(bytes(suspect)) for suspect in completed_suspects),
         config_row=ids.RowVersion(int(config_row)),
+        rate_limits=tuple(_decode_rate_limit(*limit) for limit in limits),
     )
 
 
 def _decode_heartbeat(*fields: Any) -> PlannerHeartbeat:
     vm, term, vm_incarnation, stamp, age_s, versions, zone_vms, *rest = fields
-    entry_vm_count, pending, admitted, quarantined, update, incarnations_with_reused_address = rest
+    (
+        entry_vm_count,
+        pending,
+        admitted,
+        quarantined,
+        update,
+        incarnations_with_reused_address,
+        limits,
+    ) = rest
     return PlannerHeartbeat(
         vm=vm,
         term=int(term),
@@ -378,6 +411,7 @@
             codec.decode_incarnation(incarnation)
             for incarnation in incarnations_with_reused_address
         ),
+        rate_limits=tuple(_decode_rate_limit(*limit) for limit in limits),
     )
 
 
--- a/src/celerystack/gateway/calls.py
+++ b/src/celerystack/gateway/calls.py
@@ -128,6 +128,10 @@
 Attempt = Answered | NotRun | OutcomeUnknown
 
 
+class UnreadableHeaderError(Exception):
+    """A header of a server's answer cannot be decoded."""
+
+
 class BadRequestError(Exception):
     """A caller's request cannot be forwarded.
 
@@ -184,6 +188,15 @@
     ) -> Attempt:
         """Return the outcome of an attempt, according to the server's answer."""
 
+    def rate_limit(self, response: http.HttpResponse) -> float | None:
+        """Return the requests/s that the server accepts from all VMs; None if it states no limit.
+
+        Raises
+        ------
+        UnreadableHeaderError
+            The limit is not a number.
+        """
+
     def answer_headers(self, response: http.HttpResponse) -> http.HeaderList:
         """Return the headers of a server's answer that are passed on to the caller."""
 
--- a/src/celerystack/gateway/dispatch.py
+++ b/src/celerystack/gateway/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import logging
 import random
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -10,12 +11,14 @@
 from twisted.internet import defer
 
 from celerystack import ids
-from celerystack.backend import client
+from celerystack.backend import client, http
 from celerystack.fleet import servers
 from celerystack.gateway import calls, config, retries, server_queue, service_queue
-from celerystack.limits import byte_budget, crash_suspects
+from celerystack.limits import byte_budget, crash_suspects, rate_limits
 from celerystack.ranges import model
 
+_log = logging.getLogger(__name__)
+
 MOVE_WAIT_S = 0.6
 """Maximum time that a call waits for a key that is being moved to another server, unless
 `MOVE_WAIT_TARGET_SHARE` permits more."""
@@ -141,6 +144,8 @@
         self._server_queues_by_service: dict[ids.ServiceName, list[server_queue.ServerQueue]] = {}
         self._service_queues_by_name: dict[ids.ServiceName, service_queue.ServiceQueue] = {}
         self._directory_version = -1
+        self._unreadable_headers: set[model.ServerIncarnation] = set()
+        self.rate_limits = rate_limits.RateLimits(now=now)
         self._sized_for_vms = key_routing.entry_vms
         key_routing.on_change(self._release_moved_calls)
 
@@ -339,8 +344,7 @@
         if not policy.sharded:
             server_queues = self._server_queues_by_service.get(call.service, [])
             untried = [queue for queue in server_queues if queue.incarnation not in tried]
-            chosen = server_queue.best(untried, zone=self._zone, now=self._now())
-            return chosen or self._refuse("no server is left", RETRY_AFTER_UNREADY_S)
+            return self._choose_any(call, untried)
         give_up_at = self._end_of_move_wait(call)
         while True:
             segment = self._key_routing.find(call.service, call.key or 0)
@@ -350,7 +354,7 @@
                     return self._refuse_overload(call, "the key's server is overloaded")
                 if owner.is_silent:
                     return self._refuse("the key's server does not answer", RETRY_AFTER_SILENT_S)
-                return owner
+                return self._use_rate_limit(call, owner, is_planned=True)
             wait_until = give_up_at
             if owner is not None and owner.is_unreachable:
                 return self._refuse("the key's server is unreachable", RETRY_AFTER_RECOVERING_S)
@@ -362,9 +366,35 @@
             if not await self._wait_for_change(call.service, wait_until):
                 if owner is None or self._now() >= give_up_at:
                     return self._refuse("the key is being moved", RETRY_AFTER_UNREADY_S)
-                return owner
+                return self._use_rate_limit(call, owner, is_planned=True)
             self._refresh()
 
+    def _choose_any(
+        self, call: calls.Call, candidates: list[server_queue.ServerQueue]
+    ) -> server_queue.ServerQueue | calls.Refused:
+        """Return the best server whose rate limit permits the call."""
+        vms = self._key_routing.entry_vms
+        permitted = [
+            candidate
+            for candidate in candidates
+            if self.rate_limits.may_send(candidate.incarnation, entry_vms=vms, is_planned=False)
+        ]
+        chosen = server_queue.best(permitted, zone=self._zone, now=self._now())
+        if chosen is not None:
+            return self._use_rate_limit(call, chosen, is_planned=False)
+        if candidates:
+            return self._refuse_overload(call, "all servers are at their rate limits")
+        return self._refuse("no server is left", RETRY_AFTER_UNREADY_S)
+
+    def _use_rate_limit(
+        self, call: calls.Call, chosen: server_queue.ServerQueue, *, is_planned: bool
+    ) -> server_queue.ServerQueue | calls.Refused:
+        """Return the chosen server if its rate limit permits one more request of this VM."""
+        vms = self._key_routing.entry_vms
+        if self.rate_limits.try_send(chosen.incarnation, entry_vms=vms, is_planned=is_planned):
+            return chosen
+        return self._refuse_overload(call, "the server is at its rate limit")
+
     def _end_of_move_wait(self, call: calls.Call) -> float:
         """Return until when a call may wait for a key that is being moved."""
         by_target = call.arrived_at + MOVE_WAIT_TARGET_SHARE * call.route.target_latency_s
@@ -431,6 +461,8 @@
                 self._server_queues_by_incarnation[incarnation] = self._open_queue(record)
             else:
                 existing.record = record
+        self.rate_limits.retain(usable)
+        self._unreadable_headers.intersection_update(usable)
         self._server_queues_by_service = {}
         for queue in self._server_queues_by_incarnation.values():
             self._server_queues_by_service.setdefault(queue.record.entry.service, []).append(queue)
@@ -471,6 +503,7 @@
             request_codec=self._request_codec,
             entry_vms=vms,
             on_answer=self._on_answer,
+            on_response=self._on_response,
             now=self._now,
         )
 
@@ -482,6 +515,29 @@
             queue.observe(call, latency_s)
         self._key_routing.record_service_time(answered.incarnation.server, latency_s)
 
+    def _on_response(self, answered: server_queue.ServerQueue, response: http.HttpResponse) -> None:
+        """Record the rate limit that a server states; an unreadable one changes nothing."""
+        try:
+            per_s = self._request_codec.rate_limit(response)
+        except calls.UnreadableHeaderError as error:
+            if answered.incarnation not in self._unreadable_headers:
+                self._unreadable_headers.add(answered.incarnation)
+                _log.warning(
+                    "ignored the rate limit of a server: %s",
+                    error,
+                    extra={"step": "rate limit", "peer": answered.incarnation.server},
+                )
+            return
+        before = self.rate_limits.limit(answered.incarnation)
+        self.rate_limits.observe(answered.incarnation, per_s)
+        if (before is None) != (per_s is None):
+            _log.info(
+                "the server has no rate limit any more"
+                if per_s is None
+                else f"the server accepts {per_s:.2f} requests/s from all entry VMs",
+                extra={"step": "rate limit", "peer": answered.incarnation.server},
+            )
+
 
 def _has_moved(attempt: calls.Attempt | calls.Refused) -> bool:
     return isinstance(attempt, calls.NotRun) and attempt.reason is calls.NotRunReason.KEY_MOVED
--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -118,6 +118,7 @@
             now=now,
         )
         self.coordinator.set_unreachable_source(self.dispatcher.refusing_servers)
+        self.coordinator.set_rate_limits(self.dispatcher.rate_limits)
         self.frontend = frontend.FrontEnd(
             reactor,
             dispatcher=self.dispatcher,
--- a/src/celerystack/gateway/server_queue.py
+++ b/src/celerystack/gateway/server_queue.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from celerystack import errors
-from celerystack.backend import client
+from celerystack.backend import client, http
 from celerystack.fleet import servers
 from celerystack.gateway import call_queue, calls
 from celerystack.limits import concurrency
@@ -56,6 +56,7 @@
         request_codec: calls.RequestCodec,
         entry_vms: int,
         on_answer: Callable[[ServerQueue, calls.Call, float], None],
+        on_response: Callable[[ServerQueue, http.HttpResponse], None],
         now: Callable[[], float],
     ) -> None:
         self.record = record
@@ -63,6 +64,7 @@
         self.pool = pool
         self._request_codec = request_codec
         self._on_answer = on_answer
+        self._on_response = on_response
         self._now = now
         self._limit = concurrency.ConcurrencyLimit(
             slots=record.entry.slots, entry_vms=entry_vms, maximum=IN_FLIGHT_MAX
@@ -199,6 +201,8 @@
                 self._note_unanswered(self._now() - started)
             return calls.OutcomeUnknown(error.reason, broken=broken)
         attempt = self._request_codec.classify(call, self.incarnation, response)
+        if _is_from_this_server(attempt):
+            self._on_response(self, response)
         self._record_answer(call, attempt, self._now() - started)
         return attempt
 
@@ -238,6 +242,16 @@
         return not self._started_at and self._limit.in_flight == 0
 
 
+def _is_from_this_server(attempt: calls.Attempt) -> bool:
+    """Return whether a response is certainly this server's response to the call."""
+    match attempt:
+        case calls.Answered():
+            return True
+        case calls.NotRun(reason=reason):
+            return reason is not calls.NotRunReason.OTHER_SERVER
+    return False
+
+
 def best(server_queues: list[ServerQueue], *, zone: str, now: float) -> ServerQueue | None:
     """Return the server queue with the lowest expected latency; None if there is none.
 
--- a/src/celerystack/platform/requests.py
+++ b/src/celerystack/platform/requests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 from celerystack import ids
 from celerystack.backend import http
 from celerystack.gateway import calls
@@ -15,9 +17,11 @@
 NOT_RUN = b"celerystack-request-not-run"
 SERVER_ID = b"celerystack-instance-id"
 KEY = b"celerystack-shard-key"
+RATE_LIMIT = b"server-limit"
 
 _REMAINING_MS_MAX = 600_000
 _STATUS_MISDIRECTED = 421
+_RATE = re.compile(rb"\d{1,9}(?:\.\d{1,9})?")
 
 
 class HeaderRequestCodec:
@@ -86,6 +90,20 @@
             )
         return calls.Answered(response)
 
+    def rate_limit(self, response: http.HttpResponse) -> float | None:
+        """Decode the server's limit on the requests of all VMs; the lowest one if it names several.
+
+        Raises
+        ------
+        calls.UnreadableHeaderError
+            A value is not a decimal number.
+        """
+        values = [value.strip() for name, value in response.headers if name == RATE_LIMIT]
+        unreadable = [value for value in values if not _RATE.fullmatch(value)]
+        if unreadable:
+            raise calls.UnreadableHeaderError(f"{unreadable[0][:40]!r} is not a rate limit")
+        return min(map(float, values), default=None)
+
     def answer_headers(self, response: http.HttpResponse) -> http.HeaderList:
         """Return the end-to-end headers of a response, without its content length."""
         return tuple(
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -20,7 +20,7 @@
     rows,
     servers,
 )
-from celerystack.limits import admission, crash_suspects
+from celerystack.limits import admission, crash_suspects, rate_limits
 from celerystack.ranges import (
     codec,
     leadership,
@@ -154,6 +154,7 @@
             port=port,
             sharded_services=sharded_services,
             on_commit=lambda service: self._map_distributor.push(service),
+            rate_limit=lambda incarnation: self._rate_limits.limit(incarnation),
             now=now,
         )
         self._datagrams = _Datagrams(self._on_datagram)
@@ -174,6 +175,7 @@
         )
         updates.on_read(self._announce)
         self._unreachable_incarnations: Callable[[], Iterable[model.ServerIncarnation]] = tuple
+        self._rate_limits = rate_limits.RateLimits(now=now)
         self.admission = admission.FractionalAdmission()
         self.quarantine = crash_suspects.Quarantine()
         self._assembler = map_datagrams.Assembler()
@@ -233,6 +235,10 @@
         """Set the source of incarnations that refuse connections for requests, for the reports."""
         self._unreachable_incarnations = incarnations
 
+    def set_rate_limits(self, limits: rate_limits.RateLimits) -> None:
+        """Set the rate limits that servers state, which the entry VMs tell each other."""
+        self._rate_limits = limits
+
     def record_service_time(self, server: ids.ServerId, service_s: float) -> None:
         """Record the latency of an answer as this VM sees it, to estimate the service time."""
         count, mean_s = self._service_time_by_server.get(server, (0, 0.0))
@@ -420,6 +426,8 @@
         registered = max(1, len(self._map_distributor))
         self._update_vms(vms_by_zone[self._node.zone], registered)
         self._pending_incarnations = pending
+        limits = self._rate_limits.next_announcements()
+        self._rate_limits.note_announced(limits)
         updates_since = functools.cache(self._updates.update_since)
         for peer in self._map_distributor.others():
             heartbeat = messages.PlannerHeartbeat(
@@ -436,6 +444,7 @@
                 quarantined=quarantined,
                 update=self._update_for(peer, updates_since(peer.position)),
                 incarnations_with_reused_address=incarnations_with_reused_address,
+                rate_limits=limits,
             )
             self._datagrams.send(messages.encode(heartbeat), peer.node.address)
             self._map_distributor.resend(peer, now)
@@ -481,6 +490,7 @@
             return
         self._map_distributor.on_report(report)
         self._note_address_reused(report.incarnations_with_reused_address)
+        self._rate_limits.merge(report.rate_limits)
         self.planner.on_report(report)
 
     def _take_heartbeat(
@@ -509,6 +519,7 @@
             self._confirmed_at = max(self._confirmed_at, confirmed_at)
             self.range_maps.confirm(heartbeat.versions_by_service, confirmed_at)
         self._note_address_reused(heartbeat.incarnations_with_reused_address)
+        self._rate_limits.note_announced(heartbeat.rate_limits)
         if heartbeat.update is not None:
             self._updates.apply(heartbeat.update)
         self._datagrams.send(messages.encode(self._own_report()), address)
@@ -538,6 +549,7 @@
             incarnations_with_reused_address=self._directory.incarnations_with_reused_address(),
             completed_suspects=tuple(self.quarantine.cleared(self._now())),
             config_row=self._updates.config_row,
+            rate_limits=self._rate_limits.unannounced(),
         )
 
     def _take_part(self, part: messages.RangesPart) -> None:
--- a/src/celerystack/ranges/planner.py
+++ b/src/celerystack/ranges/planner.py
@@ -36,6 +36,9 @@
 """Number of failed release orders for the same keys after which a server counts as silent."""
 ADMITTED_UTILIZATION = 0.92
 """Utilization of a server up to which all requests for its keys are admitted."""
+CAPACITY_MINIMUM = 1.0
+"""Smallest capacity of a server in requests/s. With a smaller one every key would use most of its
+server, and none would be moved."""
 NODES_REFRESH_S = 1.0
 """Shortest interval in seconds between reads of the registered entry VMs while the planner waits
 for the leases of a silent server."""
@@ -71,6 +74,8 @@
         Returns the services whose keys are divided among servers.
     on_commit : callable
         Called with a service after its map has changed.
+    rate_limit : callable
+        Returns the requests/s that a server accepts, if it states a limit, otherwise None.
     """
 
     def __init__(
@@ -83,6 +88,7 @@
         port: orders.OrderPort,
         sharded_services: Callable[[], Iterable[ids.ServiceName]],
         on_commit: Callable[[ids.ServiceName], None],
+        rate_limit: Callable[[model.ServerIncarnation], float | None],
         now: Callable[[], float],
     ) -> None:
         self.leadership = leadership
@@ -92,6 +98,7 @@
         self._port = port
         self._sharded_services = sharded_services
         self._on_commit = on_commit
+        self._rate_limit = rate_limit
         self._now = now
         self._lease_reports = lease_reports.LeaseReports(zone_of=self._zone_of)
         self._releases: dict[_ReleaseKey, _Release] = {}
@@ -285,7 +292,7 @@
         candidates = {
             record.entry.incarnation: plan.Candidate(
                 incarnation=record.entry.incarnation,
-                capacity=max(1, record.entry.slots) / service_s_by_server[record.entry.server],
+                capacity=self._capacity(record, service_s_by_server[record.entry.server]),
                 reachable=record.entry.incarnation not in silent,
             )
             for record in records
@@ -300,6 +307,12 @@
             load=load.snapshot(now, keys=model.KEY_MAX + 1),
         )
 
+    def _capacity(self, record: servers.ServerRecord, service_s: float) -> float:
+        """Return the requests/s that a server can process, at most what it accepts."""
+        capacity = max(1, record.entry.slots) / service_s
+        limit = self._rate_limit(record.entry.incarnation)
+        return capacity if limit is None else min(capacity, max(CAPACITY_MINIMUM, limit))
+
     def _keeps_keys(self, incarnation: model.ServerIncarnation) -> bool:
         """Return whether an incarnation that is not usable keeps its keys for now.
 
--- a/tests/fleet/test_messages.py
+++ b/tests/fleet/test_messages.py
@@ -4,8 +4,11 @@
 
 from celerystack import errors, ids
 from celerystack.fleet import directory_sync, messages
+from celerystack.limits import rate_limits
 from tests.ranges import fakes
 
+LIMIT = rate_limits.RateLimit(incarnation=fakes.incarnation("a"), per_s=3.8, age_s=0.5)
+ENDED_LIMIT = rate_limits.RateLimit(incarnation=fakes.incarnation("b"), per_s=None, age_s=0.0)
 UPDATE = directory_sync.DirectoryUpdate(
     since=ids.RowVersion(4),
     position=ids.RowVersion(9),
@@ -32,6 +35,7 @@
     quarantined=(ids.Fingerprint(b"\x00\xff"),),
     update=UPDATE,
     incarnations_with_reused_address=(fakes.incarnation("c"),),
+    rate_limits=(LIMIT, ENDED_LIMIT),
 )
 REPORT = messages.Report(
     vm=ids.EntryVmId("v1"),
@@ -47,6 +51,8 @@
     position=ids.RowVersion(9),
     incarnations_with_reused_address=(fakes.incarnation("c"),),
     completed_suspects=(ids.Fingerprint(b"\x02"),),
+    config_row=ids.RowVersion(5),
+    rate_limits=(LIMIT,),
 )
 
 
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -67,6 +67,9 @@
             return calls.NotRun(calls.NotRunReason.FULL)
         return calls.Answered(response)
 
+    def rate_limit(self, response):
+        return None
+
 
 class KeyRouting:
     admits = True
--- a/tests/gateway/test_server_queue.py
+++ b/tests/gateway/test_server_queue.py
@@ -64,6 +64,7 @@
             request_codec=RequestCodec(),
             entry_vms=3,
             on_answer=lambda *_: None,
+            on_response=lambda queue, response: None,
             now=self.clock.seconds,
         )
 
@@ -117,6 +118,7 @@
                 request_codec=None,
                 entry_vms=20,
                 on_answer=lambda *_: None,
+                on_response=lambda queue, response: None,
                 now=lambda: 100.0,
             )
             for number in range(10)
@@ -167,6 +169,7 @@
                 request_codec=RequestCodec(),
                 entry_vms=20,
                 on_answer=lambda *_: None,
+                on_response=lambda queue, response: None,
                 now=self.clock.seconds,
             )
             for number, pool in enumerate(self.pools)
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -87,3 +87,24 @@
         """Guards against cutting an IPv6 address at its first colon."""
         self.assertEqual("[2001:db8::1]", self.host(b"[2001:DB8::1]:8080"))
         self.assertEqual("[2001:db8::1]", self.host(b"[2001:db8::1]"))
+
+
+class RateLimitTest(testtools.TestCase):
+    def rate_limit(self, *values):
+        headers = tuple((requests.RATE_LIMIT, value) for value in values)
+        response = http.HttpResponse(status=200, reason=b"", headers=headers, body=b"")
+        return requests.HeaderRequestCodec().rate_limit(response)
+
+    def test_limits_of_answers(self):
+        """Guards against a limit that is missed, and against the higher one of two."""
+        self.assertIsNone(self.rate_limit())
+        self.assertEqual(3.8, self.rate_limit(b" 3.8 "))
+        self.assertEqual(0.0, self.rate_limit(b"0"))
+        self.assertEqual(2.5, self.rate_limit(b"4", b"2.5"))
+
+    def test_unreadable_limits(self):
+        """Guards against taking an unreadable limit for none, and against unbounded numbers."""
+        for value in (b"", b"-1", b"nan", b"inf", b"1e9", b"3,8", b"9" * 400, b"\xb2"):
+            with self.subTest(value=value):
+                self.assertRaises(calls.UnreadableHeaderError, self.rate_limit, value)
+                self.assertRaises(calls.UnreadableHeaderError, self.rate_limit, b"5", value)
--- a/tests/ranges/test_planner.py
+++ b/tests/ranges/test_planner.py
@@ -1,11 +1,13 @@
 """Tests of how the planner carries out changes of ownership."""
 
+import random
+
 import testtools
 from twisted.internet import task
 
 from celerystack import errors, ids
 from celerystack.fleet import messages, nodes, servers
-from celerystack.ranges import leadership, leases, planner, range_maps
+from celerystack.ranges import leadership, leases, model, planner, range_maps
 from tests.ranges import fakes
 from tests.ranges.test_leadership import result_of
 
@@ -20,6 +22,7 @@
         self.clock = task.Clock()
         self.clock.advance(100.0)
         self.store = fakes.MemoryRows()
+        self.limit_by_incarnation = {}
         self.range_maps = range_maps.RangeMaps()
         self.directory = servers.Directory()
         self.orders = fakes.FakeOrders()
@@ -31,6 +34,7 @@
 
     def start_planner(self):
         made = planner.Planner(
+            rate_limit=lambda incarnation: self.limit_by_incarnation.get(incarnation),
             leadership=leadership.Leadership(
                 vm=VM, vm_incarnation=1, store=self.store, now=self.clock.seconds
             ),
@@ -167,6 +171,39 @@
         self.assertEqual(set(), waiting & still)
 
 
+class RateLimitTest(PlannerCase):
+    """The pattern of a server in need: it answers fast, but accepts few requests."""
+
+    def setUp(self):
+        super().setUp()
+        self.random = random.Random(3)
+        self.serve(10)
+
+    def serve(self, ticks):
+        """Report six requests a second with random keys; each server could process 16."""
+        for _ in range(ticks):
+            self.report(keys=[self.random.randint(0, model.KEY_MAX) for _ in range(2)])
+            self.tick()
+
+    def share(self, name):
+        """Return the fraction of all keys that a server owns."""
+        owned = [s for s in self.ranges().segments if s.owner == fakes.incarnation(name)]
+        return sum(s.end - s.start + 1 for s in owned) / (model.KEY_MAX + 1)
+
+    def test_keys_move_to_servers_that_accept_more(self):
+        """Guards against rejecting most calls for a server's keys while others have room."""
+        self.assertGreater(self.share("a"), 0.4)
+        self.limit_by_incarnation[fakes.incarnation("a")] = 1.0
+        self.serve(40)
+        self.assertLess(self.share("a"), 0.3)
+
+    def test_server_that_accepts_nothing(self):
+        """Guards against a division by a capacity of zero."""
+        self.limit_by_incarnation[fakes.incarnation("a")] = 0.0
+        self.serve(40)
+        self.assertLess(self.share("a"), 0.3)
+
+
 class CutZoneTest(PlannerCase):
     """The pattern of a zone that is cut off for seconds: no reports, and its entries are removed.
 
