Ignore server entries with values that cannot be used or passed on

Seen by tests that failed before: 40,000 nested brackets raised RecursionError, which ended the task that follows the servers until a restart; an id with a line break, a service or zone with a lone surrogate, a start or slots of 10^30 and a name of 60,000 characters were accepted, and each of them makes every heartbeat of the planner fail to be encoded or sent. Port 70000 was rejected before.

--- a/src/celerystack/platform/registry.py
+++ b/src/celerystack/platform/registry.py
@@ -3,12 +3,24 @@
 from __future__ import annotations
 
 import json
+import re
+from typing import Any
 
 from celerystack import errors, ids
 from celerystack.fleet import servers
 from celerystack.platform import wire
 
 TABLE = "servers"
+NAME_LENGTH_MAX = 200
+"""Largest number of characters of an id, a service or a zone."""
+SLOTS_MAX = 10_000
+"""Largest number of requests that a server can state to run concurrently."""
+STARTED_MS_MAX = 2**53
+"""Upper bound of a server's start in Unix milliseconds."""
+COLD_MAX_S = 3_600.0
+"""Longest time in seconds for which a server can state to be slow."""
+
+_NAME = re.compile(r"[\x21-\x7e]+")
 
 _STATE_BY_NAME = {
     "ready": servers.ServerState.READY,
@@ -22,31 +34,43 @@
     Raises
     ------
     errors.CorruptRowError
-        If a field is missing or has another type, as in a row by another writer.
+        If a field is missing, out of range or has another type, as in a row by another writer.
     """
     try:
         fields = json.loads(data)
-        address = fields["address"]
-        wire.address(address)
-        for name in ("service", "zone"):
-            if not isinstance(fields[name], str) or not fields[name]:
-                raise TypeError(f"{name} is not a non-empty string")
-        for name in ("slots", "born", "sequence"):
-            if not isinstance(fields[name], int) or isinstance(fields[name], bool):
-                raise TypeError(f"{name} is not an integer")
-        if fields["slots"] < 1:
-            raise ValueError("slots is less than 1")
+        _integer(fields, "sequence", 0, None)
+        wire.address(fields["address"])
+        cold_s = wire.seconds(fields["cold_remaining"])
+        if cold_s > COLD_MAX_S:
+            raise ValueError("cold_remaining is too long")
         return servers.ServerEntry(
-            server=ids.ServerId(key),
-            service=ids.ServiceName(fields["service"]),
-            address=address,
-            zone=ids.ZoneName(fields["zone"]),
-            slots=fields["slots"],
+            server=ids.ServerId(_name({"key": key}, "key")),
+            service=ids.ServiceName(_name(fields, "service")),
+            address=fields["address"],
+            zone=ids.ZoneName(_name(fields, "zone")),
+            slots=_integer(fields, "slots", 1, SLOTS_MAX),
             state=_STATE_BY_NAME[fields["state"]],
-            cold_s=wire.seconds(fields["cold_remaining"]),
-            started_ms=fields["born"],
+            cold_s=cold_s,
+            started_ms=_integer(fields, "born", 0, STARTED_MS_MAX),
         )
-    except (KeyError, ValueError, TypeError, AttributeError) as error:
+    except (KeyError, ValueError, TypeError, AttributeError, RecursionError) as error:
         raise errors.CorruptRowError(
-            f"malformed server entry: {error!r}", step="servers.decode", peer=key
+            f"malformed server entry: {error!r:.200}", step="servers.decode", peer=key
         ) from error
+
+
+def _name(fields: dict[str, Any], name: str) -> str:
+    """Return a name of visible ASCII characters, which can be in headers and datagrams."""
+    value = fields[name]
+    if not isinstance(value, str) or not _NAME.fullmatch(value) or len(value) > NAME_LENGTH_MAX:
+        raise ValueError(f"{name} is not a short name of visible characters")
+    return value
+
+
+def _integer(fields: dict[str, Any], name: str, lowest: int, highest: int | None) -> int:
+    value = fields[name]
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise TypeError(f"{name} is not an integer")
+    if value < lowest or (highest is not None and value > highest):
+        raise ValueError(f"{name} is out of range")
+    return value
--- a/src/celerystack/platform/wire.py
+++ b/src/celerystack/platform/wire.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import ipaddress
 import re
 
+_PORT = re.compile(r"[0-9]{1,5}")
 _DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
 
 
@@ -28,7 +30,7 @@
 
 
 def address(text: object) -> tuple[str, int]:
-    """Decode ``IP:port`` to host and port.
+    """Decode ``IP:port`` to host and port; an IPv6 address keeps its brackets.
 
     Raises
     ------
@@ -37,7 +39,8 @@
     """
     if not isinstance(text, str):
         raise ValueError(f"{text!r} is not an address")
-    host, separator, port = text.rpartition(":")
-    if not separator or not host or not port.isdigit() or not 0 < int(port) < 65_536:
-        raise ValueError(f"{text!r} is not an address")
+    host, _, port = text.rpartition(":")
+    if not _PORT.fullmatch(port) or not 0 < int(port) < 65_536:
+        raise ValueError(f"{text!r:.80} is not an address")
+    ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
     return host, int(port)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -42,6 +42,39 @@
                 with self.subTest(name=name, value=value):
                     self.assertRaises(errors.CorruptRowError, self.decode, **{name: value})
 
+    def test_values_out_of_range_are_rejected(self):
+        """Guards against an entry by another writer that ends the task which reads the servers, or
+        the heartbeats of a planner that cannot encode it."""
+        for name, value in (
+            ("slots", 10**30),
+            ("slots", 0),
+            ("born", 10**30),
+            ("born", -(10**30)),
+            ("cold_remaining", "9" * 400 + "s"),
+            ("address", "10.0.0.1:70000"),
+            ("address", "10.0.0.1:0"),
+            ("address", "10.0.0.1:" + "9" * 5_000),
+            ("address", "10.0.0.1:\u0663\u0663"),
+            ("address", "server.example:80"),
+            ("service", "\ud800"),
+            ("zone", "\ud800"),
+            ("service", "s" * 60_000),
+            ("zone", "z" * 60_000),
+        ):
+            with self.subTest(name=name, value=str(value)[:20].encode("utf-8", "replace")):
+                self.assertRaises(errors.CorruptRowError, self.decode, **{name: value})
+
+    def test_deeply_nested_entries_are_rejected(self):
+        """Guards against the same by an entry that exceeds the decoder's recursion limit."""
+        for nested in (b"[" * 40_000, b'{"service":' * 5_000, b'{"a":' + b"[" * 40_000):
+            self.assertRaises(errors.CorruptRowError, registry.decode, KEY, nested)
+
+    def test_keys_that_cannot_be_sent_are_rejected(self):
+        """Guards against a server whose id cannot be a header's value, to which no request goes."""
+        data = json.dumps(ENTRY).encode()
+        for key in ("", "a\r\nb", "a b", "\xe4", "k" * 300):
+            self.assertRaises(errors.CorruptRowError, registry.decode, ids.RowKey(key), data)
+
     def test_bytes_that_are_no_entry_are_rejected(self):
         """Guards against an unexpected exception, which would stop the reading of all rows."""
         for data in (b"", b"\xff", b"[]", b"null", b'{"service": 1}'):
