Reject requests that a process which shuts down may not finish

New connections end 2.5 s after SIGTERM and idle ones are closed then, but a request whose body arrives later, or that follows another one on a busy connection, was dispatched with its whole deadline; the process ends 5.65 s after SIGTERM whatever is in flight. Change: from 2.5 s after SIGTERM on a request whose deadline lies after the end of the process is answered 503 with Retry-After, as not run; one with an earlier deadline is taken, since its outcome is known in time.

--- a/src/celerystack/gateway/frontend.py
+++ b/src/celerystack/gateway/frontend.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import logging
 import re
 from collections.abc import Callable
@@ -24,6 +25,14 @@
 _CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Drain:
+    """Clock times in seconds until which all requests are taken, and at which the process ends."""
+
+    take_until: float
+    deadline: float
+
+
 class FrontEnd:
     """Parses requests of callers, dispatches them and writes the replies.
 
@@ -57,6 +66,7 @@
             now=now,
         )
         self._port: Any = None
+        self._drain: _Drain | None = None
 
     def apply(self, routing: config.RoutingConfig) -> None:
         """Apply a new configuration."""
@@ -72,9 +82,18 @@
         """Start to accept connections of callers."""
         self._port = self._reactor.listenTCP(port, self._factory, 1024, host)
 
-    def announce_drain(self) -> None:
-        """Send ``Connection: close`` with every reply from now on."""
+    def announce_drain(self, *, take_until: float, deadline: float) -> None:
+        """Send ``Connection: close`` with every reply from now on.
+
+        Parameters
+        ----------
+        take_until : float
+            Clock time in seconds from which requests are rejected that may not be finished.
+        deadline : float
+            Clock time in seconds at which the process ends.
+        """
         self._factory.draining = True
+        self._drain = _Drain(take_until=take_until, deadline=deadline)
 
     def stop_accepting(self) -> None:
         """Close the listener; open connections are still served."""
@@ -103,11 +122,24 @@
             )
             self._write_gateway_reply(request, refused, None)
             return
+        if self._may_end_before(call):
+            refused = calls.Refused(
+                reason="the entry VM is shutting down", retry_after_s=RETRY_AFTER_UNREADY_S
+            )
+            self._write_gateway_reply(request, refused, call)
+            return
         running = defer.Deferred.fromCoroutine(self._dispatcher.dispatch(call))
         request.on_disconnect(running.cancel)
         running.addCallback(lambda reply: self._on_reply(request, call, reply))
         running.addErrback(self._on_dispatch_error, request)
 
+    def _may_end_before(self, call: calls.Call) -> bool:
+        """Return whether the process may end before a late call has an outcome."""
+        drain = self._drain
+        if drain is None or self._now() < drain.take_until:
+            return False
+        return call.deadline > drain.deadline
+
     def _reject(self, request: callerhttp.CallerRequest, error: calls.BadRequestError) -> None:
         _log.info(
             "%d: %s",
--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -184,7 +184,7 @@
         self.stopping = True
         _log.info("shutting down", extra={"step": "stop"})
         deadline = self._now() + self.settings.grace_period_s - SHUTDOWN_MARGIN_S
-        self.frontend.announce_drain()
+        self.frontend.announce_drain(take_until=self._now() + KEEP_LISTENING_S, deadline=deadline)
         await self.coordinator.stop()
         await self._sleep(KEEP_LISTENING_S)
         self.frontend.stop_accepting()
