Kill the VM that is the planner in the test of its loss

Cause, by a run that shows it: when both entry VMs had been planner, the test took the first of them for the planner and the same one for the survivor, killed it and then sent requests to it. With the old choice after a change of planner the test ends with KeyError '' every time. Ruled out: a key that is not served again in time (the survivor answers in the new test). Change: the planner is the VM with the highest term; the answer must be a 200 before its owner is used; a second test kills the planner when both VMs have been planner. Nothing is checked less.

--- a/tests/system/test_range_path.py
+++ b/tests/system/test_range_path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pathlib
+import re
 import signal
 import tempfile
 
@@ -67,13 +68,39 @@
         self.assertEqual(200, status)
         self.assertGreater(new_server.highest_token[7], old_server.highest_token[7])
 
+    def planner_and_follower(self, cluster):
+        """Return the VM that became planner last, by its term, and the other one."""
+        term_by_vm = {
+            vm: max(
+                map(int, re.findall(r"became planner .*term (\d+)", cluster.log(vm))), default=0
+            )
+            for vm in ("vm-1", "vm-2")
+        }
+        follower, planner = sorted(term_by_vm, key=term_by_vm.__getitem__)
+        return planner, follower
+
     async def test_planner_that_is_killed_is_replaced(self):
         """Guards against keys that are no longer moved after the loss of the planning entry VM."""
         cluster = await self.start_cluster()
-        planners = [vm for vm in ("vm-1", "vm-2") if "became planner" in cluster.log(vm)]
-        other = "vm-2" if planners == ["vm-1"] else "vm-1"
-        cluster.processes[planners[0]].send_signal(signal.SIGKILL)
-        _, _, owner = await cluster.request_until_served(other, "/view/a", key=7)
+        planner, other = self.planner_and_follower(cluster)
+        await self.kill_planner_and_drain_an_owner(cluster, planner, other)
+
+    async def test_second_planner_that_is_killed_is_replaced(self):
+        """Guards against the same when both entry VMs have been planner."""
+        cluster = await self.start_cluster()
+        first, second = self.planner_and_follower(cluster)
+        cluster.processes[first].send_signal(signal.SIGKILL)
+        await scripted_backend.wait_until(
+            until=lambda: self.planner_and_follower(cluster) == (second, first), timeout_s=10
+        )
+        cluster.start_vm(first, cluster.ports[first]["ip"])
+        await cluster.wait_ready(first)
+        await self.kill_planner_and_drain_an_owner(cluster, second, first)
+
+    async def kill_planner_and_drain_an_owner(self, cluster, planner, other):
+        cluster.processes[planner].send_signal(signal.SIGKILL)
+        status, _, owner = await cluster.request_until_served(other, "/view/a", key=7)
+        self.assertEqual(200, status)
         cluster.servers[owner.decode()].state = "draining"
         await scripted_backend.wait_until(
             until=lambda: not cluster.servers[owner.decode()].holds(7), timeout_s=10
