Send nothing more to a server that states that it leaves

Callers' requests went on to a server that had told this VM in its answers that it leaves, until its entry said so; a VM that is cut off from the store and the planner would have sent them until the server ended (DRAIN). Cause: nothing read the header.

The tests' clock now advances by 10 ms at a time: in long steps every latency within one looked like the whole step.

--- a/src/celerystack/fleet/messages.py
+++ b/src/celerystack/fleet/messages.py
@@ -50,6 +50,8 @@
         Version of the newest configuration row that the sender has.
     rate_limits : tuple of RateLimit
         Limits in servers' answers to the sender of which the planner has sent none or older ones.
+    leaving : tuple of ServerIncarnation
+        Server incarnations that have stated that they leave, before their entries do.
     """
 
     vm: ids.EntryVmId
@@ -67,6 +69,7 @@
     completed_suspects: tuple[ids.Fingerprint, ...] = ()
     config_row: ids.RowVersion = directory_sync.UNKNOWN
     rate_limits: tuple[rate_limits.RateLimit, ...] = ()
+    leaving: tuple[model.ServerIncarnation, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -104,6 +107,8 @@
         Server incarnations at whose addresses another server answered.
     rate_limits : tuple of RateLimit
         Limits that servers stated; some of them if there are many.
+    leaving : tuple of ServerIncarnation
+        Server incarnations that have stated that they leave, before their entries do.
     """
 
     vm: ids.EntryVmId
@@ -120,6 +125,7 @@
     update: directory_sync.DirectoryUpdate | None = None
     incarnations_with_reused_address: tuple[model.ServerIncarnation, ...] = ()
     rate_limits: tuple[rate_limits.RateLimit, ...] = ()
+    leaving: tuple[model.ServerIncarnation, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -274,6 +280,7 @@
                 list(message.completed_suspects),
                 message.config_row,
                 [_encode_rate_limit(limit) for limit in message.rate_limits],
+                [_encode_incarnation(incarnation) for incarnation in message.leaving],
             ]
             return msgpack.packb(["report", *fields])
         case PlannerHeartbeat():
@@ -295,6 +302,7 @@
                     for incarnation in message.incarnations_with_reused_address
                 ],
                 [_encode_rate_limit(limit) for limit in message.rate_limits],
+                [_encode_incarnation(incarnation) for incarnation in message.leaving],
             ]
             return msgpack.packb(["beacon", *fields])
         case RangesPart():
@@ -350,6 +358,7 @@
         completed_suspects,
         config_row,
         limits,
+        leaving,
     ) = rest
     return Report(
         vm=vm,
@@ -378,6 +387,7 @@
         completed_suspects=tuple(ids.Fingerprint(bytes(suspect)) for suspect in completed_suspects),
         config_row=ids.RowVersion(int(config_row)),
         rate_limits=tuple(_decode_rate_limit(*limit) for limit in limits),
+        leaving=tuple(codec.decode_incarnation(incarnation) for incarnation in leaving),
     )
 
 
@@ -391,6 +401,7 @@
         update,
         incarnations_with_reused_address,
         limits,
+        leaving,
     ) = rest
     return PlannerHeartbeat(
         vm=vm,
@@ -412,6 +423,7 @@
             for incarnation in incarnations_with_reused_address
         ),
         rate_limits=tuple(_decode_rate_limit(*limit) for limit in limits),
+        leaving=tuple(codec.decode_incarnation(incarnation) for incarnation in leaving),
     )
 
 
--- a/src/celerystack/fleet/servers.py
+++ b/src/celerystack/fleet/servers.py
@@ -89,6 +89,8 @@
         Whether the entry was removed.
     address_reused : bool
         Whether another server answered at the address, so that this incarnation has ended.
+    leaving : bool
+        Whether the server has stated in an answer that it leaves, whatever its entry says.
     """
 
     entry: ServerEntry
@@ -99,12 +101,13 @@
     expired: bool = False
     removed: bool = False
     address_reused: bool = False
+    leaving: bool = False
 
     @property
     def usable(self) -> bool:
         """Whether new requests may be sent to the server."""
         is_registered = not self.removed and not self.address_reused
-        return is_registered and self.entry.state is ServerState.READY
+        return is_registered and not self.leaving and self.entry.state is ServerState.READY
 
     @property
     def present(self) -> bool:
@@ -227,6 +230,24 @@
             if record.address_reused and not record.removed
         )
 
+    def note_leaving(self, incarnation: model.ServerIncarnation) -> None:
+        """Record that an incarnation has stated in an answer that it leaves.
+
+        It stays so until another incarnation registers; an entry may be older than the statement.
+        """
+        record = self.find_record(incarnation)
+        if record is not None and not record.leaving:
+            record.leaving = True
+            self._record_change("server states that it leaves", record.entry)
+
+    def leaving_incarnations(self) -> tuple[model.ServerIncarnation, ...]:
+        """Return incarnations that have stated that they leave, and whose entries say otherwise."""
+        return tuple(
+            record.entry.incarnation
+            for record in self.by_id.values()
+            if record.leaving and not record.removed and record.entry.state is ServerState.READY
+        )
+
     def note_read(self, started_at: float, version: ids.RowVersion) -> None:
         """Record the start time and the resulting store version of a read of the entries."""
         self._reads.append((started_at, version))
--- a/src/celerystack/gateway/calls.py
+++ b/src/celerystack/gateway/calls.py
@@ -188,6 +188,9 @@
     ) -> Attempt:
         """Return the outcome of an attempt, according to the server's answer."""
 
+    def is_leaving(self, response: http.HttpResponse) -> bool:
+        """Return whether the server states that it leaves."""
+
     def rate_limit(self, response: http.HttpResponse) -> float | None:
         """Return the requests/s that the server accepts from all VMs; None if it states no limit.
 
--- a/src/celerystack/gateway/dispatch.py
+++ b/src/celerystack/gateway/dispatch.py
@@ -516,7 +516,9 @@
         self._key_routing.record_service_time(answered.incarnation.server, latency_s)
 
     def _on_response(self, answered: server_queue.ServerQueue, response: http.HttpResponse) -> None:
-        """Record the rate limit that a server states; an unreadable one changes nothing."""
+        """Record what a server states of itself; an unreadable rate limit changes nothing."""
+        if self._request_codec.is_leaving(response):
+            self._directory.note_leaving(answered.incarnation)
         try:
             per_s = self._request_codec.rate_limit(response)
         except calls.UnreadableHeaderError as error:
--- a/src/celerystack/platform/requests.py
+++ b/src/celerystack/platform/requests.py
@@ -18,6 +18,7 @@
 SERVER_ID = b"celerystack-instance-id"
 KEY = b"celerystack-shard-key"
 RATE_LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
 
 _REMAINING_MS_MAX = 600_000
 _STATUS_MISDIRECTED = 421
@@ -90,6 +91,10 @@
             )
         return calls.Answered(response)
 
+    def is_leaving(self, response: http.HttpResponse) -> bool:
+        """Return whether the server states that it leaves; one statement among others counts."""
+        return any(name == LEAVING and value.strip() == b"1" for name, value in response.headers)
+
     def rate_limit(self, response: http.HttpResponse) -> float | None:
         """Decode the server's limit on the requests of all VMs; the lowest one if it names several.
 
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -426,6 +426,7 @@
         registered = max(1, len(self._map_distributor))
         self._update_vms(vms_by_zone[self._node.zone], registered)
         self._pending_incarnations = pending
+        leaving = self._directory.leaving_incarnations()
         limits = self._rate_limits.next_announcements()
         self._rate_limits.note_announced(limits)
         updates_since = functools.cache(self._updates.update_since)
@@ -445,6 +446,7 @@
                 update=self._update_for(peer, updates_since(peer.position)),
                 incarnations_with_reused_address=incarnations_with_reused_address,
                 rate_limits=limits,
+                leaving=leaving,
             )
             self._datagrams.send(messages.encode(heartbeat), peer.node.address)
             self._map_distributor.resend(peer, now)
@@ -490,6 +492,7 @@
             return
         self._map_distributor.on_report(report)
         self._note_address_reused(report.incarnations_with_reused_address)
+        self._note_leaving(report.leaving)
         self._rate_limits.merge(report.rate_limits)
         self.planner.on_report(report)
 
@@ -519,6 +522,7 @@
             self._confirmed_at = max(self._confirmed_at, confirmed_at)
             self.range_maps.confirm(heartbeat.versions_by_service, confirmed_at)
         self._note_address_reused(heartbeat.incarnations_with_reused_address)
+        self._note_leaving(heartbeat.leaving)
         self._rate_limits.note_announced(heartbeat.rate_limits)
         if heartbeat.update is not None:
             self._updates.apply(heartbeat.update)
@@ -528,6 +532,10 @@
         for incarnation in incarnations:
             self._directory.note_address_reused(incarnation)
 
+    def _note_leaving(self, incarnations: Iterable[model.ServerIncarnation]) -> None:
+        for incarnation in incarnations:
+            self._directory.note_leaving(incarnation)
+
     def _own_report(self) -> messages.Report:
         keys, self._keys_by_service = self._keys_by_service, {}
         service_times, self._service_time_by_server = self._service_time_by_server, {}
@@ -550,6 +558,7 @@
             completed_suspects=tuple(self.quarantine.cleared(self._now())),
             config_row=self._updates.config_row,
             rate_limits=self._rate_limits.unannounced(),
+            leaving=self._directory.leaving_incarnations(),
         )
 
     def _take_part(self, part: messages.RangesPart) -> None:
--- a/tests/fleet/test_messages.py
+++ b/tests/fleet/test_messages.py
@@ -36,6 +36,7 @@
     update=UPDATE,
     incarnations_with_reused_address=(fakes.incarnation("c"),),
     rate_limits=(LIMIT, ENDED_LIMIT),
+    leaving=(fakes.incarnation("d"),),
 )
 REPORT = messages.Report(
     vm=ids.EntryVmId("v1"),
@@ -53,6 +54,7 @@
     completed_suspects=(ids.Fingerprint(b"\x02"),),
     config_row=ids.RowVersion(5),
     rate_limits=(LIMIT,),
+    leaving=(fakes.incarnation("d"),),
 )
 
 
--- a/tests/fleet/test_servers.py
+++ b/tests/fleet/test_servers.py
@@ -15,6 +15,33 @@
     def usable(self):
         return sorted(r.entry.server for r in self.directory.usable(fakes.SERVICE))
 
+    def test_server_that_states_that_it_leaves(self):
+        """Guards against using a leaving server again because its entry is older than what it
+        states, as after an outage of the store."""
+        self.directory.note_leaving(fakes.incarnation("a"))
+        self.assertEqual(["b"], self.usable())
+        self.directory.apply_all([fakes.entry("a"), fakes.entry("b")], 20.0)
+        self.assertEqual(["b"], self.usable())
+        self.assertEqual((fakes.incarnation("a"),), self.directory.leaving_incarnations())
+
+    def test_next_incarnation_of_a_server_that_left(self):
+        """Guards against a restarted server, or another one at its address, that is never used."""
+        self.directory.note_leaving(fakes.incarnation("a"))
+        address = self.directory.by_id["a"].entry.address
+        self.directory.apply_changes(
+            [fakes.entry("a", 2), fakes.entry("c", address=address)], [], 11.0
+        )
+        self.directory.note_leaving(fakes.incarnation("a"))
+        self.assertEqual(["a", "b", "c"], self.usable())
+        self.assertEqual((), self.directory.leaving_incarnations())
+
+    def test_leaving_server_is_told_until_its_entry_says_so(self):
+        """Guards against messages about servers whose drain all VMs know."""
+        self.directory.note_leaving(fakes.incarnation("a"))
+        draining = fakes.entry("a", state=servers.ServerState.DRAINING)
+        self.directory.apply_changes([draining], [], 11.0)
+        self.assertEqual((), self.directory.leaving_incarnations())
+
     def test_removed_entry_is_gone_at_once(self):
         """Guards against sending requests to a server whose entry was removed."""
         self.directory.apply_changes([], ["a"], 10.5)
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -70,6 +70,9 @@
     def rate_limit(self, response):
         return None
 
+    def is_leaving(self, response):
+        return False
+
 
 class KeyRouting:
     admits = True
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -26,6 +26,7 @@
 ARRIVALS_MAX = 1.5 * LIMIT_PER_S * WINDOW_S + 5
 """Arrivals from all VMs that a server must tolerate within `WINDOW_S`."""
 SERVICE_S = 0.08
+STEP_S = 0.01
 
 
 class LimitedServer:
@@ -40,6 +41,8 @@
     def __init__(self, clock):
         self._clock = clock
         self.limit = b"%.1f" % LIMIT_PER_S
+        self.status = 200
+        self.extra_headers = []
         self.arrivals = []
 
     def exchange(self, request, **_):
@@ -48,7 +51,10 @@
         headers = [(requests.ATTEMPT_ID, request_id), (requests.SIGNATURE, b"s")]
         if self.limit is not None:
             headers.append((b"server-limit", self.limit))
-        response = http.HttpResponse(status=200, reason=b"OK", headers=tuple(headers), body=b"")
+        headers.extend(self.extra_headers)
+        response = http.HttpResponse(
+            status=self.status, reason=b"", headers=tuple(headers), body=b""
+        )
         return task.deferLater(self._clock, SERVICE_S, lambda: response)
 
     def set_limit(self, limit):
@@ -123,10 +129,11 @@
 
     def run_for(self, seconds, *, demand_per_s=DEMAND_PER_S, dispatchers=None):
         """Send requests at random times through random entry VMs."""
-        end = self.clock.seconds() + seconds
-        while self.clock.seconds() < end:
-            self.clock.advance(self.random.expovariate(demand_per_s))
-            self.send(self.random.choice(dispatchers or self.dispatchers))
+        for _ in range(round(seconds / STEP_S)):
+            # The clock shows the end of a step to everything that is due within it.
+            self.clock.advance(STEP_S)
+            if self.random.random() < demand_per_s * STEP_S:
+                self.send(self.random.choice(dispatchers or self.dispatchers))
 
     def refused(self):
         return [reply for reply in self.replies if isinstance(reply, calls.Refused)]
