Send nothing to a server for as long as it asks for a pause

Cause: nothing read the server's Retry-After; a 503 only lowered the concurrency limit for a moment. Change: the adapter decodes it (a decimal number, the longest of several; a date or another text is logged once and ignored; 300 s at most); the queue of the server is closed until then; queued calls go to other servers, calls for its keys are refused at once with the rest of the pause as retry time, spread up to 1.3 times of it. Tests: undivided and divided service, unreadable, zero and huge values; the first two failed before. Not done: other VMs and the planner are not told of a pause, and keys of a paused server are not moved.

--- a/src/celerystack/gateway/call_queue.py
+++ b/src/celerystack/gateway/call_queue.py
@@ -25,6 +25,7 @@
     SHED = "shed"
     KEY_MOVED = "key moved"
     SERVER_LEFT = "server left"
+    SERVER_PAUSED = "server paused"
 
 
 class _WaitingCall:
--- a/src/celerystack/gateway/calls.py
+++ b/src/celerystack/gateway/calls.py
@@ -200,6 +200,15 @@
             The limit is not a number.
         """
 
+    def pause_s(self, response: http.HttpResponse) -> float:
+        """Return for how long the server wants no requests from this VM, in seconds; 0 if it may.
+
+        Raises
+        ------
+        UnreadableHeaderError
+            The time is not a number.
+        """
+
     def answer_headers(self, response: http.HttpResponse) -> http.HeaderList:
         """Return the headers of a server's answer that are passed on to the caller."""
 
--- a/src/celerystack/gateway/dispatch.py
+++ b/src/celerystack/gateway/dispatch.py
@@ -45,6 +45,9 @@
 RETRY_AFTER_OVERLOAD_TARGET_SHARES = (0.4, 0.8)
 """The same range in fractions of the route's target latency: where requests take longer, an
 overload takes longer to end, and a caller that returns too soon is refused again."""
+PAUSE_SPREAD = (1.0, 1.3)
+"""Range of the randomised retry time for callers of a server that asked for a pause, in multiples
+of the rest of the pause, so that they do not all return at its end."""
 CONNECTIONS_SHARE = 0.7
 """Fraction of a server's connections that all entry VMs together may use for requests."""
 CONNECTIONS_MINIMUM = 3
@@ -349,6 +352,8 @@
         while True:
             segment = self._key_routing.find(call.service, call.key or 0)
             owner = self._owner_queue(segment)
+            if owner is not None and owner.is_paused:
+                return self._refuse_paused([owner], "the key's server asked for a pause")
             if owner is not None and owner.incarnation not in tried and not owner.is_unreachable:
                 if not tried and not self._key_routing.admit(owner.incarnation.server):
                     return self._refuse_overload(call, "the key's server is overloaded")
@@ -366,17 +371,22 @@
             if not await self._wait_for_change(call.service, wait_until):
                 if owner is None or self._now() >= give_up_at:
                     return self._refuse("the key is being moved", RETRY_AFTER_UNREADY_S)
+                if owner.is_paused:
+                    return self._refuse_paused([owner], "the key's server asked for a pause")
                 return self._use_rate_limit(call, owner, is_planned=True)
             self._refresh()
 
     def _choose_any(
         self, call: calls.Call, candidates: list[server_queue.ServerQueue]
     ) -> server_queue.ServerQueue | calls.Refused:
-        """Return the best server whose rate limit permits the call."""
+        """Return the best server that is not paused and whose rate limit permits the call."""
         vms = self._key_routing.entry_vms
+        accepting = [candidate for candidate in candidates if not candidate.is_paused]
+        if candidates and not accepting:
+            return self._refuse_paused(candidates, "all servers asked for a pause")
         permitted = [
             candidate
-            for candidate in candidates
+            for candidate in accepting
             if self.rate_limits.may_send(candidate.incarnation, entry_vms=vms, is_planned=False)
         ]
         chosen = server_queue.best(permitted, zone=self._zone, now=self._now())
@@ -386,6 +396,11 @@
             return self._refuse_overload(call, "all servers are at their rate limits")
         return self._refuse("no server is left", RETRY_AFTER_UNREADY_S)
 
+    def _refuse_paused(self, paused: list[server_queue.ServerQueue], reason: str) -> calls.Refused:
+        """Return a refusal that tells the caller to come back after the shortest pause."""
+        rest_s = min(queue.paused_until for queue in paused) - self._now()
+        return self._refuse(reason, rest_s * random.uniform(*PAUSE_SPREAD))
+
     def _use_rate_limit(
         self, call: calls.Call, chosen: server_queue.ServerQueue, *, is_planned: bool
     ) -> server_queue.ServerQueue | calls.Refused:
@@ -516,20 +531,45 @@
         self._key_routing.record_service_time(answered.incarnation.server, latency_s)
 
     def _on_response(self, answered: server_queue.ServerQueue, response: http.HttpResponse) -> None:
-        """Record what a server states of itself; an unreadable rate limit changes nothing."""
+        """Record what a server states of itself; an unreadable statement changes nothing."""
         if self._request_codec.is_leaving(response):
             self._directory.note_leaving(answered.incarnation)
+        try:
+            pause_s = self._request_codec.pause_s(response)
+        except calls.UnreadableHeaderError as error:
+            self._note_unreadable(answered.incarnation, error)
+        else:
+            self._note_pause(answered, pause_s)
         try:
             per_s = self._request_codec.rate_limit(response)
         except calls.UnreadableHeaderError as error:
-            if answered.incarnation not in self._unreadable_headers:
-                self._unreadable_headers.add(answered.incarnation)
-                _log.warning(
-                    "ignored the rate limit of a server: %s",
-                    error,
-                    extra={"step": "rate limit", "peer": answered.incarnation.server},
-                )
+            self._note_unreadable(answered.incarnation, error)
+        else:
+            self._note_rate_limit(answered, per_s)
+
+    def _note_unreadable(
+        self, incarnation: model.ServerIncarnation, error: calls.UnreadableHeaderError
+    ) -> None:
+        if incarnation not in self._unreadable_headers:
+            self._unreadable_headers.add(incarnation)
+            _log.warning(
+                "ignored a header of a server's answer: %s",
+                error,
+                extra={"step": "server statement", "peer": incarnation.server},
+            )
+
+    def _note_pause(self, answered: server_queue.ServerQueue, pause_s: float) -> None:
+        if pause_s <= 0:
             return
+        if not answered.is_paused:
+            _log.info(
+                "the server asked for a pause of %.2f s",
+                pause_s,
+                extra={"step": "server statement", "peer": answered.incarnation.server},
+            )
+        answered.pause(pause_s)
+
+    def _note_rate_limit(self, answered: server_queue.ServerQueue, per_s: float | None) -> None:
         before = self.rate_limits.limit(answered.incarnation)
         self.rate_limits.observe(answered.incarnation, per_s)
         if (before is None) != (per_s is None):
@@ -537,7 +577,7 @@
                 "the server has no rate limit any more"
                 if per_s is None
                 else f"the server accepts {per_s:.2f} requests/s from all entry VMs",
-                extra={"step": "rate limit", "peer": answered.incarnation.server},
+                extra={"step": "server statement", "peer": answered.incarnation.server},
             )
 
 
--- a/src/celerystack/gateway/server_queue.py
+++ b/src/celerystack/gateway/server_queue.py
@@ -32,6 +32,8 @@
 """Weight of one answer in the moving average of the latency."""
 INITIAL_LATENCY_S = 0.12
 """Latency in seconds assumed before the first answer."""
+PAUSE_MAX_S = 300.0
+"""Longest pause in seconds that a server can ask for."""
 UNANSWERED_HALF_LIFE_S = 4.0
 """Time in seconds in which the effect of an unanswered call on the choice of servers halves.
 
@@ -78,6 +80,7 @@
         self._connect_failed_at = float("-inf")
         self._failed_connects = 0
         self._close_reason: str | None = None
+        self.paused_until = float("-inf")
         self._unanswered_s = 0.0
         self._unanswered_at = now()
         self.latency_s = INITIAL_LATENCY_S
@@ -154,6 +157,8 @@
                 )
             case call_queue.WaitOutcome.KEY_MOVED:
                 return calls.NotRun(calls.NotRunReason.KEY_MOVED)
+            case call_queue.WaitOutcome.SERVER_PAUSED:
+                return calls.NotRun(calls.NotRunReason.NOT_SENT, "the server asked for a pause")
             case call_queue.WaitOutcome.SERVER_LEFT:
                 return calls.NotRun(calls.NotRunReason.NOT_SENT, "the server left")
         self._sequence += 1
@@ -165,6 +170,17 @@
             self._calls.release()
             self._close_pool_if_idle()
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether the server has asked this VM to send nothing now."""
+        return self._now() < self.paused_until
+
+    def pause(self, pause_s: float) -> None:
+        """Send nothing for a time that the server has asked for; queued calls go elsewhere."""
+        until = self._now() + min(pause_s, PAUSE_MAX_S)
+        self.paused_until = max(self.paused_until, until)
+        self._calls.remove_where(lambda _: True, call_queue.WaitOutcome.SERVER_PAUSED)
+
     def release_moved_calls(self, is_owned: Callable[[calls.Call], bool]) -> None:
         """Remove calls from the queue whose keys this server no longer owns."""
         self._calls.remove_where(lambda call: not is_owned(call), call_queue.WaitOutcome.KEY_MOVED)
--- a/src/celerystack/platform/requests.py
+++ b/src/celerystack/platform/requests.py
@@ -19,10 +19,12 @@
 KEY = b"celerystack-shard-key"
 RATE_LIMIT = b"server-limit"
 LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 
 _REMAINING_MS_MAX = 600_000
 _STATUS_MISDIRECTED = 421
-_RATE = re.compile(rb"\d{1,9}(?:\.\d{1,9})?")
+_STATUS_UNAVAILABLE = 503
+_NUMBER = re.compile(rb"\d{1,9}(?:\.\d{1,9})?")
 
 
 class HeaderRequestCodec:
@@ -103,11 +105,19 @@
         calls.UnreadableHeaderError
             A value is not a decimal number.
         """
-        values = [value.strip() for name, value in response.headers if name == RATE_LIMIT]
-        unreadable = [value for value in values if not _RATE.fullmatch(value)]
-        if unreadable:
-            raise calls.UnreadableHeaderError(f"{unreadable[0][:40]!r} is not a rate limit")
-        return min(map(float, values), default=None)
+        return min(_decode_numbers(response, RATE_LIMIT), default=None)
+
+    def pause_s(self, response: http.HttpResponse) -> float:
+        """Decode the server's request for a pause; the longest one if it states several.
+
+        Raises
+        ------
+        calls.UnreadableHeaderError
+            A value is not a decimal number, such as a date.
+        """
+        if response.status != _STATUS_UNAVAILABLE:
+            return 0.0
+        return max(_decode_numbers(response, RETRY_AFTER), default=0.0)
 
     def answer_headers(self, response: http.HttpResponse) -> http.HeaderList:
         """Return the end-to-end headers of a response, without its content length."""
@@ -127,6 +137,15 @@
         return ()
 
 
+def _decode_numbers(response: http.HttpResponse, name: bytes) -> list[float]:
+    """Return the values of a header that holds decimal numbers."""
+    values = [value.strip() for found, value in response.headers if found == name]
+    for value in values:
+        if not _NUMBER.fullmatch(value):
+            raise calls.UnreadableHeaderError(f"{name.decode()} is {value[:40]!r}, not a number")
+    return [float(value) for value in values]
+
+
 def _host_without_port(value: str) -> str:
     """Return the host of a ``Host`` header in lower case; an IPv6 address keeps its brackets."""
     if value.startswith("["):
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -73,6 +73,9 @@
     def is_leaving(self, response):
         return False
 
+    def pause_s(self, response):
+        return 0.0
+
 
 class KeyRouting:
     admits = True
--- a/tests/gateway/test_server_signs.py
+++ b/tests/gateway/test_server_signs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from celerystack.gateway import calls
+from celerystack.platform import requests
 from tests.gateway import test_rate_limits
 
 
@@ -52,3 +53,52 @@
         self.run_vm(1.0)
         self.assertEqual(0, self.arrivals_in(3.0))
         self.assertIsInstance(self.replies[-1], calls.Refused)
+
+
+class PausedServerTest(ServerSignsCase):
+    sharded = False
+
+    def ask_for_pause(self, value):
+        self.first.status = 503
+        self.first.extra_headers = [(requests.NOT_RUN, b"1"), (b"retry-after", value)]
+
+    def test_server_gets_nothing_until_the_pause_ends(self):
+        """Guards against requests that an overloaded server has asked this VM not to send."""
+        self.ask_for_pause(b"4")
+        self.run_vm(0.5)
+        self.first.status, self.first.extra_headers = 200, []
+        self.assertLessEqual(self.arrivals_in(3.0, after=0.4), 2)
+        self.assertGreater(self.arrivals_in(3.0), 0)
+        self.assertEqual([], self.refused())
+
+    def test_values_that_name_no_pause(self):
+        """Guards against a server that is never used again because of an unreadable time."""
+        for value in (b"0", b"soon", b"-5", b"nan", b"Fri, 31 Dec 2027 23:59:59 GMT"):
+            self.ask_for_pause(value)
+            self.run_vm(0.5)
+            self.first.status, self.first.extra_headers = 200, []
+            with self.subTest(value=value):
+                self.assertGreater(self.arrivals_in(3.0), 0)
+
+    def test_huge_pause_is_bounded(self):
+        """Guards against the same by a time without end."""
+        self.ask_for_pause(b"9" * 9)
+        self.run_vm(0.5)
+        self.first.status, self.first.extra_headers = 200, []
+        self.clock.advance(301.0)
+        self.assertGreater(self.arrivals_in(3.0), 0)
+
+
+class PausedOwnerTest(PausedServerTest):
+    sharded = True
+
+    def test_server_gets_nothing_until_the_pause_ends(self):
+        """Guards against the same for keys, whose calls are told when to come back."""
+        self.ask_for_pause(b"4")
+        self.run_vm(0.5)
+        self.first.status, self.first.extra_headers = 200, []
+        self.assertLessEqual(self.arrivals_in(2.0, after=0.4), 2)
+        latest = [reply.retry_after_s for reply in self.refused()[-10:]]
+        self.assertGreater(min(latest), 0.2)
+        self.assertLess(max(latest), 4.0 * 1.3)
+        self.assertGreater(self.arrivals_in(4.0), 0)
