--- a/src/celerystack/gateway/dispatch.py
+++ b/src/celerystack/gateway/dispatch.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import logging
 import random
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -11,14 +10,19 @@
 from twisted.internet import defer
 
 from celerystack import ids
-from celerystack.backend import client, http
+from celerystack.backend import client
 from celerystack.fleet import servers
-from celerystack.gateway import calls, config, retries, server_queue, service_queue
+from celerystack.gateway import (
+    calls,
+    config,
+    retries,
+    server_queue,
+    server_statements,
+    service_queue,
+)
 from celerystack.limits import byte_budget, crash_suspects, rate_limits
 from celerystack.ranges import model
 
-_log = logging.getLogger(__name__)
-
 MOVE_WAIT_S = 0.6
 """Maximum time that a call waits for a key that is being moved to another server, unless
 `MOVE_WAIT_TARGET_SHARE` permits more."""
@@ -147,8 +151,10 @@
         self._server_queues_by_service: dict[ids.ServiceName, list[server_queue.ServerQueue]] = {}
         self._service_queues_by_name: dict[ids.ServiceName, service_queue.ServiceQueue] = {}
         self._directory_version = -1
-        self._unreadable_headers: set[model.ServerIncarnation] = set()
         self.rate_limits = rate_limits.RateLimits(now=now)
+        self._statements = server_statements.ServerStatements(
+            directory=directory, request_codec=request_codec, limits=self.rate_limits
+        )
         self._sized_for_vms = key_routing.entry_vms
         key_routing.on_change(self._release_moved_calls)
 
@@ -476,8 +482,7 @@
                 self._server_queues_by_incarnation[incarnation] = self._open_queue(record)
             else:
                 existing.record = record
-        self.rate_limits.retain(usable)
-        self._unreadable_headers.intersection_update(usable)
+        self._statements.retain(usable)
         self._server_queues_by_service = {}
         for queue in self._server_queues_by_incarnation.values():
             self._server_queues_by_service.setdefault(queue.record.entry.service, []).append(queue)
@@ -518,7 +523,7 @@
             request_codec=self._request_codec,
             entry_vms=vms,
             on_answer=self._on_answer,
-            on_response=self._on_response,
+            on_response=self._statements.take,
             now=self._now,
         )
 
@@ -530,56 +535,6 @@
             queue.observe(call, latency_s)
         self._key_routing.record_service_time(answered.incarnation.server, latency_s)
 
-    def _on_response(self, answered: server_queue.ServerQueue, response: http.HttpResponse) -> None:
-        """Record what a server states of itself; an unreadable statement changes nothing."""
-        if self._request_codec.is_leaving(response):
-            self._directory.note_leaving(answered.incarnation)
-        try:
-            pause_s = self._request_codec.pause_s(response)
-        except calls.UnreadableHeaderError as error:
-            self._note_unreadable(answered.incarnation, error)
-        else:
-            self._note_pause(answered, pause_s)
-        try:
-            per_s = self._request_codec.rate_limit(response)
-        except calls.UnreadableHeaderError as error:
-            self._note_unreadable(answered.incarnation, error)
-        else:
-            self._note_rate_limit(answered, per_s)
-
-    def _note_unreadable(
-        self, incarnation: model.ServerIncarnation, error: calls.UnreadableHeaderError
-    ) -> None:
-        if incarnation not in self._unreadable_headers:
-            self._unreadable_headers.add(incarnation)
-            _log.warning(
-                "ignored a header of a server's answer: %s",
-                error,
-                extra={"step": "server statement", "peer": incarnation.server},
-            )
-
-    def _note_pause(self, answered: server_queue.ServerQueue, pause_s: float) -> None:
-        if pause_s <= 0:
-            return
-        if not answered.is_paused:
-            _log.info(
-                "the server asked for a pause of %.2f s",
-                pause_s,
-                extra={"step": "server statement", "peer": answered.incarnation.server},
-            )
-        answered.pause(pause_s)
-
-    def _note_rate_limit(self, answered: server_queue.ServerQueue, per_s: float | None) -> None:
-        before = self.rate_limits.limit(answered.incarnation)
-        self.rate_limits.observe(answered.incarnation, per_s)
-        if (before is None) != (per_s is None):
-            _log.info(
-                "the server has no rate limit any more"
-                if per_s is None
-                else f"the server accepts {per_s:.2f} requests/s from all entry VMs",
-                extra={"step": "server statement", "peer": answered.incarnation.server},
-            )
-
 
 def _has_moved(attempt: calls.Attempt | calls.Refused) -> bool:
     return isinstance(attempt, calls.NotRun) and attempt.reason is calls.NotRunReason.KEY_MOVED
