--- a/src/celerystack/limits/rate_limits.py
+++ b/src/celerystack/limits/rate_limits.py
@@ -97,8 +97,11 @@
         for limit in limits:
             known = self._by_incarnation.get(limit.incarnation)
             stated_at = now - limit.age_s
-            is_ended = limit.per_s is None or limit.age_s > VALID_S
-            if known.stated_at < stated_at if known else not is_ended:
+            if known is None:
+                is_news = limit.per_s is not None and limit.age_s <= VALID_S
+            else:
+                is_news = stated_at > known.stated_at
+            if is_news:
                 self._record(limit.incarnation, limit.per_s, stated_at)
 
     def note_announced(self, limits: Iterable[RateLimit]) -> None:
