--- a/review/rig.py
+++ b/review/rig.py
@@ -48,7 +48,9 @@
         self.breaks: list[str] = []
 
     def __call__(self, text: str) -> None:
-        """Write one line with the seconds since the start."""
+        """Write one line with the seconds since the start, until the end of the case."""
+        if self._file.closed:
+            return
         self._file.write(f"{time.monotonic() - self._began:8.3f}  {text}\n")
 
     def note(self, text: str) -> None:
