--- a/review/rig.py
+++ b/review/rig.py
@@ -727,6 +727,15 @@
         if self.process is not None:
             self.process.wait()
 
+    def memory_used_mb(self) -> float:
+        """Return the resident memory of the process in MB; 0 if it does not run."""
+        if self.process is None or self.process.poll() is not None:
+            return 0.0
+        with contextlib.suppress(OSError, IndexError):
+            status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+            return int(status.split("VmRSS:")[1].split()[0]) * 1024 / 1e6
+        return 0.0
+
     def log(self) -> str:
         """Return what the process has written."""
         return self._log_path.read_text(errors="replace") if self._log_path.exists() else ""
@@ -745,6 +754,36 @@
             await asyncio.sleep(0.1)
 
 
+def request_bytes(method: str, target: str, headers: Headers, body: bytes = b"") -> bytes:
+    """Return the bytes of a request."""
+    lines = [f"{method} {target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in ({"Host": HOST} | headers).items()]
+    if body or method == "POST":
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+async def read_response(reader: asyncio.StreamReader) -> tuple[int, Headers, bytes] | None:
+    """Read one response; None if the connection ends before it is complete."""
+    head = await read_head(reader)
+    if head is None:
+        return None
+    try:
+        body = await reader.readexactly(int(head[1].get("content-length", "0")))
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    return int(head[0].split(" ")[1]), head[1], body
+
+
+def attempt_headers(request_id: str, deadline_ms: int, key: int | None = None) -> Headers:
+    """Return the headers of one attempt."""
+    headers = {
+        "Celerystack-Request-Attempt-Id": request_id,
+        "Celerystack-Deadline-Remaining-Ms": str(deadline_ms),
+    }
+    return headers if key is None else headers | {"Celerystack-Shard-Key": str(key)}
+
+
 async def call(
     ip: str,
     port: int,
@@ -760,18 +799,10 @@
     try:
         async with asyncio.timeout(timeout_s):
             reader, writer = await asyncio.open_connection(ip, port)
-            lines = [f"{method} {target} HTTP/1.1"]
-            lines += [f"{name}: {value}" for name, value in ({"Host": HOST} | headers).items()]
-            if body or method == "POST":
-                lines.append(f"Content-Length: {len(body)}")
-            writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+            writer.write(request_bytes(method, target, headers, body))
             await writer.drain()
-            head = await read_head(reader)
-            if head is None:
-                return 0, {}, b""
-            answer = await reader.readexactly(int(head[1].get("content-length", "0")))
-            return int(head[0].split(" ")[1]), head[1], answer
-    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            return await read_response(reader) or (0, {}, b"")
+    except (OSError, TimeoutError):
         return 0, {}, b""
     finally:
         if writer is not None:
