--- a/review/rig.py
+++ b/review/rig.py
@@ -915,6 +915,8 @@
             with contextlib.suppress(Exception):
                 await server.crash()
         await self.store.stop()
+        for vm in self.vms:
+            vm.kill()
         self.record.close()
         self._temporary.cleanup()
 
@@ -941,8 +943,9 @@
         if not rig.record.breaks:
             rig.record.note(f"the case could not run: {problem!r}")
             return 2
-    finally:
+    else:
         breaks = len(rig.record.breaks)
         rig.record.note(f"rule broken {breaks} times" if breaks else "the rule held")
+    finally:
         await rig.stop()
-    return 1 if breaks else 0
+    return 1 if rig.record.breaks else 0
