Log how each possible holder lost its keys

Callers saw nothing. Three explanations could not be told apart: the planner counted the leases of the first server as expired, took it for ended, or believed an answer to a release; the logs named servers only, not which life of the server was meant.

The planner now logs, when keys become free, each former holder with its start time and the reason (released, ended, leases expired), and the start time of holders and grantees.

--- a/src/celerystack/ranges/lessor.py
+++ b/src/celerystack/ranges/lessor.py
@@ -333,9 +333,10 @@
         due_at_by_key[_segment_key(segment)] = self._now() + leases.RENEW_S
         if is_first or result is not orders.GrantResult.GRANTED:
             _log.info(
-                "grant of keys %d to %d: %s",
+                "grant of keys %d to %d to the server started %d: %s",
                 segment.start,
                 segment.end,
+                incarnation.started_ms,
                 result.value,
                 extra={"step": "lessor.grant", "peer": incarnation.server, "token": segment.token},
             )
--- a/src/celerystack/ranges/planner.py
+++ b/src/celerystack/ranges/planner.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import enum
 import logging
 from collections.abc import Callable, Iterable
 
@@ -65,6 +66,28 @@
     handover: str | None = None
 
 
+class _LossReason(enum.Enum):
+    """Why a possible holder certainly does not hold the keys of a segment any more."""
+
+    RELEASED = "released"
+    ENDED = "ended"
+    LEASES_EXPIRED = "leases expired"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Loss:
+    """The certain loss of a segment's keys by a possible holder.
+
+    Attributes
+    ----------
+    handover : str
+        Data that the holder returned with the release; empty if there is none.
+    """
+
+    reason: _LossReason
+    handover: str = ""
+
+
 class Planner:
     """Plans and carries out changes of ownership while this VM is the planner.
 
@@ -278,7 +301,7 @@
             segment.end,
             segment.owner.server if segment.owner else "nobody",
             segment.phase.value,
-            [incarnation.server for incarnation in segment.pending],
+            [f"{holder.server} started {holder.started_ms}" for holder in segment.pending],
             extra={"step": "planner.assign", "service": service, "token": segment.token},
         )
 
@@ -356,41 +379,55 @@
         now = self._now()
         handover_by_segment: dict[model.Segment, str] = {}
         for segment in known.ranges.segments:
-            if not segment.pending:
+            loss_by_holder = {
+                incarnation: self._loss(known, segment, incarnation, now)
+                for incarnation in segment.pending
+            }
+            losses = [loss for loss in loss_by_holder.values() if loss is not None]
+            if not segment.pending or len(losses) < len(segment.pending):
                 continue
-            handovers = []
-            for incarnation in segment.pending:
-                handover = self._handover(known, segment, incarnation, now)
-                if handover is None:
-                    break
-                handovers.append(handover)
-            else:
-                handover_by_segment[segment] = next(filter(None, handovers), "")
+            handover_by_segment[segment] = next((x.handover for x in losses if x.handover), "")
+            self._log_losses(known.ranges.service, segment, loss_by_holder)
         return handover_by_segment
 
-    def _handover(
+    def _loss(
         self,
         known: range_maps.KnownMap,
         segment: model.Segment,
         incarnation: model.ServerIncarnation,
         now: float,
-    ) -> str | None:
-        """Return the handover of an incarnation that released a segment.
-
-        Returns "" if the incarnation lost the keys in another way, None if it may still hold them.
-        """
+    ) -> _Loss | None:
+        """Return how an incarnation lost the keys of a segment; None if it may still hold them."""
         release = self._releases.get(_release_key(known.ranges.service, segment, incarnation))
         if release is not None and release.handover is not None:
-            return release.handover
+            return _Loss(_LossReason.RELEASED, release.handover)
         if self._directory.has_ended(incarnation):
-            return ""
+            return _Loss(_LossReason.ENDED)
         version, committed_at = self._commit_by_token.get(
             (known.ranges.service, segment.token), (known.version, self._term_began_at)
         )
         all_expired_at = self._lease_reports.all_expired_at(
             incarnation, known.ranges.service, version=version, committed_at=committed_at
         )
-        return "" if now >= all_expired_at else None
+        return _Loss(_LossReason.LEASES_EXPIRED) if now >= all_expired_at else None
+
+    def _log_losses(
+        self,
+        service: ids.ServiceName,
+        segment: model.Segment,
+        loss_by_holder: dict[model.ServerIncarnation, _Loss | None],
+    ) -> None:
+        _log.info(
+            "keys %d to %d are free: %s",
+            segment.start,
+            segment.end,
+            ", ".join(
+                f"{holder.server} started {holder.started_ms} {loss.reason.value}"
+                for holder, loss in loss_by_holder.items()
+                if loss is not None
+            ),
+            extra={"step": "planner.free", "service": service, "token": segment.token},
+        )
 
     def _start_releases(self, service: ids.ServiceName) -> None:
         known = self._range_maps.by_service.get(service)
