Count leases per server instead of per incarnation

Cause: entry VMs go on granting to the incarnation that they know, since the store cannot tell them of the restart; the restarted process takes these grants. When the store is back, the planner takes the new incarnation as holder (rule 8 of docs/platform.md), but each VM noted the grants under the old incarnation and reported 0 s for the new one. The planner settled the keys at the next tick, with the release unanswered.

Ruled out: that the planner took the holder for ended, or took another answer for the release's.

Fix: `Leases` counts by server id. A grant names the id, so a process with another id refuses it; any incarnation under the id may have taken it. The bound is therefore certain for each of them.

--- a/src/celerystack/ranges/lessor.py
+++ b/src/celerystack/ranges/lessor.py
@@ -215,8 +215,8 @@
         self._due_at_by_incarnation.pop(incarnation, None)
 
     def remaining_s(self, incarnation: model.ServerIncarnation) -> float:
-        """Return the seconds until all leases that this VM granted to an incarnation have ended."""
-        return self.leases.remaining_s(incarnation, self._now())
+        """Return the seconds until no lease of this VM can be in force at an incarnation."""
+        return self.leases.remaining_s(incarnation.server, self._now())
 
     def _is_lessor(self, record: servers.ServerRecord) -> bool:
         if record.entry.zone != self._zone:
@@ -308,7 +308,7 @@
         """Send one grant and return whether the server answered."""
         due_at_by_key = self._due_at_by_incarnation.setdefault(incarnation, {})
         is_first = all(token != segment.token for _, _, token in due_at_by_key)
-        self.leases.grant_sent(incarnation)
+        self.leases.grant_sent(incarnation.server)
         was_sent = True
         try:
             result = await self._port.grant(
@@ -323,7 +323,7 @@
             self._note_grant_failure(incarnation, segment, error)
             return False
         finally:
-            self.leases.grant_ended(incarnation, self._now(), was_sent=was_sent)
+            self.leases.grant_ended(incarnation.server, self._now(), was_sent=was_sent)
         if result is orders.GrantResult.OTHER_SERVER:
             self._failed_at_by_incarnation[incarnation] = self._now()
         else:
--- a/tests/ranges/test_lessor.py
+++ b/tests/ranges/test_lessor.py
@@ -142,6 +142,16 @@
         remaining_s = self.lessor.remaining_s(fakes.incarnation("a"))
         self.assertAlmostEqual(leases.LEASE_BOUND_S - leases.RENEW_S - 0.1, remaining_s)
 
+    def test_lease_of_an_earlier_incarnation_may_be_held_by_the_later_one(self):
+        """Guards against a second owner after a server restarted in an outage (review case 1).
+
+        The grant was sent to the incarnation that this VM knew, and the restarted server took it.
+        """
+        self.clock.advance(leases.LEASE_BOUND_S)
+        self.lessor.tick()
+        remaining_s = self.lessor.remaining_s(fakes.incarnation("a", 2))
+        self.assertAlmostEqual(leases.LEASE_BOUND_S, remaining_s)
+
     def test_removed_server_gets_no_renewal(self):
         """Guards against lessors that are remembered although a server's entry was removed."""
         self.lessor.tick()
