Wait for a restarted server also if its earlier life was waited for

Cause: entry VMs that do not know of a restart grant the keys of the earlier life to the new process. The planner replaces an ended holder by its successor when it plans, but it settles before it plans: if the restart became known while the keys were already moving, the ended holder counted as lost and the keys were free at once. Second, a successor whose entry was missing again was taken for gone, although servers without an entry go on serving.

Fix: an ended holder counts as lost only if its server has no later incarnation; `Directory.successor` no longer asks for an entry, only that the later incarnation has not itself ended. A lost successor is waited for until its leases end, like any silent server.

Tests, which failed before: test_restarted_server_may_hold_keys_of_its_earlier_incarnation and test_restarted_server_whose_entry_was_removed_may_hold_keys (test_planner); test_keys_of_a_restarted_server_are_free_when_its_leases_have_ended bounds the wait.

--- a/src/celerystack/fleet/servers.py
+++ b/src/celerystack/fleet/servers.py
@@ -203,15 +203,15 @@
         )
 
     def successor(self, incarnation: model.ServerIncarnation) -> model.ServerIncarnation | None:
-        """Return the later incarnation of the same server if its entry is present, or None."""
+        """Return the later incarnation of the same server, or None if there is none or it ended.
+
+        It may be at work although its entry is missing.
+        """
         record = self.by_id.get(incarnation.server)
-        if (
-            record is None
-            or not record.present
-            or record.entry.started_ms <= incarnation.started_ms
-        ):
+        if record is None or record.entry.started_ms <= incarnation.started_ms:
             return None
-        return record.entry.incarnation
+        later = record.entry.incarnation
+        return None if self.has_ended(later) else later
 
     def note_address_reused(self, incarnation: model.ServerIncarnation) -> None:
         """Record that another server answered at the address of an incarnation."""
--- a/src/celerystack/ranges/planner.py
+++ b/src/celerystack/ranges/planner.py
@@ -402,7 +402,9 @@
         if release is not None and release.handover is not None:
             return _Loss(_LossReason.RELEASED, release.handover)
         if self._directory.has_ended(incarnation):
-            return _Loss(_LossReason.ENDED)
+            # A successor may hold the keys; the next plan takes it as the possible holder instead.
+            has_successor = self._directory.successor(incarnation) is not None
+            return None if has_successor else _Loss(_LossReason.ENDED)
         version, committed_at = self._commit_by_token.get(
             (known.ranges.service, segment.token), (known.version, self._term_began_at)
         )
--- a/tests/ranges/restart_world.py
+++ b/tests/ranges/restart_world.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import random
 
 from twisted.internet import defer, task
@@ -347,17 +348,25 @@
                 work = Work(key, hold.until, now + self.choices.uniform(0.2, 4.0))
                 process.work.append(work)
 
-    def _start_server(self) -> None:
+    def _start_server(self, address: str = "") -> None:
         self._servers_started += 1
         name = f"s{self._servers_started}"
-        entry = fakes.entry(name, self._now_ms(), address=f"10.0.1.{self._servers_started}:80")
+        address = address or f"10.0.1.{self._servers_started}:80"
+        entry = fakes.entry(name, self._now_ms(), address=address)
         self._process_by_server[entry.server] = Process(entry)
 
     def _now_ms(self) -> int:
         return int(self.now() * 1000)
 
     def _inject_fault(self) -> None:
-        faults = (self._crash, self._outage, self._drain, self._lose_entry, self._cut)
+        faults = (
+            self._crash,
+            self._reuse_address,
+            self._outage,
+            self._drain,
+            self._lose_entry,
+            self._cut,
+        )
         rarer = (self._restart_vm, self._change_planner)
         if self.choices.random() < 0.12:
             self.choices.choice(faults)()
@@ -380,8 +389,19 @@
             )
 
     def _back(self, entry: servers.ServerEntry) -> None:
-        restarted = dataclasses.replace(entry, started_ms=self._now_ms())
-        self._process_by_server[entry.server] = Process(restarted)
+        restarted = Process(dataclasses.replace(entry, started_ms=self._now_ms()))
+        self._process_by_server[entry.server] = restarted
+        if self.choices.random() < 0.5:
+            self._after(
+                self.choices.uniform(0.0, 2.0), functools.partial(self._drain_process, restarted)
+            )
+
+    def _reuse_address(self) -> None:
+        """End a process; a server with another id starts at its address."""
+        for process in self.choices.sample(self._ready(), min(1, len(self._ready()))):
+            process.is_up = False
+            start = functools.partial(self._start_server, process.entry.address)
+            self._after(self.choices.uniform(0.5, 3.0), start)
 
     def _outage(self) -> None:
         if not self.store.is_down:
@@ -395,9 +415,12 @@
     def _drain(self) -> None:
         """Let a server report that it leaves; it serves for a while and exits."""
         for process in self.choices.sample(self._ready(), min(1, len(self._ready()))):
-            draining = servers.ServerState.DRAINING
-            process.entry = dataclasses.replace(process.entry, state=draining)
-            self._leave(process)
+            self._drain_process(process)
+
+    def _drain_process(self, process: Process) -> None:
+        draining = servers.ServerState.DRAINING
+        process.entry = dataclasses.replace(process.entry, state=draining)
+        self._leave(process)
 
     def _lose_entry(self) -> None:
         """Let a server leave without a word: its entry is no longer written."""
--- a/tests/ranges/test_planner.py
+++ b/tests/ranges/test_planner.py
@@ -133,6 +133,36 @@
             if segment.start in token_by_start and segment.owner == fakes.incarnation("a", 2):
                 self.assertGreater(segment.token, token_by_start[segment.start])
 
+    def restart_before_the_release(self, name):
+        """Move the keys of a server that answers no release, and register its next incarnation."""
+        self.orders.failing = True
+        self.drain(name)
+        self.tick()
+        restarted = fakes.entry(name, 2, state=servers.ServerState.DRAINING)
+        self.directory.apply_changes([restarted], [], self.clock.seconds())
+
+    def test_restarted_server_may_hold_keys_of_its_earlier_incarnation(self):
+        """Guards against a second owner: entry VMs may have granted them to the new process."""
+        self.restart_before_the_release("a")
+        self.tick()
+        holders = {holder for segment in self.ranges().segments for holder in segment.pending}
+        self.assertEqual({fakes.incarnation("a", 2)}, holders)
+
+    def test_restarted_server_whose_entry_was_removed_may_hold_keys(self):
+        """Guards against a second owner: a server without an entry may still be at work."""
+        self.restart_before_the_release("a")
+        self.directory.apply_changes([], ["a"], self.clock.seconds())
+        self.tick()
+        holders = {holder for segment in self.ranges().segments for holder in segment.pending}
+        self.assertEqual({fakes.incarnation("a", 2)}, holders)
+
+    def test_keys_of_a_restarted_server_are_free_when_its_leases_have_ended(self):
+        """Guards against keys that stay unserved because a restarted server was lost again."""
+        self.restart_before_the_release("a")
+        self.tick()
+        self.tick(leases.MAP_VALID_S + 0.1)
+        self.assertFalse(any(segment.pending for segment in self.ranges().segments))
+
     def test_new_planner_finishes_a_move_that_was_begun(self):
         """Guards against possible holders that stay after the planner was lost during a move."""
         self.orders.failing = True
