Let the server ask for its pause before the test counts requests

Not a fault of the product: the test sends for 0.5 s (about two requests) to two servers and took for granted that one reached the first server.

The set-up now sends until the server has answered with the pause. The bounds and the length of the window are unchanged.

--- a/tests/gateway/test_server_signs.py
+++ b/tests/gateway/test_server_signs.py
@@ -61,6 +61,9 @@
     def ask_for_pause(self, value):
         self.first.status = 503
         self.first.extra_headers = [(requests.NOT_RUN, b"1"), (b"retry-after", value)]
+        before = len(self.first.arrivals)
+        while len(self.first.arrivals) == before:
+            self.run_vm(test_rate_limits.STEP_S)
 
     def test_server_gets_nothing_until_the_pause_ends(self):
         """Guards against requests that an overloaded server has asked this VM not to send."""
