Hold received bodies as one buffer, so that their budget counts what they take

Callers would see: other requests of an entry VM end with it when it runs out of memory. One gap: a body was kept as a list of pieces, and each chunk of a few bytes took an object of its own, which the budget for answers did not count.

--- a/src/celerystack/backend/exchange.py
+++ b/src/celerystack/backend/exchange.py
@@ -98,8 +98,9 @@
         self._done = done
         self._consumer = consumer
         consumer.registerProducer(self, True)
-        for chunk in self._exchange.pop_body_parts():
-            consumer.write(chunk)
+        received = self._exchange.take_body()
+        if received:
+            consumer.write(received)
         if self._complete or self._error is not None:
             self._fire_done()
         elif self._exchange.connection is not None:
@@ -113,7 +114,7 @@
     def receive(self, data: bytes) -> None:
         """Receive body bytes from the connection."""
         if self._consumer is None:
-            self._exchange.body_parts.append(data)
+            self._exchange.body += data
         else:
             self._consumer.write(data)
 
@@ -178,8 +179,7 @@
     __slots__ = (
         "_reserved_bytes",
         "allow_close_delimited",
-        "body_parts",
-        "body_size",
+        "body",
         "budget",
         "connection",
         "deferred",
@@ -233,8 +233,7 @@
         self.status = 0
         self.reason = b""
         self.headers: http.HeaderList = ()
-        self.body_parts: list[bytes] = []
-        self.body_size = 0
+        self.body = bytearray()
         self.streamed: StreamedResponse | None = None
 
     def _on_deferred_cancelled(self, _deferred: defer.Deferred[Any]) -> None:
@@ -261,10 +260,10 @@
         self.fail(error_class("the deadline passed", step="backend.exchange", peer=self.peer))
         self.on_abort(self)
 
-    def pop_body_parts(self) -> list[bytes]:
-        """Return and remove the body parts received so far."""
-        parts, self.body_parts = self.body_parts, []
-        return parts
+    def take_body(self) -> bytes:
+        """Return and remove the bytes of the body received so far."""
+        body, self.body = bytes(self.body), bytearray()
+        return body
 
     def begin_response(self, status: int, reason: bytes, headers: http.HeaderList) -> None:
         """Store the head of the response."""
@@ -282,11 +281,10 @@
                 self._reject_body("the memory for answers is used up")
                 return
             self._reserved_bytes += len(data)
-        self.body_parts.append(data)
-        self.body_size += len(data)
+        self.body += data
         if self.on_progress is not None:
             self.on_progress()
-        if self.body_size <= self.whole_body_bytes_max:
+        if len(self.body) <= self.whole_body_bytes_max:
             return
         if not self.stream:
             self._reject_body(f"the answer exceeds {self.whole_body_bytes_max} bytes")
@@ -315,7 +313,7 @@
                 status=self.status,
                 reason=self.reason,
                 headers=self.headers,
-                body=b"".join(self.pop_body_parts()),
+                body=self.take_body(),
             )
         )
 
--- a/tests/backend/test_endless_answers.py
+++ b/tests/backend/test_endless_answers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import tracemalloc
+
 from celerystack.backend import client
 from celerystack.limits import byte_budget
 from standins import scripted_backend as fakes
@@ -97,6 +99,21 @@
         response = await pool.exchange(test_client.GET, deadline=test_client.deadline_in(15))
         self.assertEqual(100_000, len(response.body))
 
+    async def test_small_chunks_take_no_more_memory_than_the_budget_counts(self):
+        """Guards against short chunks that each take the memory of an object of their own."""
+        chunks = 50_000
+        server = self.server(CHUNKED + b"2\r\nab\r\n" * chunks)
+        budget = byte_budget.ByteBudget(client.RESPONSE_BYTES_MAX)
+        pool = self.pool(server, budget=budget)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        receiving = pool.exchange(test_client.GET, deadline=test_client.deadline_in(15))
+        await fakes.wait_until(until=lambda: budget.used_bytes == 2 * chunks, timeout_s=15)
+        held_bytes, _ = tracemalloc.get_traced_memory()
+        receiving.addErrback(lambda _: None)
+        receiving.cancel()
+        self.assertLess(held_bytes, 10 * 2 * chunks)
+
     async def test_budget_is_returned_after_each_answer(self):
         """Guards against a budget that shrinks with every answer."""
         budget = byte_budget.ByteBudget(client.RESPONSE_BYTES_MAX)
