Play a server that restarts in an outage in the range cluster

No other server may be granted the key before the request has ended.

The servers of the range cluster no longer write entries while its store refuses calls, and can be restarted.

--- a/standins/key_server.py
+++ b/standins/key_server.py
@@ -33,8 +33,10 @@
 class KeyServer:
     """One process of a backend server, which ends with `stop`."""
 
-    def __init__(self, server: str, service: str, zone: str, *, run_s: float = 0.005) -> None:
-        self.http = scripted_backend.FakeServer()
+    def __init__(
+        self, server: str, service: str, zone: str, *, run_s: float = 0.005, port: int = 0
+    ) -> None:
+        self.http = scripted_backend.FakeServer(port=port)
         self.http.handler = self._handle
         self.address = self.http.address
         self.server = server
--- a/standins/range_cluster.py
+++ b/standins/range_cluster.py
@@ -123,14 +123,23 @@
         self._request_count = 0
 
     def _heartbeat(self) -> None:
+        if self.store.refusing:
+            return
         for name, server in self.servers.items():
             self.store.put("servers", name, server.entry())
 
     def add_server(self, name: str, service: str, **options) -> key_server.KeyServer:
         server = self.servers[name] = key_server.KeyServer(name, service, "z1", **options)
-        self.store.put("servers", name, server.entry())
+        if not self.store.refusing:
+            self.store.put("servers", name, server.entry())
         return server
 
+    async def restart_server(self, name: str) -> key_server.KeyServer:
+        """End a server; its next incarnation starts at the same address and knows nothing."""
+        old = self.servers.pop(name)
+        await old.stop()
+        return self.add_server(name, old.service, run_s=old.run_s, port=old.http.port)
+
     def remove_entry(self, name: str) -> None:
         """Remove a server and its heartbeat row; the server itself keeps running."""
         self.servers.pop(name)
--- a/standins/scripted_backend.py
+++ b/standins/scripted_backend.py
@@ -79,14 +79,14 @@
     protocol = FakeConnection
     noisy = False
 
-    def __init__(self, handler: Callable[[Received], None] | None = None) -> None:
+    def __init__(self, handler: Callable[[Received], None] | None = None, *, port: int = 0) -> None:
         self.handler = handler or (lambda request: request.connection.send(answer()))
         self.on_connect: Callable[[FakeConnection], None] | None = None
         self.connections: list[FakeConnection] = []
         self.requests: list[Received] = []
         self.accepted = 0
         self.bytes_received = 0
-        self._port = reactor.listenTCP(0, self, interface="127.0.0.1")
+        self._port = reactor.listenTCP(port, self, interface="127.0.0.1")
         self.port = self._port.getHost().port
         self.address = f"127.0.0.1:{self.port}"
 
--- a/tests/system/test_range_path.py
+++ b/tests/system/test_range_path.py
@@ -8,6 +8,7 @@
 import tempfile
 
 import pytest
+from twisted.internet import defer
 from twisted.trial import unittest
 
 from celerystack.queries import explain
@@ -16,6 +17,9 @@
 pytestmark = pytest.mark.ranges
 
 NETWORK = f"127.{100 + layout.worker_number()}.7"
+OUTAGE_BEFORE_RESTART_S = 1.0
+WORK_S = 3.0
+"""Work that lasts longer than the planner needs to move keys, but less than a lease."""
 
 
 class RangePathTest(unittest.TestCase):
@@ -68,6 +72,37 @@
         self.assertEqual(200, status)
         self.assertGreater(new_server.highest_token[7], old_server.highest_token[7])
 
+    async def test_server_that_restarts_in_an_outage_keeps_its_keys_while_it_works(self):
+        """Guards against a second owner of keys that a restarted server was granted in an outage.
+
+        The entry VMs know of the restart only after the outage (review case 1).
+        """
+        cluster = await self.start_cluster()
+        _, _, owner = await cluster.request_until_served("vm-1", "/view/a", key=7)
+        cluster.store.refusing = True
+        await scripted_backend.sleep(OUTAGE_BEFORE_RESTART_S)
+        restarted = await cluster.restart_server(owner.decode())
+        await scripted_backend.wait_until(until=lambda: restarted.holds(7), timeout_s=5)
+        granted_during_work = []
+        for server in cluster.servers.values():
+            server.on_grant = lambda other, grant: granted_during_work.append(
+                other is not restarted
+                and any(grant.start <= key <= grant.end for key in restarted.running)
+            )
+        restarted.run_s = WORK_S
+        working = defer.Deferred.fromCoroutine(cluster.request("vm-1", "/view/a", key=7))
+        await scripted_backend.wait_until(until=lambda: restarted.running == [7])
+        restarted.state = "draining"
+        cluster.store.refusing = False
+        await scripted_backend.wait_until(
+            until=lambda: any(
+                server.holds(7) for server in cluster.servers.values() if server is not restarted
+            ),
+            timeout_s=12,
+        )
+        await working
+        self.assertNotIn(True, granted_during_work)
+
     def planner_and_follower(self, cluster):
         """Return the VM that became planner last, by its term, and the other one."""
         term_by_vm = {
