--- a/tests/ranges/test_lessor.py
+++ b/tests/ranges/test_lessor.py
@@ -9,6 +9,9 @@
 from tests.ranges import fakes
 
 VM = ids.EntryVmId("vm-1")
+READ_INTERVAL_S = 0.4
+ENTRY_READS = 11
+"""Reads for longer than three heartbeat intervals of 1 s, and for less than a lease."""
 
 
 class LessorTest(testtools.TestCase):
@@ -86,6 +89,21 @@
         self.lessor.tick()
         self.assertEqual(2, len(self.orders.granted))
 
+    def test_server_whose_entry_stays_is_granted_its_keys_again(self):
+        """Guards against a server that is never granted keys again after one broken connection.
+
+        Its entry changes only if more than the sequence number does, and is removed after three
+        heartbeat intervals of silence, so an entry that stays shows that the server lives.
+        """
+        self.orders.failing = True
+        self.lessor.tick()
+        self.orders.failing = False
+        for number in range(ENTRY_READS):
+            self.clock.advance(READ_INTERVAL_S)
+            self.read_entry(20 + number, 5)
+            self.lessor.tick()
+        self.assertEqual(2, len(self.orders.granted))
+
     def test_connection_that_ended_between_renewals_counts_as_broken(self):
         """Guards against renewing for another process that took over the id and address."""
         self.lessor.tick()
