--- a/tests/ranges/restart_world.py
+++ b/tests/ranges/restart_world.py
@@ -9,6 +9,7 @@
 import dataclasses
 import functools
 import random
+from collections.abc import Callable
 
 from twisted.internet import defer, task
 
@@ -21,6 +22,7 @@
 STEP_S = 0.25
 HEARTBEAT_S = 0.75
 ENTRY_KEPT_S = 3 * HEARTBEAT_S
+"""Time in seconds without a heartbeat after which the store removes the entry of a server."""
 NODES_READ_S = 2.0
 PLANNER_SILENCE_S = 1.1
 HELD_S = leases.LEASE_S * (1 + leases.CLOCK_DRIFT)
@@ -52,14 +54,24 @@
 
 @dataclasses.dataclass
 class Process:
-    """One incarnation of a server, which knows nothing of earlier ones."""
+    """One incarnation of a server, which knows nothing of earlier ones.
+
+    Attributes
+    ----------
+    seen : list of Hold
+        Keys and tokens of all orders that the process has received.
+    """
 
     entry: servers.ServerEntry
     is_up: bool = True
+    writes_entry: bool = True
     holds: list[Hold] = dataclasses.field(default_factory=list)
     seen: list[Hold] = dataclasses.field(default_factory=list)
     work: list[Work] = dataclasses.field(default_factory=list)
 
+    def end(self) -> None:
+        self.is_up = False
+
     def has_seen_above(self, segment: model.Segment) -> bool:
         return any(
             hold.token > segment.token and hold.overlaps(segment.start, segment.end)
@@ -176,8 +188,8 @@
         self.broken: list[str] = []
         self._process_by_server: dict[ids.ServerId, Process] = {}
         self._entry_by_server: dict[ids.ServerId, tuple[servers.ServerEntry, float]] = {}
-        self._due: list[tuple[float, object]] = []
-        self._beat_at = self._nodes_read_at = 0.0
+        self._due: list[tuple[float, Callable[[], None]]] = []
+        self._entries_due_at = self._nodes_read_at = 0.0
         self._servers_started = 0
         self._cut_until = 0.0
         for vm in VMS:
@@ -240,7 +252,7 @@
         self._due = [(at, action) for at, action in self._due if at > self.now()]
         for action in due:
             action()
-        self._beat()
+        self._write_entries()
         for vm in self.vm_by_id.values():
             self._read_servers(vm)
         self._plan()
@@ -250,7 +262,7 @@
         self._begin_work()
         self._inject_fault()
 
-    def _after(self, seconds: float, action: object) -> None:
+    def _after(self, seconds: float, action: Callable[[], None]) -> None:
         self._due.append((self.now() + seconds, action))
 
     def _begin_term(self) -> None:
@@ -258,12 +270,12 @@
         self._planner.begin_term()
         self._nodes_read_at = 0.0
 
-    def _beat(self) -> None:
-        if self.now() < self._beat_at or self.store.is_down:
+    def _write_entries(self) -> None:
+        if self.now() < self._entries_due_at or self.store.is_down:
             return
-        self._beat_at = self.now() + HEARTBEAT_S
+        self._entries_due_at = self.now() + HEARTBEAT_S
         for server, process in self._process_by_server.items():
-            if process.is_up and process.entry.slots:
+            if process.is_up and process.writes_entry:
                 self.store.version += 1
                 version = ids.RowVersion(self.store.version)
                 entry = dataclasses.replace(process.entry, row_version=version)
@@ -373,22 +385,23 @@
         elif self.choices.random() < 0.02:
             self.choices.choice(rarer)()
 
-    def _ready(self) -> list[Process]:
-        return [
+    def _one_ready(self) -> list[Process]:
+        """Return one of the processes that do not leave; none if there is none."""
+        ready = [
             process
             for process in self._process_by_server.values()
             if process.is_up and process.entry.state is servers.ServerState.READY
         ]
+        return self.choices.sample(ready, min(1, len(ready)))
 
     def _crash(self) -> None:
         """End a process; another starts under its id, at its address."""
-        for process in self.choices.sample(self._ready(), min(1, len(self._ready()))):
-            process.is_up = False
-            self._after(
-                self.choices.uniform(0.0, 2.0), lambda entry=process.entry: self._back(entry)
-            )
+        for process in self._one_ready():
+            process.end()
+            restart = functools.partial(self._restart, process.entry)
+            self._after(self.choices.uniform(0.0, 2.0), restart)
 
-    def _back(self, entry: servers.ServerEntry) -> None:
+    def _restart(self, entry: servers.ServerEntry) -> None:
         restarted = Process(dataclasses.replace(entry, started_ms=self._now_ms()))
         self._process_by_server[entry.server] = restarted
         if self.choices.random() < 0.5:
@@ -398,8 +411,8 @@
 
     def _reuse_address(self) -> None:
         """End a process; a server with another id starts at its address."""
-        for process in self.choices.sample(self._ready(), min(1, len(self._ready()))):
-            process.is_up = False
+        for process in self._one_ready():
+            process.end()
             start = functools.partial(self._start_server, process.entry.address)
             self._after(self.choices.uniform(0.5, 3.0), start)
 
@@ -410,11 +423,11 @@
 
     def _end_outage(self) -> None:
         self.store.is_down = False
-        self._beat_at = self.now() + self.choices.choice((0.0, HEARTBEAT_S))
+        self._entries_due_at = self.now() + self.choices.choice((0.0, HEARTBEAT_S))
 
     def _drain(self) -> None:
         """Let a server report that it leaves; it serves for a while and exits."""
-        for process in self.choices.sample(self._ready(), min(1, len(self._ready()))):
+        for process in self._one_ready():
             self._drain_process(process)
 
     def _drain_process(self, process: Process) -> None:
@@ -424,17 +437,14 @@
 
     def _lose_entry(self) -> None:
         """Let a server leave without a word: its entry is no longer written."""
-        for process in self.choices.sample(self._ready(), min(1, len(self._ready()))):
-            process.entry = dataclasses.replace(process.entry, slots=0)
+        for process in self._one_ready():
+            process.writes_entry = False
             self._leave(process)
 
     def _leave(self, process: Process) -> None:
-        self._after(self.choices.uniform(4.0, 9.0), lambda: self._exit(process))
+        self._after(self.choices.uniform(4.0, 9.0), process.end)
         self._after(self.choices.uniform(0.0, 3.0), self._start_server)
 
-    def _exit(self, process: Process) -> None:
-        process.is_up = False
-
     def _cut(self) -> None:
         self._cut_until = self.now() + self.choices.uniform(0.5, 5.0)
 
