Send requests of its own in the test of a delisted zone that is cut off

Most callers were waiting for servers outside the cut, so whether each VM got a request for the victim's keys was left to chance.

The test now sends requests for these keys through each of the two VMs, which must both answer as before; violations are looked for in these too.

--- a/tests/system/test_evidence.py
+++ b/tests/system/test_evidence.py
@@ -169,6 +169,12 @@
         ]
         for name in names:
             scenario.running.remove_member(name)
+        scenario.sleep_until(4.5)
+        # The load has few requests for these keys in the cut, perhaps none at one of the VMs.
+        finish_own_loads = [
+            scenario.start_own_load(vm, tuple(keys), duration_s=4) for vm in ("vm-1a", "vm-1b")
+        ]
+        own_records = [record for finish in finish_own_loads for record in finish()]
         scenario.sleep_until(10)
         assert ran_elsewhere(scenario, server, keys, cut_at) == []
         for name in names:
@@ -178,9 +184,10 @@
         scenario.running.heal()
         caller_records = finish_load()
         scenario.check_served(caller_records)
-        assert scenario.violations(caller_records) == []
+        all_records = [*caller_records, *own_records]
+        assert scenario.violations(all_records) == []
         # A request from outside that the cut delays may be answered after the cut has ended.
-        answered_in_cut = answered(caller_records, keys, cut_at + 2, healed_at - CALLER_DEADLINE_S)
+        answered_in_cut = answered(all_records, keys, cut_at + 2, healed_at - CALLER_DEADLINE_S)
         assert {record.entry_vm for record in answered_in_cut} == {"vm-1a", "vm-1b"}
 
 
