Evacuate availability zones that operators name in the store

Cause: the rows evacuate/ZONE of the operators' table were not read, so requests and keys stayed in an evacuated zone. Change: fleet/evacuations.py tracks the zones with the store version up to which they are known. The planner reads them with the configuration and tells them in its heartbeats; other entry VMs read them when the planner is silent, and keep them in an outage. The planner moves the zone's keys with handovers. Owners in the zone get requests for 0.6 of the time until an evacuation is binding, counted from the earliest possible request; unsharded services leave the zone at once. Ruled out: ignoring evacuations that leave no zone, because an operator's request binds also then.

--- a/src/celerystack/fleet/messages.py
+++ b/src/celerystack/fleet/messages.py
@@ -8,7 +8,7 @@
 import msgpack
 
 from celerystack import errors, ids
-from celerystack.fleet import directory_sync, servers
+from celerystack.fleet import directory_sync, evacuations, servers
 from celerystack.limits import rate_limits
 from celerystack.ranges import codec, model
 
@@ -109,6 +109,8 @@
         Limits that servers stated; some of them if there are many.
     leaving : tuple of ServerIncarnation
         Server incarnations that have stated that they leave, before their entries do.
+    evacuations : EvacuationList or None
+        Evacuated zones; None if the planner has not read them yet.
     """
 
     vm: ids.EntryVmId
@@ -126,6 +128,7 @@
     incarnations_with_reused_address: tuple[model.ServerIncarnation, ...] = ()
     rate_limits: tuple[rate_limits.RateLimit, ...] = ()
     leaving: tuple[model.ServerIncarnation, ...] = ()
+    evacuations: evacuations.EvacuationList | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -195,6 +198,21 @@
     )
 
 
+def _encode_evacuations(listed: evacuations.EvacuationList) -> list[Any]:
+    pairs = [[evacuation.zone, evacuation.age_s] for evacuation in listed.evacuations]
+    return [listed.version, listed.age_s, pairs]
+
+
+def _decode_evacuations(version: Any, age_s: Any, pairs: Any) -> evacuations.EvacuationList:
+    return evacuations.EvacuationList(
+        version=ids.RowVersion(int(version)),
+        age_s=float(age_s),
+        evacuations=tuple(
+            evacuations.Evacuation(ids.ZoneName(zone), float(age_s)) for zone, age_s in pairs
+        ),
+    )
+
+
 def _encode_update(update: directory_sync.DirectoryUpdate) -> list[Any]:
     changes = [
         [
@@ -303,6 +321,7 @@
                 ],
                 [_encode_rate_limit(limit) for limit in message.rate_limits],
                 [_encode_incarnation(incarnation) for incarnation in message.leaving],
+                None if message.evacuations is None else _encode_evacuations(message.evacuations),
             ]
             return msgpack.packb(["beacon", *fields])
         case RangesPart():
@@ -402,6 +421,7 @@
         incarnations_with_reused_address,
         limits,
         leaving,
+        evacuated,
     ) = rest
     return PlannerHeartbeat(
         vm=vm,
@@ -424,6 +444,7 @@
         ),
         rate_limits=tuple(_decode_rate_limit(*limit) for limit in limits),
         leaving=tuple(codec.decode_incarnation(incarnation) for incarnation in leaving),
+        evacuations=None if evacuated is None else _decode_evacuations(*evacuated),
     )
 
 
--- a/src/celerystack/fleet/servers.py
+++ b/src/celerystack/fleet/servers.py
@@ -132,6 +132,8 @@
         )
         self._digest = 0
         self._digest_version = -1
+        self._evacuated_zones: frozenset[ids.ZoneName] = frozenset()
+        self._closed_zones: frozenset[ids.ZoneName] = frozenset()
 
     def apply_changes(
         self, entries: Iterable[ServerEntry], removed: Iterable[ids.ServerId], now: float
@@ -167,8 +169,33 @@
             self._read_at or 0.0
         )
 
+    def set_evacuations(
+        self, *, evacuated: frozenset[ids.ZoneName], closed: frozenset[ids.ZoneName]
+    ) -> None:
+        """Set the evacuated zones, and those of them whose servers get no requests any more."""
+        if (evacuated, closed) != (self._evacuated_zones, self._closed_zones):
+            self._evacuated_zones, self._closed_zones = evacuated, closed
+            self.version += 1
+
     def usable(self, service: ids.ServiceName) -> list[ServerRecord]:
-        """Return the servers of a service that accept new requests."""
+        """Return the servers of a service that may be given new requests and keys."""
+        return [
+            record
+            for record in self._ready(service)
+            if record.entry.zone not in self._evacuated_zones
+        ]
+
+    def serving(self, service: ids.ServiceName) -> list[ServerRecord]:
+        """Return the servers of a service that may get requests for keys that they own.
+
+        Beside the usable ones these are the servers of evacuated zones until their keys have moved,
+        or until the zone is closed.
+        """
+        return [
+            record for record in self._ready(service) if record.entry.zone not in self._closed_zones
+        ]
+
+    def _ready(self, service: ids.ServiceName) -> list[ServerRecord]:
         return [
             record
             for record in self.by_id.values()
--- a/src/celerystack/gateway/dispatch.py
+++ b/src/celerystack/gateway/dispatch.py
@@ -466,8 +466,10 @@
             return
         self._directory_version = self._directory.version
         usable: dict[model.ServerIncarnation, servers.ServerRecord] = {}
-        for service in self._policies:
-            for record in self._directory.usable(service):
+        for service, policy in self._policies.items():
+            # Servers of an evacuated zone get requests for keys that have not moved yet.
+            find = self._directory.serving if policy.sharded else self._directory.usable
+            for record in find(service):
                 usable[record.entry.incarnation] = record
         for incarnation in [
             incarnation
--- a/src/celerystack/gateway/metrics.py
+++ b/src/celerystack/gateway/metrics.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+from collections.abc import Callable
 
 import prometheus_client
 
@@ -14,6 +15,18 @@
 LATENCY_BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
 
 
+def register_evacuated_zones(
+    registry: prometheus_client.CollectorRegistry, count: Callable[[], int]
+) -> None:
+    """Expose the number of availability zones that are evacuated."""
+    gauge = prometheus_client.Gauge(
+        "celerystack_evacuated_zones",
+        "Availability zones whose servers get no new requests.",
+        registry=registry,
+    )
+    gauge.set_function(count)
+
+
 class RequestMetrics:
     """Request metrics of one entry VM."""
 
--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -13,7 +13,7 @@
 from twisted.web import http as twisted_http
 
 from celerystack import ids
-from celerystack.fleet import directory_sync, nodes, rows, servers
+from celerystack.fleet import directory_sync, evacuations, nodes, rows, servers
 from celerystack.gateway import (
     calls,
     config,
@@ -86,6 +86,8 @@
         self.metrics = metrics.RequestMetrics(self.registry)
         self.directory = servers.Directory()
         updates = directory_sync.DirectorySync(self.directory, now=now)
+        evacuated = evacuations.Evacuations(binding_after_s=node_settings.evacuation_s, now=now)
+        metrics.register_evacuated_zones(self.registry, lambda: len(evacuated.zones))
         self._config: config.RoutingConfig | None = None
         self.stopping = False
         self.coordinator = coordinator.Coordinator(
@@ -98,6 +100,7 @@
             port=port,
             directory=self.directory,
             updates=updates,
+            evacuated=evacuated,
             sharded_services=self._sharded_services,
             link_mbps=node_settings.link_mbps,
             is_small=node_settings.is_small,
@@ -132,6 +135,7 @@
             row_layout=row_layout,
             directory=self.directory,
             updates=updates,
+            evacuated=evacuated,
             on_config=self._apply,
             needs_confirmation=self.coordinator.lessor.needs_confirmation,
             entry_vms=lambda: self.coordinator.entry_vms,
--- a/src/celerystack/gateway/settings.py
+++ b/src/celerystack/gateway/settings.py
@@ -27,6 +27,8 @@
         Time in seconds between SIGTERM and the end of the process.
     retry_allowance : float
         Retries per window that all VMs together may make beyond `retry_ratio` of the requests.
+    evacuation_s : float
+        Time in seconds after the request to evacuate a zone at which no request may reach it.
     cores : float
         Processor cores that the VM may use; a fraction is part of a core.
     link_mbps : float
@@ -46,6 +48,7 @@
     retry_ratio: float
     retry_window_s: float
     retry_allowance: float
+    evacuation_s: float
     cores: float
     link_mbps: float
     memory_bytes: int
--- a/src/celerystack/gateway/store_watcher.py
+++ b/src/celerystack/gateway/store_watcher.py
@@ -11,7 +11,7 @@
 from twisted.internet import defer
 
 from celerystack import errors, ids
-from celerystack.fleet import directory_sync, rows, servers
+from celerystack.fleet import directory_sync, evacuations, rows, servers
 from celerystack.gateway import config
 
 _log = logging.getLogger(__name__)
@@ -42,6 +42,12 @@
     """Names of the tables and keys that hold configuration and servers, and decoders of their rows.
 
     The decoders raise `errors.CorruptRowError` for rows that must be ignored.
+
+    Attributes
+    ----------
+    evacuated_zone : callable
+        Returns the zone that a row of the configuration's table evacuates, by its key; None if the
+        row is about something else.
     """
 
     config_table: str
@@ -49,6 +55,7 @@
     servers_table: str
     decode_config: Callable[[bytes], config.RoutingConfig]
     decode_server: Callable[[ids.RowKey, bytes], servers.ServerEntry]
+    evacuated_zone: Callable[[ids.RowKey], ids.ZoneName | None]
 
 
 class StoreWatcher:
@@ -72,6 +79,7 @@
         row_layout: RowLayout,
         directory: servers.Directory,
         updates: directory_sync.DirectorySync,
+        evacuated: evacuations.Evacuations,
         on_config: Callable[[config.RoutingConfig], None],
         needs_confirmation: Callable[[], bool],
         entry_vms: Callable[[], int],
@@ -82,6 +90,7 @@
         self._row_layout = row_layout
         self._directory = directory
         self._updates = updates
+        self._evacuations = evacuated
         self._on_config = on_config
         self._needs_confirmation = needs_confirmation
         self._entry_vms = entry_vms
@@ -172,6 +181,7 @@
                 self._config_poll = self._config_read = None
             if answer is not None:
                 version = answer.version
+                self._apply_evacuations(answer, started, is_scan=after is None)
                 self._apply_config(answer)
                 # An empty answer to a long poll is sent when its wait is over.
                 was_empty_poll = after is not None and not answer.rows
@@ -262,6 +272,18 @@
         for done in list(self._update_waits):
             self._end_update_wait(done)
 
+    def _apply_evacuations(self, answer: rows.Rows, started: float, *, is_scan: bool) -> None:
+        present_by_zone: dict[ids.ZoneName, bool] = {}
+        for row in answer.rows:
+            zone = self._row_layout.evacuated_zone(row.key)
+            if zone is not None:
+                present_by_zone[zone] = row.value is not None
+        if is_scan:
+            zones = [zone for zone, present in present_by_zone.items() if present]
+            self._evacuations.apply_scan(zones, answer.version, started)
+        else:
+            self._evacuations.apply_changes(present_by_zone, answer.version, started)
+
     def _apply_config(self, answer: rows.Rows) -> None:
         for row in answer.rows:
             if row.key != self._row_layout.config_key or row.value is None:
--- a/src/celerystack/platform/__main__.py
+++ b/src/celerystack/platform/__main__.py
@@ -60,6 +60,7 @@
             servers_table=registry.TABLE,
             decode_config=config.decode,
             decode_server=registry.decode,
+            evacuated_zone=config.evacuated_zone,
         ),
         request_codec=requests.HeaderRequestCodec(),
         now=_now,
--- a/src/celerystack/platform/config.py
+++ b/src/celerystack/platform/config.py
@@ -11,6 +11,7 @@
 
 TABLE = "op"
 KEY = ids.RowKey("config")
+_EVACUATION_PREFIX = "evacuate/"
 
 # Downloads are requests with large responses; like safe requests, they may be retried.
 _IDEMPOTENT_BY_KIND = {"safe": True, "download": True, "unsafe": False}
@@ -40,6 +41,13 @@
         ) from error
 
 
+def evacuated_zone(key: ids.RowKey) -> ids.ZoneName | None:
+    """Return the zone that a row evacuates by its key; None if it is about something else."""
+    if not key.startswith(_EVACUATION_PREFIX):
+        return None
+    return ids.ZoneName(key.removeprefix(_EVACUATION_PREFIX))
+
+
 def _decode_version(text: str) -> ids.ConfigVersion:
     if not text.startswith("r"):
         raise ValueError(f"{text!r} is not a configuration version")
--- a/src/celerystack/platform/settings.py
+++ b/src/celerystack/platform/settings.py
@@ -14,6 +14,8 @@
 FILE_VARIABLE = "CELERYSTACK_NODE_FILE"
 METRICS_PORT = 9464
 """Must equal the port in the deployment file."""
+EVACUATION_DEFAULT = "5000ms"
+"""Time until an evacuation is binding if the settings name none."""
 DEFAULT_FILE = "/etc/celerystack/local.toml"
 
 
@@ -61,6 +63,7 @@
             retry_ratio=float(terms["retry_budget_ratio"]),
             retry_window_s=wire.seconds(terms["retry_window"]),
             retry_allowance=float(terms["retry_budget_slack"]),
+            evacuation_s=wire.seconds(terms.get("evacuation", EVACUATION_DEFAULT)),
             cores=float(limits["cpu_share"]) * float(limits["cpu_cores"]),
             link_mbps=float(limits["link_mbps"]),
             memory_bytes=int(float(limits["memory_mb"]) * 1_000_000),
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -15,6 +15,7 @@
 from celerystack.fleet import (
     config_distribution,
     directory_sync,
+    evacuations,
     messages,
     nodes,
     rows,
@@ -101,6 +102,8 @@
     updates : directory_sync.DirectorySync
         Passes on what the planner read about the servers: from this VM to the others while it is
         the planner, otherwise from the planner to this VM.
+    evacuated : evacuations.Evacuations
+        Evacuated zones, which the planner tells the other entry VMs.
     sharded_services : callable
         Returns the services whose keys are divided among servers.
     link_mbps : float
@@ -121,6 +124,7 @@
         port: orders.OrderPort,
         directory: servers.Directory,
         updates: directory_sync.DirectorySync,
+        evacuated: evacuations.Evacuations,
         sharded_services: Callable[[], Iterable[ids.ServiceName]],
         link_mbps: float,
         is_small: bool,
@@ -132,6 +136,8 @@
         self._store = store
         self._directory = directory
         self._updates = updates
+        self._evacuations = evacuated
+        evacuated.on_change(self._apply_evacuations)
         self._now = now
         self.range_maps = range_maps.RangeMaps()
         self.range_maps.on_change(lambda _: self.lessor.tick())
@@ -251,6 +257,7 @@
         now = self._now()
         self._reactor.callLater(TICK_S, self._tick)
         self._directory.expire(now)
+        self._apply_evacuations()
         self.lessor.tick()
         self._updates.set_leader(self.leadership.held)
         if now >= self._next_heartbeat_at:
@@ -267,6 +274,12 @@
             )
             running.addBoth(self._on_work_done)
 
+    def _apply_evacuations(self) -> None:
+        """Apply evacuations that have begun or ended, or have become binding."""
+        self._directory.set_evacuations(
+            evacuated=self._evacuations.zones, closed=self._evacuations.closed_zones()
+        )
+
     def _announce(self) -> None:
         """Send planner heartbeats if this VM is the planner.
 
@@ -429,6 +442,7 @@
         leaving = self._directory.leaving_incarnations()
         limits = self._rate_limits.next_announcements()
         self._rate_limits.note_announced(limits)
+        evacuated = self._evacuations.list_all()
         updates_since = functools.cache(self._updates.update_since)
         for peer in self._map_distributor.others():
             heartbeat = messages.PlannerHeartbeat(
@@ -447,6 +461,7 @@
                 incarnations_with_reused_address=incarnations_with_reused_address,
                 rate_limits=limits,
                 leaving=leaving,
+                evacuations=evacuated,
             )
             self._datagrams.send(messages.encode(heartbeat), peer.node.address)
             self._map_distributor.resend(peer, now)
@@ -524,6 +539,8 @@
         self._note_address_reused(heartbeat.incarnations_with_reused_address)
         self._note_leaving(heartbeat.leaving)
         self._rate_limits.note_announced(heartbeat.rate_limits)
+        if heartbeat.evacuations is not None:
+            self._evacuations.apply_announced(heartbeat.evacuations)
         if heartbeat.update is not None:
             self._updates.apply(heartbeat.update)
         self._datagrams.send(messages.encode(self._own_report()), address)
--- a/tests/fleet/test_messages.py
+++ b/tests/fleet/test_messages.py
@@ -3,7 +3,7 @@
 import testtools
 
 from celerystack import errors, ids
-from celerystack.fleet import directory_sync, messages
+from celerystack.fleet import directory_sync, evacuations, messages
 from celerystack.limits import rate_limits
 from tests.ranges import fakes
 
@@ -37,6 +37,11 @@
     incarnations_with_reused_address=(fakes.incarnation("c"),),
     rate_limits=(LIMIT, ENDED_LIMIT),
     leaving=(fakes.incarnation("d"),),
+    evacuations=evacuations.EvacuationList(
+        version=ids.RowVersion(9),
+        age_s=0.2,
+        evacuations=(evacuations.Evacuation(fakes.ZONE, 1.5),),
+    ),
 )
 REPORT = messages.Report(
     vm=ids.EntryVmId("v1"),
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -296,6 +296,45 @@
         self.assertTrue(all(pool.closed for pool in self.pools.values()))
 
 
+class EvacuatedZoneTest(DispatchCase):
+    """The zone of a key's server is evacuated."""
+
+    def evacuate(self, *closed):
+        self.directory.set_evacuations(evacuated=frozenset({fakes.ZONE}), closed=frozenset(closed))
+
+    def test_owner_is_used_until_the_zone_is_closed(self):
+        """Guards against unserved keys before they have moved, and against requests afterwards."""
+        self.evacuate()
+        self.call()
+        self.assertEqual(1, self.sent("1"))
+        self.evacuate(fakes.ZONE)
+        self.assertIsInstance(self.call()[0], calls.Refused)
+        self.assertEqual(1, self.sent("1"))
+
+    def test_queued_calls_are_not_sent_to_a_closed_zone(self):
+        """Guards against a request that waited for a server of the zone and reaches it later."""
+        self.call()
+        queued = self.call()
+        self.evacuate(fakes.ZONE)
+        self.call()
+        self.pools["1"].answer()
+        self.assertIsInstance(queued[0], calls.Refused)
+
+
+class UnshardedEvacuationTest(DispatchCase):
+    sharded = False
+
+    def test_calls_go_to_other_zones_at_once(self):
+        """Guards against new requests to an evacuated zone, which any other server can run."""
+        entry = dataclasses.replace(self.entries["2"], zone=ids.ZoneName("z2"))
+        self.directory.apply_changes([entry], [], self.clock.seconds())
+        self.directory.set_evacuations(evacuated=frozenset({fakes.ZONE}), closed=frozenset())
+        for _ in range(4):
+            self.call()
+            self.pools["2"].answer()
+        self.assertEqual(0, self.sent("1"))
+
+
 class RepeatTest(DispatchCase):
     def test_key_that_is_not_held_is_asked_for_again(self):
         """Guards against a failed call because the grant arrives shortly after the request."""
--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -4,7 +4,7 @@
 from twisted.internet import defer, task
 
 from celerystack import errors, ids
-from celerystack.fleet import directory_sync, rows, servers
+from celerystack.fleet import directory_sync, evacuations, rows, servers
 from celerystack.gateway import config, store_watcher
 from tests.ranges import fakes
 
@@ -21,6 +21,7 @@
         self.polls_hang = False
         self.scan_s = 0.0
         self.scans_in_flight = 0
+        self.evacuated = None
 
     def _end_scan(self, result):
         self.scans_in_flight -= 1
@@ -55,6 +56,11 @@
                 version=ids.RowVersion(self.config_row),
             )
             found.append(row)
+        if table == "op":
+            # The value of a removed row is None.
+            key = ids.RowKey(f"evacuate/{self.evacuated or 'z1'}")
+            value = b"{}" if self.evacuated else None
+            found.append(rows.Row(key=key, value=value, version=ids.RowVersion(self.position)))
         return defer.succeed(rows.Rows(rows=tuple(found), version=ids.RowVersion(self.position)))
 
 
@@ -74,6 +80,7 @@
         self.store = Store(self.clock)
         self.directory = servers.Directory()
         self.directory_sync = directory_sync.DirectorySync(self.directory, now=self.clock.seconds)
+        self.evacuations = evacuations.Evacuations(binding_after_s=5.0, now=self.clock.seconds)
         self.taken = []
         self.needs_confirmation = False
         self.entry_vms = 12
@@ -83,6 +90,7 @@
             servers_table="servers",
             decode_config=_decode,
             decode_server=lambda key, data: fakes.entry(key),
+            evacuated_zone=lambda key: ids.ZoneName(key[9:]) if key[:9] == "evacuate/" else None,
         )
         store_watcher.StoreWatcher(
             self.clock,
@@ -90,6 +98,7 @@
             row_layout=row_layout,
             directory=self.directory,
             updates=self.directory_sync,
+            evacuated=self.evacuations,
             on_config=lambda routing: self.taken.append(routing.version),
             needs_confirmation=lambda: self.needs_confirmation,
             entry_vms=lambda: self.entry_vms,
@@ -124,6 +133,18 @@
         self.assertEqual({"op", "servers"}, set(self.store.scans))
         self.assertEqual([3], self.taken)
 
+    def test_evacuations_are_read_with_the_configuration(self):
+        """Guards against evacuated zones that are missed, or forgotten with a new configuration."""
+        self.store.evacuated = "z1"
+        self.clock.pump([0.1] * 30)
+        self.assertEqual({"z1"}, self.evacuations.zones)
+        self.store.config_row, self.store.position = 11, 11
+        self.clock.pump([0.1] * 30)
+        self.assertEqual({"z1"}, self.evacuations.zones)
+        self.store.evacuated = None
+        self.clock.pump([0.1] * 30)
+        self.assertEqual(frozenset(), self.evacuations.zones)
+
     def test_nothing_is_read_while_updates_arrive(self):
         """Guards against reads of the store by every entry VM while the planner sends updates."""
         self.run_with_updates(2.0)
@@ -328,6 +349,7 @@
             servers_table="servers",
             decode_config=_decode,
             decode_server=lambda key, data: fakes.entry(key),
+            evacuated_zone=lambda key: ids.ZoneName(key[9:]) if key[:9] == "evacuate/" else None,
         )
         store_watcher.StoreWatcher(
             self.clock,
@@ -335,6 +357,7 @@
             row_layout=row_layout,
             directory=directory,
             updates=updates,
+            evacuated=evacuations.Evacuations(binding_after_s=5.0, now=self.clock.seconds),
             on_config=lambda routing: taken.append(routing.version),
             needs_confirmation=lambda: False,
             entry_vms=lambda: 2,
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -118,3 +118,10 @@
         """Guards against accepting a malformed duration with a default value."""
         for text in ("", "5", "5 s", "-1s", None, 5):
             self.assertRaises(ValueError, wire.seconds, text)
+
+
+class EvacuationRowTest(testtools.TestCase):
+    def test_zone_of_a_row(self):
+        """Guards against taking another operator row for the evacuation of a zone."""
+        self.assertEqual("z1", config.evacuated_zone(ids.RowKey("evacuate/z1")))
+        self.assertIsNone(config.evacuated_zone(ids.RowKey("config")))
--- a/tests/ranges/test_coordinator.py
+++ b/tests/ranges/test_coordinator.py
@@ -8,7 +8,7 @@
 from twisted.internet import task
 
 from celerystack import ids
-from celerystack.fleet import directory_sync, messages, nodes, rows, servers
+from celerystack.fleet import directory_sync, evacuations, messages, nodes, rows, servers
 from celerystack.ranges import codec, coordinator, leadership, leases
 from tests.ranges import fakes
 
@@ -45,6 +45,7 @@
         self.scanned = []
         scan = self.store.scan
         self.store.scan = lambda table: self.scanned.append(table) or scan(table)
+        self.evacuations = evacuations.Evacuations(binding_after_s=5.0, now=self.clock.seconds)
         self.coordinator = coordinator.Coordinator(
             self.clock,
             node=nodes.Node(vm=OWN, zone=fakes.ZONE, address=("10.0.0.1", 7000)),
@@ -53,6 +54,7 @@
             port=fakes.FakeOrders(),
             directory=self.directory,
             updates=directory_sync.DirectorySync(self.directory, now=self.clock.seconds),
+            evacuated=self.evacuations,
             sharded_services=list,
             link_mbps=100.0,
             is_small=self.is_small,
@@ -300,3 +302,20 @@
         self.assertEqual(1, len(self.parts_sent()))
         self.run_with_reports(1.5)
         self.assertGreaterEqual(len(self.parts_sent()), 2)
+
+
+class EvacuationTest(CoordinatorCase):
+    def test_followers_evacuate_what_the_planner_announces(self):
+        """Guards against a VM that sends to an evacuated zone, of which only the planner knows."""
+        self.directory.apply_all([fakes.entry("a")], self.clock.seconds())
+        listed = evacuations.EvacuationList(
+            version=ids.RowVersion(9),
+            age_s=0.2,
+            evacuations=(evacuations.Evacuation(fakes.ZONE, 1.0),),
+        )
+        heartbeat = dataclasses.replace(self.heartbeat(confirm_age_s=0.1), evacuations=listed)
+        self.coordinator._on_datagram(messages.encode(heartbeat), ("10.0.0.2", 7000))
+        self.assertEqual([], self.directory.usable(fakes.SERVICE))
+        self.assertEqual(1, len(self.directory.serving(fakes.SERVICE)))
+        self.run_for(5.0)
+        self.assertEqual([], self.directory.serving(fakes.SERVICE))
--- a/tests/ranges/test_planner.py
+++ b/tests/ranges/test_planner.py
@@ -90,6 +90,17 @@
         moved = [s for s in self.ranges().segments if s.handover]
         self.assertEqual({fakes.incarnation("b")}, {segment.owner for segment in moved})
 
+    def test_keys_leave_an_evacuated_zone_by_handover(self):
+        """Guards against keys that stay in an evacuated zone, or leave it without a release."""
+        other_zone = fakes.entry("b", zone=ids.ZoneName("z2"))
+        self.directory.apply_changes([other_zone], [], self.clock.seconds())
+        self.directory.set_evacuations(evacuated=frozenset({fakes.ZONE}), closed=frozenset())
+        self.tick()
+        self.tick()
+        self.assertEqual({fakes.incarnation("b")}, {s.owner for s in self.ranges().segments})
+        self.assertTrue(self.orders.released)
+        self.assertTrue(all(segment.is_settled for segment in self.ranges().segments))
+
     def test_release_carries_the_new_token(self):
         """Guards against a delayed renewal that the server accepts after it released the keys."""
         before = self.ranges().next_token
