--- a/src/celerystack/fleet/messages.py
+++ b/src/celerystack/fleet/messages.py
@@ -9,6 +9,7 @@
 
 from celerystack import errors, ids
 from celerystack.fleet import directory_sync, evacuations, servers
+from celerystack.forwarding import owners
 from celerystack.limits import rate_limits
 from celerystack.ranges import codec, model
 
@@ -52,6 +53,8 @@
         Limits in servers' answers to the sender of which the planner has sent none or older ones.
     leaving : tuple of ServerIncarnation
         Server incarnations that have stated that they leave, before their entries do.
+    queue_weight : float
+        Share of the queues that the sender should own; 0 if it should own none.
     """
 
     vm: ids.EntryVmId
@@ -70,6 +73,7 @@
     config_row: ids.RowVersion = directory_sync.UNKNOWN
     rate_limits: tuple[rate_limits.RateLimit, ...] = ()
     leaving: tuple[model.ServerIncarnation, ...] = ()
+    queue_weight: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -111,6 +115,8 @@
         Server incarnations that have stated that they leave, before their entries do.
     evacuations : EvacuationList or None
         Evacuated zones; None if the planner has not read them yet.
+    queue_owners : tuple of Owner
+        Entry VMs that own the queues of the servers.
     """
 
     vm: ids.EntryVmId
@@ -129,6 +135,7 @@
     rate_limits: tuple[rate_limits.RateLimit, ...] = ()
     leaving: tuple[model.ServerIncarnation, ...] = ()
     evacuations: evacuations.EvacuationList | None = None
+    queue_owners: tuple[owners.Owner, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -198,6 +205,16 @@
     )
 
 
+def _encode_owner(owner: owners.Owner) -> list[Any]:
+    return [owner.vm, owner.zone, *owner.address, owner.weight]
+
+
+def _decode_owner(vm: Any, zone: Any, host: Any, port: Any, weight: Any) -> owners.Owner:
+    return owners.Owner(
+        ids.EntryVmId(vm), ids.ZoneName(zone), (str(host), int(port)), float(weight)
+    )
+
+
 def _encode_evacuations(listed: evacuations.EvacuationList) -> list[Any]:
     pairs = [[evacuation.zone, evacuation.age_s] for evacuation in listed.evacuations]
     return [listed.version, listed.age_s, pairs]
@@ -299,6 +316,7 @@
                 message.config_row,
                 [_encode_rate_limit(limit) for limit in message.rate_limits],
                 [_encode_incarnation(incarnation) for incarnation in message.leaving],
+                message.queue_weight,
             ]
             return msgpack.packb(["report", *fields])
         case PlannerHeartbeat():
@@ -322,6 +340,7 @@
                 [_encode_rate_limit(limit) for limit in message.rate_limits],
                 [_encode_incarnation(incarnation) for incarnation in message.leaving],
                 None if message.evacuations is None else _encode_evacuations(message.evacuations),
+                [_encode_owner(owner) for owner in message.queue_owners],
             ]
             return msgpack.packb(["beacon", *fields])
         case RangesPart():
@@ -378,6 +397,7 @@
         config_row,
         limits,
         leaving,
+        queue_weight,
     ) = rest
     return Report(
         vm=vm,
@@ -407,6 +427,7 @@
         config_row=ids.RowVersion(int(config_row)),
         rate_limits=tuple(_decode_rate_limit(*limit) for limit in limits),
         leaving=tuple(codec.decode_incarnation(incarnation) for incarnation in leaving),
+        queue_weight=float(queue_weight),
     )
 
 
@@ -422,6 +443,7 @@
         limits,
         leaving,
         evacuated,
+        queue_owners,
     ) = rest
     return PlannerHeartbeat(
         vm=vm,
@@ -445,6 +467,7 @@
         rate_limits=tuple(_decode_rate_limit(*limit) for limit in limits),
         leaving=tuple(codec.decode_incarnation(incarnation) for incarnation in leaving),
         evacuations=None if evacuated is None else _decode_evacuations(*evacuated),
+        queue_owners=tuple(_decode_owner(*owner) for owner in queue_owners),
     )
 
 
--- a/src/celerystack/fleet/servers.py
+++ b/src/celerystack/fleet/servers.py
@@ -25,6 +25,9 @@
 REMOVED_KEPT_S = 120.0
 """Time in seconds for which the record of a removed server is kept, so that it is still known which
 of its incarnations have ended."""
+COLD_AGAIN_S = 1.0
+"""By how many seconds a server stays cold longer than was known, for it to have gone cold again;
+more than the time between two of its entries, which say how long it stays cold."""
 EXPIRY_INTERVAL_S = 0.05
 """Shortest interval in seconds between two searches for expired entries and records."""
 READS_KEPT = 30
@@ -333,7 +336,12 @@
         record.entry = entry
         record.seen_at = now
         record.latest_version = max(record.latest_version, entry.row_version)
-        record.warm_at = min(record.warm_at, now + entry.cold_s)
+        warm_at = now + entry.cold_s
+        if entry.cold_s > 0 and warm_at > max(now, record.warm_at) + COLD_AGAIN_S:
+            record.warm_at = warm_at
+            self._record_change("server is cold again", entry)
+        else:
+            record.warm_at = min(record.warm_at, warm_at)
         record.removed = record.expired = False
 
     def _remove(self, server: ids.ServerId, now: float) -> None:
--- /dev/null
+++ b/src/celerystack/forwarding/owners.py
@@ -0,0 +1,146 @@
+"""Which entry VMs own the queues of which servers."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import math
+from collections.abc import Callable, Iterable, Mapping
+
+from celerystack import ids
+
+FORWARDING_VMS_MIN = 30
+"""Number of entry VMs from which calls are forwarded to owners. Fewer VMs see each server often enough to order
+and count its requests themselves, so that the extra hop costs more than it gains."""
+VMS_PER_OWNER = 10
+"""Number of entry VMs for each queue owner; the larger ones have several times as much processor."""
+OWNERS_MIN = 4
+"""Smallest number of owners, so that the loss of one concerns a quarter of the servers at most."""
+LIST_VALID_S = 10.0
+"""Time in seconds after the planner's last heartbeat for which calls are forwarded to the owners that
+it named."""
+EXCLUSIVE_S = 1.2
+"""Time in seconds after the planner's last heartbeat for which an owner relies on being the only
+one of a server."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Owner:
+    """An entry VM that owns queues.
+
+    Attributes
+    ----------
+    address : tuple
+        Where it accepts forwarded calls.
+    weight : float
+        Share of the queues that it should own, in proportion to those of other owners.
+    """
+
+    vm: ids.EntryVmId
+    zone: ids.ZoneName
+    address: tuple[str, int]
+    weight: float
+
+
+def choose_owners(
+    live: Iterable[Owner], current: Iterable[Owner], *, entry_vms: int
+) -> tuple[Owner, ...]:
+    """Return the entry VMs that should own queues: the largest ones, and current ones among equals.
+
+    Parameters
+    ----------
+    live : iterable of Owner
+        The entry VMs that report to the planner.
+    current : iterable of Owner
+        The owners named so far.
+    entry_vms : int
+        Number of registered entry VMs.
+    """
+    is_current = {owner.vm for owner in current}
+    ranked = sorted(live, key=lambda vm: (-vm.weight, vm.vm not in is_current, vm.vm))
+    return tuple(sorted(ranked[: max(OWNERS_MIN, entry_vms // VMS_PER_OWNER)]))
+
+
+def _score(owner: Owner, server: ids.ServerId) -> float:
+    """Return the weighted rendezvous score of an owner for a server."""
+    digest = hashlib.blake2b(f"{owner.vm}/{server}".encode(), digest_size=8).digest()
+    uniform = (int.from_bytes(digest, "big") + 1) / 2**64
+    return -owner.weight / math.log(uniform) if uniform < 1 else math.inf
+
+
+class QueueOwners:
+    """The owners that the planner named last, and the queues that each of them owns.
+
+    A server belongs to an owner in its own zone, if there is one: a zone that is cut off keeps its
+    owners, and only the way to the owner crosses zones.
+
+    Parameters
+    ----------
+    vm : EntryVmId
+        This entry VM.
+    now : callable
+        Clock in seconds.
+    """
+
+    def __init__(self, *, vm: ids.EntryVmId, now: Callable[[], float]) -> None:
+        self._vm = vm
+        self._now = now
+        self._announced_at = float("-inf")
+        self._entry_vms = 0
+        self._owner_by_server: dict[ids.ServerId, Owner] = {}
+        self._listeners: list[Callable[[], None]] = []
+        self.owners: tuple[Owner, ...] = ()
+        self.version = 0
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after each change of the owners."""
+        self._listeners.append(listener)
+
+    def announce(self, named: tuple[Owner, ...], *, entry_vms: int) -> None:
+        """Take the owners in a heartbeat of the planner, or of this VM as the planner."""
+        self._announced_at = self._now()
+        self._entry_vms = entry_vms
+        if named == self.owners:
+            return
+        self.owners = named
+        self._owner_by_server.clear()
+        self.version += 1
+        for listener in self._listeners:
+            listener()
+
+    @property
+    def is_forwarding(self) -> bool:
+        """Whether calls are forwarded to owners."""
+        is_valid = self._now() - self._announced_at <= LIST_VALID_S
+        return bool(self.owners) and is_valid and self._entry_vms >= FORWARDING_VMS_MIN
+
+    def owner_of(self, server: ids.ServerId, zone: ids.ZoneName) -> Owner | None:
+        """Return the owner of a server's queue; None if there are no owners."""
+        if not self.owners:
+            return None
+        found = self._owner_by_server.get(server)
+        if found is None:
+            in_zone = [owner for owner in self.owners if owner.zone == zone]
+            found = max(in_zone or self.owners, key=lambda owner: _score(owner, server))
+            self._owner_by_server[server] = found
+        return found
+
+    def owns(self, server: ids.ServerId, zone: ids.ZoneName) -> bool:
+        """Return whether this VM owns a server's queue."""
+        owner = self.owner_of(server, zone)
+        return owner is not None and owner.vm == self._vm
+
+    def is_only_sender(self, server: ids.ServerId, zone: ids.ZoneName) -> bool:
+        """Return whether this VM may rely on being the only owner of a server's queue."""
+        return self._now() - self._announced_at <= EXCLUSIVE_S and self.owns(server, zone)
+
+    def slots_by_owner(
+        self, slots_by_server: Mapping[tuple[ids.ServerId, ids.ZoneName], int]
+    ) -> dict[Owner, int]:
+        """Return how many of the given slots belong to the servers of each owner."""
+        slots: dict[Owner, int] = {}
+        for (server, zone), count in slots_by_server.items():
+            owner = self.owner_of(server, zone)
+            if owner is not None:
+                slots[owner] = slots.get(owner, 0) + count
+        return slots
--- a/src/celerystack/gateway/config.py
+++ b/src/celerystack/gateway/config.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 
 from celerystack import ids
+from celerystack.limits import cold_starts
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -55,12 +56,15 @@
         Whether each key is owned exclusively by one server.
     connections_max : int
         Maximum number of connections that one server accepts in total.
+    cold : ColdPolicy
+        How long servers are cold after their start, and what they tolerate meanwhile.
     """
 
     name: ids.ServiceName
     sharded: bool
     connections_max: int
     health_path: str
+    cold: cold_starts.ColdPolicy = cold_starts.ColdPolicy()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -17,15 +17,17 @@
 from celerystack.gateway import (
     calls,
     config,
-    dispatch,
+    attempts,
     frontend,
     metrics,
+    request_path,
     retries,
     settings,
     shutdown,
     store_watcher,
 )
-from celerystack.limits import byte_budget
+from celerystack.forwarding import owners
+from celerystack.limits import byte_budget, cold_starts
 from celerystack.ranges import coordinator, orders
 from celerystack.requests import callerhttp
 
@@ -39,7 +41,7 @@
 
 
 class CoordinatorKeyRouting:
-    """Implements `dispatch.KeyRouting` with the coordinator."""
+    """Implements `attempts.KeyRouting` with the coordinator."""
 
     def __init__(self, coordination: coordinator.Coordinator) -> None:
         self._coordination = coordination
@@ -87,6 +89,7 @@
         self.directory = servers.Directory()
         updates = directory_sync.DirectorySync(self.directory, now=now)
         evacuated = evacuations.Evacuations(binding_after_s=node_settings.evacuation_s, now=now)
+        queue_owners = owners.QueueOwners(vm=node_settings.vm, now=now)
         metrics.register_evacuated_zones(self.registry, lambda: len(evacuated.zones))
         self._config: config.RoutingConfig | None = None
         self.stopping = False
@@ -101,16 +104,23 @@
             directory=self.directory,
             updates=updates,
             evacuated=evacuated,
+            queue_owners=queue_owners,
+            queue_weight=node_settings.queue_weight,
             sharded_services=self._sharded_services,
             link_mbps=node_settings.link_mbps,
             is_small=node_settings.is_small,
             now=now,
         )
-        self.dispatcher = dispatch.Dispatcher(
+        self.request_path = request_path.RequestPath(
             reactor,
+            vm=node_settings.vm,
             zone=node_settings.zone,
             directory=self.directory,
             key_routing=CoordinatorKeyRouting(self.coordinator),
+            queue_owners=queue_owners,
+            cold_tolerance=cold_starts.ColdTolerance(
+                overshoot=node_settings.cold_overshoot, slack=node_settings.cold_slack
+            ),
             request_codec=request_codec,
             budget=retries.RetryBudgetShare(
                 ratio=node_settings.retry_ratio,
@@ -120,11 +130,11 @@
             answer_budget=byte_budget.ByteBudget(node_settings.answer_bytes_max),
             now=now,
         )
-        self.coordinator.set_unreachable_source(self.dispatcher.refusing_servers)
-        self.coordinator.set_rate_limits(self.dispatcher.rate_limits)
+        self.coordinator.set_unreachable_source(self.request_path.refusing_servers)
+        self.coordinator.set_rate_limits(self.request_path.rate_limits)
         self.frontend = frontend.FrontEnd(
             reactor,
-            dispatcher=self.dispatcher,
+            dispatcher=self.request_path.dispatcher,
             request_codec=request_codec,
             on_finished=self.metrics.record_reply,
             now=now,
@@ -168,6 +178,7 @@
                 caught,
                 extra={"step": "start"},
             )
+        self.request_path.start(self.settings.peer_address)
         self.store_watcher.start()
         self.coordinator.start()
 
@@ -189,12 +200,14 @@
         _log.info("shutting down", extra={"step": "stop"})
         deadline = self._now() + self.settings.grace_period_s - SHUTDOWN_MARGIN_S
         self.frontend.announce_drain(take_until=self._now() + KEEP_LISTENING_S, deadline=deadline)
+        self.request_path.listener.announce_drain()
         await self.coordinator.stop()
         await self._sleep(KEEP_LISTENING_S)
         self.frontend.stop_accepting()
-        await shutdown.finish_connections(
-            self.frontend, deadline=deadline, now=self._now, sleep=self._sleep
-        )
+        for connections in (self.frontend, self.request_path.listener):
+            await shutdown.finish_connections(
+                connections, deadline=deadline, now=self._now, sleep=self._sleep
+            )
         _log.info("stopped", extra={"step": "stop"})
         sys.stdout.flush()
 
@@ -222,5 +235,5 @@
 
     def _apply(self, routing: config.RoutingConfig) -> None:
         self._config = routing
-        self.dispatcher.apply(routing.services_by_name)
+        self.request_path.apply(routing.services_by_name)
         self.frontend.apply(routing)
--- a/src/celerystack/gateway/server_queue.py
+++ b/src/celerystack/gateway/server_queue.py
@@ -10,7 +10,7 @@
 from celerystack.backend import client, http
 from celerystack.fleet import servers
 from celerystack.gateway import call_queue, calls
-from celerystack.limits import concurrency
+from celerystack.limits import cold_starts, concurrency
 
 IN_FLIGHT_MAX = 4
 """Largest number of requests in flight from this VM to one server."""
@@ -57,6 +57,7 @@
         pool: client.ServerPool,
         request_codec: calls.RequestCodec,
         entry_vms: int,
+        cold: cold_starts.ColdStarts,
         on_answer: Callable[[ServerQueue, calls.Call, float], None],
         on_response: Callable[[ServerQueue, http.HttpResponse], None],
         now: Callable[[], float],
@@ -65,6 +66,7 @@
         self.incarnation = record.entry.incarnation
         self.pool = pool
         self._request_codec = request_codec
+        self._cold = cold
         self._on_answer = on_answer
         self._on_response = on_response
         self._now = now
@@ -113,9 +115,41 @@
         self._unanswered_s = self.expected_latency_s() - self.latency_s + waited_s
         self._unanswered_at = self._now()
 
-    def set_entry_vms(self, entry_vms: int) -> None:
-        """Set the number of entry VMs that share the server."""
-        self._limit.set_sharing(entry_vms=entry_vms, maximum=IN_FLIGHT_MAX)
+    def set_sharing(self, *, entry_vms: int, is_owned: bool) -> None:
+        """Set the number of entry VMs that share the server.
+
+        Parameters
+        ----------
+        is_owned : bool
+            Whether this VM owns the queue and so uses all slots of the server, but no more, because
+            the server's own queue has no order.
+        """
+        maximum = self.record.entry.slots if is_owned else IN_FLIGHT_MAX
+        self._limit.set_sharing(entry_vms=entry_vms, maximum=maximum)
+
+    @property
+    def cold_until(self) -> float:
+        """Clock time in seconds until which the server may be cold.
+
+        A server that refused a connection may have restarted under its id, which its entry shows
+        only later.
+        """
+        cold_s = self._cold.policy(self.record.entry.service).cold_s
+        return max(self.record.warm_at, self._connect_failed_at + cold_s)
+
+    def tolerates_request(self) -> bool:
+        """Return whether the bound on requests to cold servers permits one more."""
+        entry = self.record.entry
+        return self._cold.may_send(
+            self.incarnation, service=entry.service, zone=entry.zone, cold_until=self.cold_until
+        )
+
+    def _use_cold_bound(self) -> bool:
+        """Count a request against the bound of cold servers; return whether it may be sent."""
+        entry = self.record.entry
+        return self._cold.try_send(
+            self.incarnation, service=entry.service, zone=entry.zone, cold_until=self.cold_until
+        )
 
     def is_suspect(self) -> bool:
         """Return whether recent failures or a missing answer suggest that the server is down."""
@@ -190,6 +224,8 @@
         remaining_s = call.deadline - started
         if remaining_s <= 0:
             return calls.NotRun(calls.NotRunReason.NOT_SENT, "the deadline has passed")
+        if not self._use_cold_bound():
+            return calls.NotRun(calls.NotRunReason.NOT_SENT, "the server is still cold")
         request = self._request_codec.encode(call, self.incarnation, remaining_s)
         self._started_at[attempt_number] = started
         try:
--- a/src/celerystack/gateway/service_queue.py
+++ b/src/celerystack/gateway/service_queue.py
@@ -62,6 +62,14 @@
         self._limit.limit = max(PLACES_MINIMUM, share)
         self._calls.start_waiting_calls()
 
+    def set_owned_slots(self, slots: int) -> None:
+        """Set the number of slots of the servers whose queues this VM owns.
+
+        No other VM sends to these servers, so there are as many places as slots.
+        """
+        self._limit.limit = max(1, slots)
+        self._calls.start_waiting_calls()
+
     async def take_place(self, call: calls.Call) -> Place | None:
         """Wait for a place; return None if the call cannot be answered before its deadline."""
         if await self._calls.wait_for_turn(call) is not call_queue.WaitOutcome.TAKEN:
--- a/src/celerystack/gateway/settings.py
+++ b/src/celerystack/gateway/settings.py
@@ -12,6 +12,8 @@
 """Below this bandwidth in Mbit/s a VM is small: a planner sends map changes to all entry VMs, and
 whole maps of about 20 KB to those that lack them."""
 
+LINK_MBPS_PER_CORE = 50.0
+"""Bandwidth in Mbit/s that forwarded calls can use on one processor core."""
 ANSWER_MEMORY_SHARE = 0.2
 """Fraction of the memory for responses that are being received. A response is held twice for a
 moment, when it is joined and written to its caller, and the process itself needs the rest."""
@@ -29,6 +31,9 @@
         Retries per window that all VMs together may make beyond `retry_ratio` of the requests.
     evacuation_s : float
         Time in seconds after the request to evacuate a zone at which no request may reach it.
+    cold_overshoot, cold_slack : float
+        In one second a cold server tolerates ``cold_overshoot`` times its rate and ``cold_slack``
+        requests more.
     cores : float
         Processor cores that the VM may use; a fraction is part of a core.
     link_mbps : float
@@ -49,6 +54,8 @@
     retry_window_s: float
     retry_allowance: float
     evacuation_s: float
+    cold_overshoot: float
+    cold_slack: float
     cores: float
     link_mbps: float
     memory_bytes: int
@@ -58,6 +65,11 @@
         """Largest number of bytes of responses that exchanges hold together."""
         return int(self.memory_bytes * ANSWER_MEMORY_SHARE)
 
+    @property
+    def queue_weight(self) -> float:
+        """Share of the queues that this VM should own, in proportion to those of other VMs."""
+        return min(self.cores, self.link_mbps / LINK_MBPS_PER_CORE)
+
     @property
     def is_small(self) -> bool:
         """Whether the VM should become the planner only if there is no larger VM."""
--- a/src/celerystack/limits/concurrency.py
+++ b/src/celerystack/limits/concurrency.py
@@ -115,7 +115,8 @@
         """Set the number of entry VMs that share the slots, and the upper bound of the limit."""
         self._maximum = max(1, maximum)
         self._fair_share = min(float(self._maximum), max(1.0, self._slots / max(1, entry_vms)))
-        self._limit = min(self._limit, float(self._maximum))
+        # The share grows when this VM becomes the only one that uses the slots.
+        self._limit = min(max(self._limit, self._fair_share), float(self._maximum))
 
     def try_start(self) -> bool:
         """Count a request as in flight if the limit allows; return whether it does."""
--- a/src/celerystack/platform/config.py
+++ b/src/celerystack/platform/config.py
@@ -7,6 +7,7 @@
 
 from celerystack import errors, ids
 from celerystack.gateway import config
+from celerystack.limits import cold_starts
 from celerystack.platform import wire
 
 TABLE = "op"
@@ -60,6 +61,14 @@
         sharded=_boolean(fields.get("sharded", False)),
         connections_max=int(fields["max_connections"]),
         health_path=_nonempty_string(fields["health_check_path"]),
+        cold=_decode_cold(fields),
+    )
+
+
+def _decode_cold(fields: dict[str, Any]) -> cold_starts.ColdPolicy:
+    return cold_starts.ColdPolicy(
+        cold_s=wire.seconds(fields.get("cold_start", "0ms")),
+        per_s=max(0.0, float(fields.get("cold_per_s", 0.0))),
     )
 
 
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -21,6 +21,7 @@
     rows,
     servers,
 )
+from celerystack.forwarding import owners
 from celerystack.limits import admission, crash_suspects, rate_limits
 from celerystack.ranges import (
     codec,
@@ -60,6 +61,8 @@
 LEADER_WATCH_S = 1.0
 """A leader whose row does not change for this time may be replaced; longer than
 `planner.CONFIRM_S`."""
+OWNERS_KEPT_S = 2.0
+"""Time in seconds after the start of a term in which the owners of queues stay the same."""
 NODES_READ_S = 2.0
 """Interval in seconds at which the planner reads the registered entry VMs."""
 RETRY_S = 0.4
@@ -104,6 +107,10 @@
         the planner, otherwise from the planner to this VM.
     evacuated : evacuations.Evacuations
         Evacuated zones, which the planner tells the other entry VMs.
+    queue_owners : owners.QueueOwners
+        Entry VMs that own the queues of the servers, whom the planner chooses.
+    queue_weight : float
+        Share of the queues that this VM should own, in proportion to those of other VMs.
     sharded_services : callable
         Returns the services whose keys are divided among servers.
     link_mbps : float
@@ -125,6 +132,8 @@
         directory: servers.Directory,
         updates: directory_sync.DirectorySync,
         evacuated: evacuations.Evacuations,
+        queue_owners: owners.QueueOwners,
+        queue_weight: float,
         sharded_services: Callable[[], Iterable[ids.ServiceName]],
         link_mbps: float,
         is_small: bool,
@@ -138,6 +147,9 @@
         self._updates = updates
         self._evacuations = evacuated
         evacuated.on_change(self._apply_evacuations)
+        self._queue_owners = queue_owners
+        self._queue_weight = queue_weight
+        self._term_began_at = float("-inf")
         self._now = now
         self.range_maps = range_maps.RangeMaps()
         self.range_maps.on_change(lambda _: self.lessor.tick())
@@ -357,6 +369,7 @@
         self.planner.begin_term()
         self._map_distributor.begin_term()
         self._heard_term = self.leadership.term
+        self._term_began_at = self._now()
         await self._read_nodes()
 
     async def _lead(self) -> None:
@@ -443,6 +456,7 @@
         limits = self._rate_limits.next_announcements()
         self._rate_limits.note_announced(limits)
         evacuated = self._evacuations.list_all()
+        self._queue_owners.announce(self._choose_queue_owners(now), entry_vms=registered)
         updates_since = functools.cache(self._updates.update_since)
         for peer in self._map_distributor.others():
             heartbeat = messages.PlannerHeartbeat(
@@ -462,6 +476,7 @@
                 rate_limits=limits,
                 leaving=leaving,
                 evacuations=evacuated,
+                queue_owners=self._queue_owners.owners,
             )
             self._datagrams.send(messages.encode(heartbeat), peer.node.address)
             self._map_distributor.resend(peer, now)
@@ -470,6 +485,20 @@
             )
         self._take_report(self._own_report())
 
+    def _choose_queue_owners(self, now: float) -> tuple[owners.Owner, ...]:
+        """Return the owners of queues; a new planner keeps them until the others have reported."""
+        if now - self._term_began_at < OWNERS_KEPT_S and self._queue_owners.owners:
+            return self._queue_owners.owners
+        live = self._map_distributor.live_owners(now)
+        if self._queue_weight > 0 and not self._stopping:
+            own = owners.Owner(
+                self._node.vm, self._node.zone, self._node.address, self._queue_weight
+            )
+            live.append(own)
+        return owners.choose_owners(
+            live, self._queue_owners.owners, entry_vms=len(self._map_distributor)
+        )
+
     def _update_for(
         self, peer: map_distribution.Peer, update: directory_sync.DirectoryUpdate | None
     ) -> directory_sync.DirectoryUpdate | None:
@@ -539,6 +568,7 @@
         self._note_address_reused(heartbeat.incarnations_with_reused_address)
         self._note_leaving(heartbeat.leaving)
         self._rate_limits.note_announced(heartbeat.rate_limits)
+        self._queue_owners.announce(heartbeat.queue_owners, entry_vms=heartbeat.entry_vms)
         if heartbeat.evacuations is not None:
             self._evacuations.apply_announced(heartbeat.evacuations)
         if heartbeat.update is not None:
@@ -576,6 +606,7 @@
             config_row=self._updates.config_row,
             rate_limits=self._rate_limits.unannounced(),
             leaving=self._directory.leaving_incarnations(),
+            queue_weight=0.0 if self._stopping else self._queue_weight,
         )
 
     def _take_part(self, part: messages.RangesPart) -> None:
--- a/src/celerystack/ranges/map_distribution.py
+++ b/src/celerystack/ranges/map_distribution.py
@@ -8,6 +8,7 @@
 
 from celerystack import ids
 from celerystack.fleet import directory_sync, messages, nodes
+from celerystack.forwarding import owners
 from celerystack.ranges import map_datagrams, model, paced_sender, range_maps
 
 LIVE_S = 1.2
@@ -32,6 +33,8 @@
         Store version up to which it knows the changes of servers.
     config_row : RowVersion
         Version of the newest configuration row that it has.
+    queue_weight : float
+        Share of the queues that it should own, by its report.
     """
 
     def __init__(self, node: nodes.Node) -> None:
@@ -41,6 +44,7 @@
         self.stamp = -1.0
         self.position = directory_sync.UNKNOWN
         self.config_row = directory_sync.UNKNOWN
+        self.queue_weight = 0.0
         self.versions_by_service: dict[ids.ServiceName, int] = {}
         self._sent_by_service: dict[ids.ServiceName, dict[int, float]] = {}
 
@@ -157,6 +161,7 @@
             peer.versions_by_service = report.versions_by_service
             peer.position = report.position
             peer.config_row = report.config_row
+            peer.queue_weight = report.queue_weight
 
     def live_by_zone(self, now: float) -> dict[ids.ZoneName, tuple[ids.EntryVmId, ...]]:
         """Return this VM and those that reported recently, by availability zone."""
@@ -167,6 +172,14 @@
                 by_zone[zone] = (*by_zone.get(zone, ()), peer.node.vm)
         return by_zone
 
+    def live_owners(self, now: float) -> list[owners.Owner]:
+        """Return the other VMs that reported recently and can own queues."""
+        return [
+            owners.Owner(peer.node.vm, peer.node.zone, peer.node.address, peer.queue_weight)
+            for peer in self.others()
+            if now - peer.reported_at < LIVE_S and peer.queue_weight > 0
+        ]
+
     def push(self, service: ids.ServiceName) -> None:
         """Send the changes since the last push to all entry VMs, or the whole map the first time.
 
