Let late items wait behind those of all priorities, with a work margin

Cause: under more load than a service can run, late items of urgent priorities make the items of all other priorities late as well, and an item whose work is above the average is started first although it becomes late.

Ruled out: a change of the default. Existing callers keep the present order until the gateway asks for another one.

Change: DeadlineQueue takes an Ordering (late_behind_all, work_margin) and stores the sort key with each item instead of computing it at each comparison. CallQueue, ServiceQueue and ServerQueue pass it on. The deadline check that sheds items stays at one service time.

--- a/src/celerystack/gateway/call_queue.py
+++ b/src/celerystack/gateway/call_queue.py
@@ -48,13 +48,24 @@
     ----------
     now : callable
         Clock in seconds to which deadlines refer.
+    ordering : Ordering
+        Order in which calls start.
     """
 
-    def __init__(self, reactor: Any, limit: concurrency.Limit, *, now: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        limit: concurrency.Limit,
+        *,
+        now: Callable[[], float],
+        ordering: deadline_queue.Ordering = deadline_queue.BY_PRIORITY,
+    ) -> None:
         self.limit = limit
         self._reactor = reactor
         self._now = now
-        self._queue: deadline_queue.DeadlineQueue[_WaitingCall] = deadline_queue.DeadlineQueue()
+        self._queue: deadline_queue.DeadlineQueue[_WaitingCall] = deadline_queue.DeadlineQueue(
+            ordering=ordering
+        )
         self._service_time_s_by_route: dict[str, float] = {}
         self._expiry_timer: Any = None
 
--- a/src/celerystack/gateway/server_queue.py
+++ b/src/celerystack/gateway/server_queue.py
@@ -10,7 +10,7 @@
 from celerystack.backend import client, http
 from celerystack.fleet import servers
 from celerystack.gateway import call_queue, calls
-from celerystack.limits import concurrency
+from celerystack.limits import concurrency, deadline_queue
 
 IN_FLIGHT_MAX = 4
 """Largest number of requests in flight from this VM to one server."""
@@ -47,6 +47,8 @@
     ----------
     now : callable
         Clock in seconds to which deadlines refer.
+    ordering : Ordering
+        Order in which queued calls start.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         on_answer: Callable[[ServerQueue, calls.Call, float], None],
         on_response: Callable[[ServerQueue, http.HttpResponse], None],
         now: Callable[[], float],
+        ordering: deadline_queue.Ordering = deadline_queue.BY_PRIORITY,
     ) -> None:
         self.record = record
         self.incarnation = record.entry.incarnation
@@ -71,7 +74,7 @@
         self._limit = concurrency.ConcurrencyLimit(
             slots=record.entry.slots, entry_vms=entry_vms, maximum=IN_FLIGHT_MAX
         )
-        self._calls = call_queue.CallQueue(reactor, self._limit, now=now)
+        self._calls = call_queue.CallQueue(reactor, self._limit, now=now, ordering=ordering)
         self._started_at: dict[int, float] = {}
         self._sequence = 0
         self._last_answer_at = now()
--- a/src/celerystack/gateway/service_queue.py
+++ b/src/celerystack/gateway/service_queue.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from celerystack.gateway import call_queue, calls
-from celerystack.limits import concurrency
+from celerystack.limits import concurrency, deadline_queue
 
 SHARE_FACTOR = 1.4
 """In flight are at most so many times this VM's equal share of the slots: the VMs' loads differ.
@@ -49,12 +49,20 @@
     ----------
     now : callable
         Clock in seconds to which deadlines refer.
+    ordering : Ordering
+        Order in which queued calls start.
     """
 
-    def __init__(self, reactor: Any, *, now: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        *,
+        now: Callable[[], float],
+        ordering: deadline_queue.Ordering = deadline_queue.BY_PRIORITY,
+    ) -> None:
         self._reactor = reactor
         self._limit = concurrency.FixedLimit(PLACES_MINIMUM)
-        self._calls = call_queue.CallQueue(reactor, self._limit, now=now)
+        self._calls = call_queue.CallQueue(reactor, self._limit, now=now, ordering=ordering)
 
     def set_slots(self, slots: int, *, entry_vms: int) -> None:
         """Set the number of slots of all servers, and of entry VMs that share them."""
--- a/src/celerystack/limits/deadline_queue.py
+++ b/src/celerystack/limits/deadline_queue.py
@@ -4,6 +4,7 @@
 
 import bisect
 import dataclasses
+import operator
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
@@ -15,6 +16,28 @@
 T = TypeVar("T")
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Ordering:
+    """Rules for items that are not expected to be answered by their due time.
+
+    Attributes
+    ----------
+    late_behind_all : bool
+        Whether late items go behind the items of all priorities that can still be answered in
+        time; otherwise they go behind those of their own priority.
+    work_margin : float
+        Multiple of its expected service time that must fit before the due time of an item, so that
+        it counts as in time. Above 1 it allows for service times above the average.
+    """
+
+    late_behind_all: bool = False
+    work_margin: float = 1.0
+
+
+BY_PRIORITY = Ordering()
+"""Default: late items stay in front of those of less urgent priorities."""
+
+
 @dataclasses.dataclass(slots=True)
 class _Entry(Generic[T]):
     """A queued item; the attributes are those of `DeadlineQueue.push`.
@@ -23,8 +46,10 @@
     ----------
     number : int
         Number of arrival.
-    is_late : bool
-        Whether the item is not expected to be answered by the time at which it is due.
+    can_become_late : bool
+        Whether the item has a due time and is still expected to be answered by it.
+    order : tuple
+        Sort key; items with smaller ones go first.
     """
 
     item: T
@@ -33,22 +58,21 @@
     due: float
     deadline: float
     service_time_s: float | None
-    is_late: bool = False
+    can_become_late: bool
+    order: tuple[float, ...] = ()
 
-    @property
-    def order(self) -> tuple[int, bool, float, int]:
-        """Sort key; items with smaller ones go first."""
-        at = self.deadline if self.is_late else self.due
-        return self.priority, self.is_late, at, self.number
+
+_order = operator.attrgetter("order")
 
 
 class DeadlineQueue(Generic[T]):
     """Bounded queue that sheds items which cannot be answered in time.
 
     Items are ordered by priority, where 0 is the most urgent, and by due time within it. Those that
-    miss their due time go behind the others of their priority, because an overloaded queue in the
-    order of time alone would start each item when it has just become late. Items that cannot be
-    answered before their deadline are shed: they would occupy the server in vain.
+    miss their due time go behind the others of their priority, or of all priorities, because an
+    overloaded queue in the order of time alone would start each item when it has just become late.
+    Items that cannot be answered before their deadline are shed: they would occupy the server in
+    vain.
 
     Parameters
     ----------
@@ -56,8 +80,9 @@
         Maximum number of items; beyond it the last item in order is shed.
     """
 
-    def __init__(self, *, length_max: int = LENGTH_MAX) -> None:
+    def __init__(self, *, length_max: int = LENGTH_MAX, ordering: Ordering = BY_PRIORITY) -> None:
         self._length_max = length_max
+        self._ordering = ordering
         self._entries: list[_Entry[T]] = []
         self._sequence = 0
         self._service_time_s = 0.0
@@ -104,25 +129,46 @@
         """
         self._sequence += 1
         due = deadline if due is None else min(due, deadline)
-        entry = _Entry(item, self._sequence, priority, due, deadline, service_time_s)
-        bisect.insort(self._entries, entry, key=_order)
+        entry = _Entry(
+            item, self._sequence, priority, due, deadline, service_time_s, due < deadline
+        )
+        self._insert(entry, is_late=False)
         self._move_late_items_back(now, concurrency)
         shed = self._shed_late(now, concurrency)
         if len(self._entries) > self._length_max:
             shed.append(self._entries.pop().item)
         return shed
 
+    def _insert(self, entry: _Entry[T], *, is_late: bool) -> None:
+        self._set_order(entry, is_late=is_late)
+        bisect.insort(self._entries, entry, key=_order)
+
+    def _set_order(self, entry: _Entry[T], *, is_late: bool) -> None:
+        at = entry.deadline if is_late else entry.due
+        if self._ordering.late_behind_all:
+            entry.order = is_late, entry.priority, at, entry.number
+        else:
+            entry.order = entry.priority, is_late, at, entry.number
+
     def _move_late_items_back(self, now: float, concurrency: int) -> None:
-        step_s = self._service_time_s / concurrency
-        ahead = 0
+        """Mark and move the items that are not expected to be answered by their due time.
+
+        Like `_shed_late` it looks at each item at each push and therefore makes no calls.
+        """
+        average_s = self._service_time_s
+        margin = self._ordering.work_margin
+        step_s = average_s / concurrency
+        ahead = 1
         is_sorted = True
         for entry in self._entries:
-            answered_at = now + (ahead + 1) * step_s + self._service_time_of(entry)
-            if entry.is_late or entry.due == entry.deadline or answered_at <= entry.due:
-                ahead += 1
-            else:
-                entry.is_late = True
-                is_sorted = False
+            if entry.can_become_late:
+                own_s = entry.service_time_s
+                work_s = average_s if own_s is None else own_s
+                if now + ahead * step_s + margin * work_s > entry.due:
+                    entry.can_become_late = is_sorted = False
+                    self._set_order(entry, is_late=True)
+                    continue
+            ahead += 1
         if not is_sorted:
             self._entries.sort(key=_order)
 
@@ -133,17 +179,21 @@
         when ``p + 1`` requests have finished, on average after ``(p + 1) / concurrency`` service
         times, and is answered one service time of its own later.
         """
-        step_s = self._service_time_s / concurrency
-        kept: list[_Entry[T]] = []
-        shed: list[T] = []
+        average_s = self._service_time_s
+        step_s = average_s / concurrency
+        ahead = 1
+        shed: list[_Entry[T]] = []
         for entry in self._entries:
-            starts_at = now + (len(kept) + 1) * step_s
-            if starts_at + self._service_time_of(entry) < entry.deadline:
-                kept.append(entry)
+            own_s = entry.service_time_s
+            work_s = average_s if own_s is None else own_s
+            if now + ahead * step_s + work_s < entry.deadline:
+                ahead += 1
             else:
-                shed.append(entry.item)
-        self._entries = kept
-        return shed
+                shed.append(entry)
+        if shed:
+            numbers = {entry.number for entry in shed}
+            self._entries = [entry for entry in self._entries if entry.number not in numbers]
+        return [entry.item for entry in shed]
 
     def _service_time_of(self, entry: _Entry[T]) -> float:
         return self._service_time_s if entry.service_time_s is None else entry.service_time_s
@@ -160,13 +210,13 @@
             entry = self._entries.pop(0)
             if now is None or not self._becomes_late(entry, now):
                 return entry.item
-            entry.is_late = True
-            bisect.insort(self._entries, entry, key=_order)
+            entry.can_become_late = False
+            self._insert(entry, is_late=True)
         return None
 
     def _becomes_late(self, entry: _Entry[T], now: float) -> bool:
-        has_due_time = not entry.is_late and entry.due < entry.deadline
-        return has_due_time and now + self._service_time_of(entry) > entry.due
+        work_s = self._ordering.work_margin * self._service_time_of(entry)
+        return entry.can_become_late and now + work_s > entry.due
 
     def expire(self, now: float) -> list[T]:
         """Remove and return the items that can no longer be answered before their deadline."""
@@ -193,7 +243,3 @@
     def next_expiry(self) -> float | None:
         """Return when an item can first no longer be answered in time; None if there is none."""
         return min(map(self._latest_start, self._entries), default=None)
-
-
-def _order(entry: _Entry[T]) -> tuple[int, bool, float, int]:
-    return entry.order
--- a/tests/differential/test_deadline_queue.py
+++ b/tests/differential/test_deadline_queue.py
@@ -19,6 +19,11 @@
     ),
     max_size=60,
 )
+ORDERINGS = st.builds(
+    deadline_queue.Ordering,
+    late_behind_all=st.booleans(),
+    work_margin=st.sampled_from((1.0, 1.5, 2.0)),
+)
 
 
 class Item:
@@ -41,7 +46,8 @@
 class NaiveQueue:
     """Reference implementation: a list that is sorted and searched at each operation."""
 
-    def __init__(self) -> None:
+    def __init__(self, ordering: deadline_queue.Ordering) -> None:
+        self.ordering = ordering
         self.entries: list[Entry] = []
         self.arrivals = 0
         self.service_time_s = 0.0
@@ -50,6 +56,7 @@
         return sorted(
             self.entries,
             key=lambda one: (
+                one.late and self.ordering.late_behind_all,
                 one.priority,
                 one.late,
                 one.deadline if one.late else one.due,
@@ -67,7 +74,8 @@
         step = self.service_time_s / concurrency
         in_time = 0
         for one in self.ordered():
-            completion = now + (in_time + 1) * step + self.own_time(one)
+            reserved = self.ordering.work_margin * self.own_time(one)
+            completion = now + (in_time + 1) * step + reserved
             if not one.late and one.due < one.deadline and completion > one.due:
                 one.late = True
             else:
@@ -83,7 +91,8 @@
     def pop(self, now: float) -> Item | None:
         while self.entries:
             first = self.ordered()[0]
-            missed = now + self.own_time(first) > first.due
+            reserved = self.ordering.work_margin * self.own_time(first)
+            missed = now + reserved > first.due
             if not first.late and first.due < first.deadline and missed:
                 first.late = True
                 continue
@@ -107,11 +116,11 @@
 
 class DeadlineQueueTest(testtools.TestCase):
     @settings(max_examples=300)
-    @given(OPERATIONS)
-    def test_operations(self, operations) -> None:
+    @given(OPERATIONS, ORDERINGS)
+    def test_operations(self, operations, ordering) -> None:
         """Guards against items that are lost, duplicated, reordered or shed by mistake."""
-        queue = deadline_queue.DeadlineQueue(length_max=LENGTH_MAX)
-        naive = NaiveQueue()
+        queue = deadline_queue.DeadlineQueue(length_max=LENGTH_MAX, ordering=ordering)
+        naive = NaiveQueue(ordering)
         items: list[Item] = []
         now = 0.0
         for kind, number, concurrency in operations:
--- a/tests/limits/test_deadline_queue.py
+++ b/tests/limits/test_deadline_queue.py
@@ -76,6 +76,57 @@
         queue.push("second", due=5.0, deadline=10.0, now=0.0, concurrency=1)
         self.assertEqual(["second", "first", None], [queue.pop(2.5) for _ in range(3)])
 
+    def test_late_items_go_behind_all_priorities(self):
+        """Guards against late urgent items that make all items of other priorities late."""
+        ordering = deadline_queue.Ordering(late_behind_all=True)
+        queue = self.queue(1.0, ordering=ordering)
+        for item, priority, due, deadline in (
+            ("late, not urgent", 2, 1.4, 10.0),
+            ("late, later deadline", 0, 1.4, 12.0),
+            ("late, urgent", 0, 1.4, 11.0),
+            ("not urgent", 2, 3.0, 13.0),
+            ("urgent", 0, 5.0, 14.0),
+        ):
+            queue.push(item, priority=priority, due=due, deadline=deadline, now=0.0, concurrency=2)
+        self.assertEqual(
+            ["urgent", "not urgent", "late, urgent", "late, later deadline", "late, not urgent"],
+            [queue.pop() for _ in range(5)],
+        )
+
+    def test_late_items_stay_within_their_priority_by_default(self):
+        """Guards against a change of the order where no other ordering is asked for."""
+        queue = self.queue(1.0)
+        for item, priority, due in (("not urgent", 2, 5.0), ("late, urgent", 0, 1.4)):
+            queue.push(item, priority=priority, due=due, deadline=20.0, now=0.0, concurrency=2)
+        self.assertEqual(["late, urgent", "not urgent"], [queue.pop() for _ in range(2)])
+
+    def test_work_margin_must_fit_before_the_due_time(self):
+        """Guards against starting an item first that is late if its work is above the average."""
+        ordering = deadline_queue.Ordering(work_margin=2.0)
+        queue = self.queue(1.0, ordering=ordering)
+        options = {"deadline": 10.0, "now": 0.0, "concurrency": 10}
+        for item, due in (("one service time", 1.5), ("two service times", 2.5)):
+            self.assertEqual([], queue.push(item, due=due, **options))
+        self.assertEqual("two service times", queue.pop())
+
+    def test_work_margin_holds_when_an_item_starts(self):
+        """Guards against a margin that ends while the item waits."""
+        for margin, expected in ((1.0, "early"), (2.0, "second")):
+            ordering = deadline_queue.Ordering(work_margin=margin)
+            queue = self.queue(1.0, ordering=ordering)
+            for item, due in (("early", 4.0), ("second", 6.0)):
+                queue.push(item, due=due, deadline=20.0, now=0.0, concurrency=10)
+            self.assertEqual(expected, queue.pop(2.5))
+
+    def test_work_margin_sheds_nothing(self):
+        """Guards against shedding an item that is expected to be answered by its deadline."""
+        ordering = deadline_queue.Ordering(late_behind_all=True, work_margin=3.0)
+        queue = self.queue(1.0, ordering=ordering)
+        options = {"due": 1.2, "now": 0.0, "concurrency": 10}
+        self.assertEqual([], queue.push("kept", deadline=1.5, **options))
+        self.assertEqual(["shed"], queue.push("shed", deadline=1.1, **options))
+        self.assertEqual(0.5, queue.next_expiry())
+
     def test_length_bound_sheds_the_latest_deadline(self):
         """Guards against unbounded memory, and against shedding the item with an early deadline."""
         queue = self.queue(length_max=2)
