--- a/src/celerystack/forwarding/listener.py
+++ b/src/celerystack/forwarding/listener.py
@@ -73,9 +73,7 @@
         running.addErrback(self._on_error, call.number)
         running.addCallback(lambda result: self._finish(accepted, call.number, result))
 
-    def _finish(
-        self, accepted: stream.Stream, number: int, result: messages.Result | None
-    ) -> None:
+    def _finish(self, accepted: stream.Stream, number: int, result: messages.Result | None) -> None:
         self._running_by_stream.get(accepted, {}).pop(number, None)
         if result is not None:
             accepted.send(result)
--- a/src/celerystack/forwarding/messages.py
+++ b/src/celerystack/forwarding/messages.py
@@ -117,9 +117,7 @@
     """Return a message as a msgpack array of its kind and its fields in order."""
     match message:
         case ForwardedCall():
-            fields = [
-                getattr(message, field.name) for field in dataclasses.fields(message)
-            ]
+            fields = [getattr(message, field.name) for field in dataclasses.fields(message)]
             fields[_HEADERS_INDEX] = _pairs(message.headers)
             fields[-1] = [[tried.server, tried.started_ms] for tried in message.tried]
             return msgpack.packb(["call", *fields])
--- a/src/celerystack/forwarding/owners.py
+++ b/src/celerystack/forwarding/owners.py
@@ -10,15 +10,15 @@
 from celerystack import ids
 
 FORWARDING_VMS_MIN = 30
-"""Number of entry VMs from which calls are forwarded to owners. Fewer VMs see each server often enough to order
-and count its requests themselves, so that the extra hop costs more than it gains."""
+"""Number of entry VMs from which calls are forwarded to owners. Fewer VMs see each server often
+enough to order and count its requests themselves, so that the hop costs more than it gains."""
 VMS_PER_OWNER = 10
-"""Number of entry VMs for each queue owner; the larger ones have several times as much processor."""
+"""Number of entry VMs for each queue owner; the larger VMs have several times as much processor."""
 OWNERS_MIN = 4
 """Smallest number of owners, so that the loss of one concerns a quarter of the servers at most."""
 LIST_VALID_S = 10.0
-"""Time in seconds after the planner's last heartbeat for which calls are forwarded to the owners that
-it named."""
+"""Time in seconds after the planner's last heartbeat for which calls are forwarded to the owners
+that it named."""
 EXCLUSIVE_S = 1.2
 """Time in seconds after the planner's last heartbeat for which an owner relies on being the only
 one of a server."""
--- a/src/celerystack/gateway/attempts.py
+++ b/src/celerystack/gateway/attempts.py
@@ -134,9 +134,7 @@
         waiting = self._queues.service_queue(call.service, owned=owned)
         place = await waiting.take_place(call)
         if place is None:
-            return refusals.refuse(
-                "the service's queue is too long", waiting.wait_estimate_s(call)
-            )
+            return refusals.refuse("the service's queue is too long", waiting.wait_estimate_s(call))
         try:
             return await self._choose_and_run(call, policy, tried, owned=owned)
         finally:
@@ -204,9 +202,7 @@
                 )
             if not await self._wait_for_change(call.service, wait_until):
                 if owner is None or self._now() >= give_up_at:
-                    return refusals.refuse(
-                        "the key is being moved", refusals.RETRY_AFTER_UNREADY_S
-                    )
+                    return refusals.refuse("the key is being moved", refusals.RETRY_AFTER_UNREADY_S)
                 if owner.is_paused:
                     return self._refuse_paused_owner(owner)
                 return self._use_limits(call, owner, is_planned=True)
@@ -227,9 +223,7 @@
         """Return the best server that is not paused and whose limits permit the call."""
         accepting = [candidate for candidate in candidates if not candidate.is_paused]
         if candidates and not accepting:
-            return refusals.refuse_paused(
-                candidates, "all servers asked for a pause", self._now()
-            )
+            return refusals.refuse_paused(candidates, "all servers asked for a pause", self._now())
         permitted = [candidate for candidate in accepting if self._may_send(candidate)]
         chosen = server_queue.best(permitted, zone=self._zone, now=self._now())
         if chosen is not None:
@@ -251,9 +245,7 @@
         if not chosen.tolerates_request():
             return refusals.refuse_overload(call, "the server is still cold")
         sharers = self._queues.sharers(chosen)
-        if self._rate_limits.try_send(
-            chosen.incarnation, entry_vms=sharers, is_planned=is_planned
-        ):
+        if self._rate_limits.try_send(chosen.incarnation, entry_vms=sharers, is_planned=is_planned):
             return chosen
         return refusals.refuse_overload(call, "the server is at its rate limit")
 
--- a/src/celerystack/gateway/dispatch.py
+++ b/src/celerystack/gateway/dispatch.py
@@ -13,8 +13,8 @@
 REJECTIONS_MAX = 3
 """Maximum number of times that servers may reject a call, after which it is refused."""
 UNPLACED_MAX = 3
-"""Maximum number of attempts for which no server was chosen, such as at a queue owner that was lost,
-after which a call is refused."""
+"""Maximum number of attempts for which no server was chosen, such as at a queue owner that was
+lost, after which a call is refused."""
 _UNSENT_REASONS = (calls.NotRunReason.NOT_SENT, calls.NotRunReason.KEY_MOVED)
 
 
@@ -65,14 +65,10 @@
         """Forward a call and return the reply, at the latest at the deadline of the call."""
         policy = self._policies.get(call.service)
         if policy is None:
-            return refusals.refuse(
-                "the service is not configured", refusals.RETRY_AFTER_UNREADY_S
-            )
+            return refusals.refuse("the service is not configured", refusals.RETRY_AFTER_UNREADY_S)
         quarantine = self._key_routing.quarantine
         if quarantine.rejects(call.method, call.target, call.body, self._now()):
-            return refusals.refuse(
-                "the request crashes servers", refusals.RETRY_AFTER_QUARANTINE_S
-            )
+            return refusals.refuse("the request crashes servers", refusals.RETRY_AFTER_QUARANTINE_S)
         self._budget.on_request(call.service, self._now())
         if policy.sharded:
             if call.key is None:
--- a/src/celerystack/gateway/forwarded.py
+++ b/src/celerystack/gateway/forwarded.py
@@ -70,18 +70,14 @@
         )
         return _tried(result)
 
-    def _choose_owner(
-        self, call: calls.Call, policy: config.ServicePolicy
-    ) -> owners.Owner | None:
+    def _choose_owner(self, call: calls.Call, policy: config.ServicePolicy) -> owners.Owner | None:
         if not self._queue_owners.is_forwarding or len(call.body) > BODY_BYTES_MAX:
             return None
         if policy.sharded:
             return self._owner_of_key(call)
         slots = self._slots_by_owner(call.service)
         usable = [
-            owner
-            for owner in slots
-            if owner.vm == self._vm or self._links.find(owner) is not None
+            owner for owner in slots if owner.vm == self._vm or self._links.find(owner) is not None
         ]
         if not usable:
             return None
@@ -165,9 +161,7 @@
                 reason=calls.NotRunReason.NOT_SENT.value,
                 detail="the queue owner does not know the service",
             )
-        outcome = await self._local.run_owned(
-            self._call(message), policy, frozenset(message.tried)
-        )
+        outcome = await self._local.run_owned(self._call(message), policy, frozenset(message.tried))
         return _result(message.number, outcome)
 
     def _call(self, message: messages.ForwardedCall) -> calls.Call:
--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -14,10 +14,10 @@
 
 from celerystack import ids
 from celerystack.fleet import directory_sync, evacuations, nodes, rows, servers
+from celerystack.forwarding import owners
 from celerystack.gateway import (
     calls,
     config,
-    attempts,
     frontend,
     metrics,
     request_path,
@@ -26,7 +26,6 @@
     shutdown,
     store_watcher,
 )
-from celerystack.forwarding import owners
 from celerystack.limits import byte_budget, cold_starts
 from celerystack.ranges import coordinator, orders
 from celerystack.requests import callerhttp
--- a/src/celerystack/gateway/server_queues.py
+++ b/src/celerystack/gateway/server_queues.py
@@ -10,7 +10,7 @@
 from celerystack.fleet import servers
 from celerystack.forwarding import owners
 from celerystack.gateway import calls, config, server_queue, server_statements, service_queue
-from celerystack.limits import byte_budget, cold_starts
+from celerystack.limits import byte_budget, cold_starts, deadline_queue
 from celerystack.ranges import model
 
 CONNECTIONS_SHARE = 0.7
@@ -101,14 +101,13 @@
         """Return the number of entry VMs among which a server's limits are divided."""
         return 1 if self.is_owned(queue) else self._entry_vms()
 
-    def service_queue(
-        self, service: ids.ServiceName, *, owned: bool
-    ) -> service_queue.ServiceQueue:
+    def service_queue(self, service: ids.ServiceName, *, owned: bool) -> service_queue.ServiceQueue:
         """Return the queue of a service's calls for the owned servers, or for all servers."""
         by_service = self._owned_queue_by_service if owned else self._shared_queue_by_service
         found = by_service.get(service)
         if found is None:
-            found = service_queue.ServiceQueue(self._reactor, now=self._now)
+            ordering = deadline_queue.IN_TIME_FIRST if owned else deadline_queue.BY_PRIORITY
+            found = service_queue.ServiceQueue(self._reactor, now=self._now, ordering=ordering)
             by_service[service] = found
             self._size_service_queues()
         return found
