--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -106,6 +106,7 @@
             queue_owners=queue_owners,
             queue_weight=node_settings.queue_weight,
             sharded_services=self._sharded_services,
+            avoids_cold=self._bounds_cold_requests,
             link_mbps=node_settings.link_mbps,
             is_small=node_settings.is_small,
             now=now,
@@ -232,6 +233,10 @@
             return []
         return [name for name, policy in self._config.services_by_name.items() if policy.sharded]
 
+    def _bounds_cold_requests(self, service: ids.ServiceName) -> bool:
+        policy = None if self._config is None else self._config.services_by_name.get(service)
+        return policy is not None and policy.cold.per_s > 0
+
     def _apply(self, routing: config.RoutingConfig) -> None:
         self._config = routing
         self.request_path.apply(routing.services_by_name)
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -113,6 +113,8 @@
         Share of the queues that this VM should own, in proportion to those of other VMs.
     sharded_services : callable
         Returns the services whose keys are divided among servers.
+    avoids_cold : callable
+        Returns whether no keys of a service are given to cold servers.
     link_mbps : float
         Bandwidth of this VM's link in Mbit/s.
     is_small : bool
@@ -135,6 +137,7 @@
         queue_owners: owners.QueueOwners,
         queue_weight: float,
         sharded_services: Callable[[], Iterable[ids.ServiceName]],
+        avoids_cold: Callable[[ids.ServiceName], bool],
         link_mbps: float,
         is_small: bool,
         now: Callable[[], float],
@@ -173,6 +176,7 @@
             sharded_services=sharded_services,
             on_commit=lambda service: self._map_distributor.push(service),
             rate_limit=lambda incarnation: self._rate_limits.limit(incarnation),
+            avoids_cold=avoids_cold,
             now=now,
         )
         self._datagrams = _Datagrams(self._on_datagram)
--- a/src/celerystack/ranges/planner.py
+++ b/src/celerystack/ranges/planner.py
@@ -99,6 +99,9 @@
         Called with a service after its map has changed.
     rate_limit : callable
         Returns the requests/s that a server accepts, if it states a limit, otherwise None.
+    avoids_cold : callable
+        Returns whether the cold servers of a service tolerate few requests, so that keys are not
+        given to them.
     """
 
     def __init__(
@@ -112,6 +115,7 @@
         sharded_services: Callable[[], Iterable[ids.ServiceName]],
         on_commit: Callable[[ids.ServiceName], None],
         rate_limit: Callable[[model.ServerIncarnation], float | None],
+        avoids_cold: Callable[[ids.ServiceName], bool],
         now: Callable[[], float],
     ) -> None:
         self.leadership = leadership
@@ -122,6 +126,7 @@
         self._sharded_services = sharded_services
         self._on_commit = on_commit
         self._rate_limit = rate_limit
+        self._avoids_cold = avoids_cold
         self._now = now
         self._lease_reports = lease_reports.LeaseReports(zone_of=self._zone_of)
         self._releases: dict[_ReleaseKey, _Release] = {}
@@ -307,7 +312,7 @@
 
     def _service_state(self, service: ids.ServiceName) -> plan.ServiceState:
         now = self._now()
-        records = self._directory.usable(service)
+        records = self._assignable(service)
         silent = self._silent_incarnations()
         service_s_by_server = self.service_times.estimate(
             [record.entry.server for record in records]
@@ -330,6 +335,19 @@
             load=load.snapshot(now, keys=model.KEY_MAX + 1),
         )
 
+    def _assignable(self, service: ids.ServiceName) -> list[servers.ServerRecord]:
+        """Return the servers that may be given keys.
+
+        Cold servers are left out, unless the warm ones have less than half of the slots and would
+        be overloaded.
+        """
+        records = self._directory.usable(service)
+        if not self._avoids_cold(service):
+            return records
+        now = self._now()
+        warm = [record for record in records if now >= record.warm_at]
+        return warm if 2 * _slots(warm) >= _slots(records) else records
+
     def _capacity(self, record: servers.ServerRecord, service_s: float) -> float:
         """Return the requests/s that a server can process, at most what it accepts."""
         capacity = max(1, record.entry.slots) / service_s
@@ -498,6 +516,10 @@
                 release.is_in_flight = False
 
 
+def _slots(records: Iterable[servers.ServerRecord]) -> int:
+    return sum(record.entry.slots for record in records)
+
+
 def _release_key(
     service: ids.ServiceName, segment: model.Segment, incarnation: model.ServerIncarnation
 ) -> _ReleaseKey:
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from celerystack.gateway import config
+from celerystack.limits import cold_starts
 from tests.ranges import fakes
 
 ROUTE = config.Route(
@@ -16,3 +17,10 @@
     attempts_max=2,
     priority=1,
 )
+
+
+def no_cold_starts() -> cold_starts.ColdStarts:
+    """Return cold starts without any bound."""
+    return cold_starts.ColdStarts(
+        tolerance=cold_starts.ColdTolerance(), is_sender=lambda *_: True, now=lambda: 0.0
+    )
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -8,13 +8,23 @@
 from celerystack import errors, ids
 from celerystack.backend import http
 from celerystack.fleet import servers
-from celerystack.gateway import calls, config, dispatch, retries, server_queue
-from celerystack.limits import byte_budget, crash_suspects
+from celerystack.forwarding import owners
+from celerystack.gateway import (
+    attempts,
+    calls,
+    config,
+    dispatch,
+    request_path,
+    retries,
+    server_queue,
+)
+from celerystack.limits import byte_budget, cold_starts, crash_suspects
 from celerystack.ranges import model, range_maps
 from tests.gateway import fakes as gateway_fakes
 from tests.ranges import fakes
 
 IN_FLIGHT_LIMIT = 1
+OWN_VM = ids.EntryVmId("vm-1")
 OTHER_SERVER_REASON = b"another server"
 POLICY = config.ServicePolicy(
     name=fakes.SERVICE, sharded=True, connections_max=100, health_path="/health"
@@ -113,9 +123,13 @@
         self.key_routing = KeyRouting()
         self.pools = {}
         self.running = []
-        self.dispatcher = dispatch.Dispatcher(
+        self.queue_owners = owners.QueueOwners(vm=OWN_VM, now=self.clock.seconds)
+        self.request_path = request_path.RequestPath(
             self.clock,
+            vm=OWN_VM,
             zone=fakes.ZONE,
+            queue_owners=self.queue_owners,
+            cold_tolerance=cold_starts.ColdTolerance(),
             directory=self.directory,
             key_routing=self.key_routing,
             request_codec=RequestCodec(),
@@ -125,7 +139,7 @@
             open_pool=self.open_pool,
         )
         policy = POLICY if self.sharded else dataclasses.replace(POLICY, sharded=False)
-        self.dispatcher.apply({fakes.SERVICE: policy})
+        self.request_path.apply({fakes.SERVICE: policy})
         self.entries = {name: fakes.entry(name, address=f"10.0.0.{name}:80") for name in "12"}
         self.directory.apply_all(self.entries.values(), 10.0)
         self.version = 0
@@ -163,7 +177,7 @@
             deadline=now + deadline_s,
         )
         replies = []
-        running = defer.Deferred.fromCoroutine(self.dispatcher.dispatch(call))
+        running = defer.Deferred.fromCoroutine(self.request_path.dispatcher.dispatch(call))
         # Without a reference the garbage collector would end the call.
         self.running.append(running.addCallback(replies.append))
         return replies
@@ -239,7 +253,7 @@
     def test_call_with_a_short_target_is_not_held_longer(self):
         """Guards against callers that are held although they could try again."""
         replies = self.call(deadline_s=4.0, target_latency_s=0.2)
-        self.clock.advance(dispatch.MOVE_WAIT_S + 0.01)
+        self.clock.advance(attempts.MOVE_WAIT_S + 0.01)
         self.assertIsInstance(replies[0], calls.Refused)
 
 
@@ -340,7 +354,7 @@
         """Guards against a failed call because the grant arrives shortly after the request."""
         replies = self.call()
         self.pools["1"].answer(421)
-        self.clock.advance(dispatch.NOT_HELD_WAIT_S)
+        self.clock.advance(attempts.NOT_HELD_WAIT_S)
         self.pools["1"].answer()
         self.assertIsInstance(replies[0], calls.Answered)
 
@@ -348,7 +362,7 @@
         """Guards against an earlier refusal of the call that the server writes once more."""
         self.call()
         self.pools["1"].answer(421)
-        self.clock.advance(dispatch.NOT_HELD_WAIT_S)
+        self.clock.advance(attempts.NOT_HELD_WAIT_S)
         self.assertEqual([False, True], self.pools["1"].new_connections)
 
     def test_lost_answer_of_a_request_that_may_run_once_is_final(self):
@@ -373,7 +387,7 @@
         for _ in range(dispatch.REJECTIONS_MAX):
             self.assertEqual([], replies)
             self.pools["1"].answer(421)
-            self.clock.advance(dispatch.NOT_HELD_WAIT_S)
+            self.clock.advance(attempts.NOT_HELD_WAIT_S)
         self.assertIsInstance(replies[0], calls.Refused)
 
     def test_unreachable_owner_is_not_waited_for(self):
@@ -381,7 +395,7 @@
         replies = self.call()
         for _ in range(server_queue.FAILURES_TO_SUSPECT):
             self.pools["1"].fail(errors.ConnectFailedError("refused", step="s"))
-            self.clock.advance(dispatch.NOT_HELD_WAIT_S)
+            self.clock.advance(attempts.NOT_HELD_WAIT_S)
         self.assertIsInstance(replies[0], calls.Refused)
         self.assertIsInstance(self.call()[0], calls.Refused)
         self.clock.advance(server_queue.SUSPECT_S)
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -11,8 +11,9 @@
 from celerystack import ids
 from celerystack.backend import http
 from celerystack.fleet import servers
-from celerystack.gateway import calls, dispatch, retries
-from celerystack.limits import byte_budget
+from celerystack.forwarding import owners
+from celerystack.gateway import calls, request_path, retries
+from celerystack.limits import byte_budget, cold_starts
 from celerystack.platform import requests
 from tests.gateway import fakes as gateway_fakes
 from tests.gateway import test_dispatch
@@ -91,9 +92,13 @@
         key_routing = test_dispatch.KeyRouting()
         key_routing.entry_vms = ENTRY_VMS
         directory = servers.Directory()
-        dispatcher = dispatch.Dispatcher(
+        vm = ids.EntryVmId("vm-1")
+        path = request_path.RequestPath(
             self.clock,
+            vm=vm,
             zone=fakes.ZONE,
+            queue_owners=owners.QueueOwners(vm=vm, now=self.clock.seconds),
+            cold_tolerance=cold_starts.ColdTolerance(),
             directory=directory,
             key_routing=key_routing,
             request_codec=requests.HeaderRequestCodec(),
@@ -103,11 +108,11 @@
             open_pool=lambda reactor, *, address, **_: self.server_by_name[address[7]],
         )
         policy = dataclasses.replace(test_dispatch.POLICY, sharded=self.sharded)
-        dispatcher.apply({fakes.SERVICE: policy})
+        path.apply({fakes.SERVICE: policy})
         entries = [fakes.entry(name, address=f"10.0.0.{name}:80") for name in "12"]
         directory.apply_all(entries, self.clock.seconds())
         key_routing.range_maps.adopt(fakes.whole(fakes.incarnation("1")), 1, self.clock.seconds())
-        return dispatcher
+        return path.dispatcher
 
     def send(self, dispatcher):
         now = self.clock.seconds()
--- a/tests/ranges/test_coordinator.py
+++ b/tests/ranges/test_coordinator.py
@@ -9,6 +9,7 @@
 
 from celerystack import ids
 from celerystack.fleet import directory_sync, evacuations, messages, nodes, rows, servers
+from celerystack.forwarding import owners
 from celerystack.ranges import codec, coordinator, leadership, leases
 from tests.ranges import fakes
 
@@ -46,6 +47,7 @@
         scan = self.store.scan
         self.store.scan = lambda table: self.scanned.append(table) or scan(table)
         self.evacuations = evacuations.Evacuations(binding_after_s=5.0, now=self.clock.seconds)
+        self.queue_owners = owners.QueueOwners(vm=OWN, now=self.clock.seconds)
         self.coordinator = coordinator.Coordinator(
             self.clock,
             node=nodes.Node(vm=OWN, zone=fakes.ZONE, address=("10.0.0.1", 7000)),
@@ -55,7 +57,10 @@
             directory=self.directory,
             updates=directory_sync.DirectorySync(self.directory, now=self.clock.seconds),
             evacuated=self.evacuations,
+            queue_owners=self.queue_owners,
+            queue_weight=1.0,
             sharded_services=list,
+            avoids_cold=lambda _: False,
             link_mbps=100.0,
             is_small=self.is_small,
             now=self.clock.seconds,
--- a/tests/ranges/test_planner.py
+++ b/tests/ranges/test_planner.py
@@ -15,6 +15,7 @@
 
 
 class PlannerCase(testtools.TestCase):
+    avoids_cold = False
     sharded_services = (fakes.SERVICE,)
 
     def setUp(self):
@@ -35,6 +36,7 @@
     def start_planner(self):
         made = planner.Planner(
             rate_limit=lambda incarnation: self.limit_by_incarnation.get(incarnation),
+            avoids_cold=lambda _: self.avoids_cold,
             leadership=leadership.Leadership(
                 vm=VM, vm_incarnation=1, store=self.store, now=self.clock.seconds
             ),
@@ -101,6 +103,32 @@
         self.assertTrue(self.orders.released)
         self.assertTrue(all(segment.is_settled for segment in self.ranges().segments))
 
+    def test_cold_server_gets_keys_when_it_is_warm(self):
+        """Guards against a cold server that gets all requests for some keys and crashes."""
+        self.avoids_cold = True
+        cold = fakes.entry("c", cold_s=3.0)
+        self.directory.apply_changes([cold], [], self.clock.seconds())
+        for _ in range(6):
+            self.report(keys=range(0, 65_536, 2_000))
+            self.tick()
+        self.assertNotIn(fakes.incarnation("c"), {s.owner for s in self.ranges().segments})
+        for _ in range(20):
+            self.report(keys=range(0, 65_536, 2_000))
+            self.tick()
+        self.assertIn(fakes.incarnation("c"), {s.owner for s in self.ranges().segments})
+
+    def test_cold_servers_get_keys_if_few_are_warm(self):
+        """Guards against a service whose few warm servers get all keys after a restart of most."""
+        self.avoids_cold = True
+        names = "cdefg"
+        cold = [fakes.entry(name, cold_s=30.0) for name in names]
+        self.directory.apply_changes(cold, [], self.clock.seconds())
+        self.drain("a")
+        for _ in range(6):
+            self.tick()
+        owners = {segment.owner.server for segment in self.ranges().segments}
+        self.assertTrue(owners & set(names), owners)
+
     def test_release_carries_the_new_token(self):
         """Guards against a delayed renewal that the server accepts after it released the keys."""
         before = self.ranges().next_token
