Start waiting calls in one loop instead of recursively

Cause: a started call that ends at once releases its place within start_waiting_calls, which started the next one in the same stack. With some hundred such calls this raised RecursionError, and the places of the calls that were under way were lost.

Ruled out: starting calls from the reactor's next iteration, which would delay each start and leave places unused until then.

Change: a release within the loop leaves the next start to that loop.

Measured: tests/gateway/test_call_queue.py, 500 waiting calls of which each is followed by another, 5,000 in all: RecursionError before, all start and no place is lost now.

--- a/src/celerystack/gateway/call_queue.py
+++ b/src/celerystack/gateway/call_queue.py
@@ -67,6 +67,7 @@
             ordering=ordering
         )
         self._service_time_s_by_route: dict[str, float] = {}
+        self._is_starting = False
         self._expiry_timer: Any = None
 
     @property
@@ -125,15 +126,28 @@
         self.start_waiting_calls()
 
     def start_waiting_calls(self) -> None:
-        """Start as many waiting calls as the limit permits."""
-        while self._queue and self.limit.try_start():
-            waiting = self._queue.pop(self._now())
-            if waiting is None or waiting.turn.called:
-                self.limit.release()
-                continue
-            waiting.turn.callback(WaitOutcome.TAKEN)
+        """Start as many waiting calls as the limit permits.
+
+        A call that ends at once releases its place while it is being started. The outermost loop
+        then starts the next one: a loop of its own would nest as deeply as there are such calls.
+        """
+        if self._is_starting:
+            return
+        self._is_starting = True
+        try:
+            while self._queue and self.limit.try_start():
+                self._start_next()
+        finally:
+            self._is_starting = False
         self._schedule_expiry()
 
+    def _start_next(self) -> None:
+        waiting = self._queue.pop(self._now())
+        if waiting is None or waiting.turn.called:
+            self.limit.release()
+        else:
+            waiting.turn.callback(WaitOutcome.TAKEN)
+
     def remove_where(self, predicate: Callable[[calls.Call], bool], outcome: WaitOutcome) -> None:
         """End the wait of the calls for which ``predicate`` is true."""
         removed = self._queue.remove_where(lambda waiting: predicate(waiting.call))
