Set the expiry timer of waiting calls only for an earlier expiry

Cause: each call that began to wait or started looked at all waiting calls for the next expiry, and cancelled and created a timer.

Ruled out: a heap of expiries beside the ordered list, which each removal would have to keep up to date.

Change: the timer stays until it fires and is moved only for a call that expires earlier; it is cancelled when no call waits.

--- a/src/celerystack/gateway/call_queue.py
+++ b/src/celerystack/gateway/call_queue.py
@@ -69,6 +69,7 @@
         self._service_time_s_by_route: dict[str, float] = {}
         self._is_starting = False
         self._expiry_timer: Any = None
+        self._expiry_at = 0.0
 
     @property
     def load(self) -> int:
@@ -112,7 +113,8 @@
             concurrency=self.limit.limit,
         )
         self._end_waits(shed, WaitOutcome.SHED)
-        self._schedule_expiry()
+        if not turn.called:
+            self._expire_by(call.deadline - self.service_time_s(call))
         try:
             return await turn
         except defer.CancelledError:
@@ -139,7 +141,7 @@
                 self._start_next()
         finally:
             self._is_starting = False
-        self._schedule_expiry()
+        self._cancel_timer_if_empty()
 
     def _start_next(self) -> None:
         waiting = self._queue.pop(self._now())
@@ -152,25 +154,34 @@
         """End the wait of the calls for which ``predicate`` is true."""
         removed = self._queue.remove_where(lambda waiting: predicate(waiting.call))
         self._end_waits(removed, outcome)
-        if removed:
-            self._schedule_expiry()
+        self._cancel_timer_if_empty()
 
     def _end_waits(self, waiting_calls: Iterable[_WaitingCall], outcome: WaitOutcome) -> None:
         for waiting in waiting_calls:
             if not waiting.turn.called:
                 waiting.turn.callback(outcome)
 
-    def _schedule_expiry(self) -> None:
+    def _expire_by(self, at: float) -> None:
+        """Look for expired calls at the time ``at`` or before.
+
+        The timer stays when the call for which it was set starts: looking for the next expiry at
+        each start would cost time in proportion to the length of the queue.
+        """
         if self._expiry_timer is not None:
+            if self._expiry_at <= at:
+                return
+            self._expiry_timer.cancel()
+        self._expiry_at = at
+        self._expiry_timer = self._reactor.callLater(max(0.0, at - self._now()), self._expire)
+
+    def _cancel_timer_if_empty(self) -> None:
+        if self._expiry_timer is not None and not self._queue:
             self._expiry_timer.cancel()
             self._expiry_timer = None
-        expiry = self._queue.next_expiry()
-        if expiry is not None:
-            self._expiry_timer = self._reactor.callLater(
-                max(0.0, expiry - self._now()), self._expire
-            )
 
     def _expire(self) -> None:
         self._expiry_timer = None
         self._end_waits(self._queue.expire(self._now()), WaitOutcome.SHED)
-        self._schedule_expiry()
+        expiry = self._queue.next_expiry()
+        if expiry is not None:
+            self._expire_by(expiry)
