--- a/src/celerystack/gateway/call_queue.py
+++ b/src/celerystack/gateway/call_queue.py
@@ -67,7 +67,9 @@
             ordering=ordering
         )
         self._service_time_s_by_route: dict[str, float] = {}
+        self._is_starting = False
         self._expiry_timer: Any = None
+        self._expiry_at = 0.0
 
     def set_ordering(self, ordering: deadline_queue.Ordering) -> None:
         """Change the order of the calls that wait from now on."""
@@ -115,7 +117,8 @@
             concurrency=self.limit.limit,
         )
         self._end_waits(shed, WaitOutcome.SHED)
-        self._schedule_expiry()
+        if not turn.called:
+            self._expire_by(call.deadline - self.service_time_s(call))
         try:
             return await turn
         except defer.CancelledError:
@@ -129,38 +132,60 @@
         self.start_waiting_calls()
 
     def start_waiting_calls(self) -> None:
-        """Start as many waiting calls as the limit permits."""
-        while self._queue and self.limit.try_start():
-            waiting = self._queue.pop(self._now())
-            if waiting is None or waiting.turn.called:
-                self.limit.release()
-                continue
+        """Start as many waiting calls as the limit permits.
+
+        A call that ends at once releases its place while it is being started. The outermost loop
+        then starts the next one: a loop of its own would nest as deeply as there are such calls.
+        """
+        if self._is_starting:
+            return
+        self._is_starting = True
+        try:
+            while self._queue and self.limit.try_start():
+                self._start_next()
+        finally:
+            self._is_starting = False
+        self._cancel_timer_if_empty()
+
+    def _start_next(self) -> None:
+        waiting = self._queue.pop(self._now())
+        if waiting is None or waiting.turn.called:
+            self.limit.release()
+        else:
             waiting.turn.callback(WaitOutcome.TAKEN)
-        self._schedule_expiry()
 
     def remove_where(self, predicate: Callable[[calls.Call], bool], outcome: WaitOutcome) -> None:
         """End the wait of the calls for which ``predicate`` is true."""
         removed = self._queue.remove_where(lambda waiting: predicate(waiting.call))
         self._end_waits(removed, outcome)
-        if removed:
-            self._schedule_expiry()
+        self._cancel_timer_if_empty()
 
     def _end_waits(self, waiting_calls: Iterable[_WaitingCall], outcome: WaitOutcome) -> None:
         for waiting in waiting_calls:
             if not waiting.turn.called:
                 waiting.turn.callback(outcome)
 
-    def _schedule_expiry(self) -> None:
+    def _expire_by(self, at: float) -> None:
+        """Look for expired calls at the time ``at`` or before.
+
+        The timer stays when the call for which it was set starts: looking for the next expiry at
+        each start would cost time in proportion to the length of the queue.
+        """
         if self._expiry_timer is not None:
+            if self._expiry_at <= at:
+                return
+            self._expiry_timer.cancel()
+        self._expiry_at = at
+        self._expiry_timer = self._reactor.callLater(max(0.0, at - self._now()), self._expire)
+
+    def _cancel_timer_if_empty(self) -> None:
+        if self._expiry_timer is not None and not self._queue:
             self._expiry_timer.cancel()
             self._expiry_timer = None
-        expiry = self._queue.next_expiry()
-        if expiry is not None:
-            self._expiry_timer = self._reactor.callLater(
-                max(0.0, expiry - self._now()), self._expire
-            )
 
     def _expire(self) -> None:
         self._expiry_timer = None
         self._end_waits(self._queue.expire(self._now()), WaitOutcome.SHED)
-        self._schedule_expiry()
+        expiry = self._queue.next_expiry()
+        if expiry is not None:
+            self._expire_by(expiry)
