Forward calls to queue owners, and bound the requests to cold servers

Cause: with 80 entry VMs each of them sends a server one request in 5 to 10 s. What it knows of the server is old, its queues order nothing, and no sum over all entry VMs can be kept: cold servers got up to 18 requests in a second, 13.8 are allowed. Ruled out: shares of the bound for each entry VM, because less than one request a second is left for each of 80 VMs.

--- a/src/celerystack/forwarding/owners.py
+++ b/src/celerystack/forwarding/owners.py
@@ -80,10 +80,19 @@
         This entry VM.
     now : callable
         Clock in seconds.
+    forwarding_vms_min : int
+        Number of entry VMs from which calls are forwarded.
     """
 
-    def __init__(self, *, vm: ids.EntryVmId, now: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        *,
+        vm: ids.EntryVmId,
+        now: Callable[[], float],
+        forwarding_vms_min: int = FORWARDING_VMS_MIN,
+    ) -> None:
         self._vm = vm
+        self._forwarding_vms_min = forwarding_vms_min
         self._now = now
         self._announced_at = float("-inf")
         self._entry_vms = 0
@@ -112,7 +121,7 @@
     def is_forwarding(self) -> bool:
         """Whether calls are forwarded to owners."""
         is_valid = self._now() - self._announced_at <= LIST_VALID_S
-        return bool(self.owners) and is_valid and self._entry_vms >= FORWARDING_VMS_MIN
+        return bool(self.owners) and is_valid and self._entry_vms >= self._forwarding_vms_min
 
     def owner_of(self, server: ids.ServerId, zone: ids.ZoneName) -> Owner | None:
         """Return the owner of a server's queue; None if there are no owners."""
--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -88,7 +88,11 @@
         self.directory = servers.Directory()
         updates = directory_sync.DirectorySync(self.directory, now=now)
         evacuated = evacuations.Evacuations(binding_after_s=node_settings.evacuation_s, now=now)
-        queue_owners = owners.QueueOwners(vm=node_settings.vm, now=now)
+        queue_owners = owners.QueueOwners(
+            vm=node_settings.vm,
+            now=now,
+            forwarding_vms_min=node_settings.forwarding_vms_min,
+        )
         metrics.register_evacuated_zones(self.registry, lambda: len(evacuated.zones))
         self._config: config.RoutingConfig | None = None
         self.stopping = False
--- a/src/celerystack/gateway/settings.py
+++ b/src/celerystack/gateway/settings.py
@@ -34,6 +34,8 @@
     cold_overshoot, cold_slack : float
         In one second a cold server tolerates ``cold_overshoot`` times its rate and ``cold_slack``
         requests more.
+    forwarding_vms_min : int
+        Number of entry VMs from which calls are forwarded to queue owners.
     cores : float
         Processor cores that the VM may use; a fraction is part of a core.
     link_mbps : float
@@ -56,6 +58,7 @@
     evacuation_s: float
     cold_overshoot: float
     cold_slack: float
+    forwarding_vms_min: int
     cores: float
     link_mbps: float
     memory_bytes: int
--- a/src/celerystack/platform/settings.py
+++ b/src/celerystack/platform/settings.py
@@ -8,12 +8,15 @@
 from collections.abc import Mapping
 
 from celerystack import errors, ids
+from celerystack.forwarding import owners
 from celerystack.gateway import settings
 from celerystack.platform import wire
 
 FILE_VARIABLE = "CELERYSTACK_NODE_FILE"
 METRICS_PORT = 9464
 """Must equal the port in the deployment file."""
+OWN_TABLE = "celerystack"
+"""Table with the settings that the platform does not know."""
 EVACUATION_DEFAULT = "5000ms"
 """Time until an evacuation is binding if the settings name none."""
 DEFAULT_FILE = "/etc/celerystack/local.toml"
@@ -51,6 +54,7 @@
         limits = identity["limits"]
         listen, terms = network["listen_addresses"], tables["terms"]["parameters"]
         store = tables["platform"]["platform"]
+        own = tables.get(OWN_TABLE, {})
         return settings.NodeSettings(
             vm=ids.EntryVmId(str(identity["node_name"])),
             zone=ids.ZoneName(str(identity["zone"])),
@@ -66,6 +70,7 @@
             evacuation_s=wire.seconds(terms.get("evacuation", EVACUATION_DEFAULT)),
             cold_overshoot=float(terms.get("cold_overshoot", 1.0)),
             cold_slack=float(terms.get("cold_slack", 0.0)),
+            forwarding_vms_min=int(own.get("forwarding_vms_min", owners.FORWARDING_VMS_MIN)),
             cores=float(limits["cpu_share"]) * float(limits["cpu_cores"]),
             link_mbps=float(limits["link_mbps"]),
             memory_bytes=int(float(limits["memory_mb"]) * 1_000_000),
--- a/standins/range_cluster.py
+++ b/standins/range_cluster.py
@@ -112,8 +112,9 @@
 class RangeCluster:
     """A row store, servers that write heartbeat rows to it, and entry VM processes."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, folder: pathlib.Path, *, extra_settings: str = "") -> None:
         self._folder = folder
+        self._extra_settings = extra_settings
         self.store = row_store.RowStore()
         self.servers: dict[str, key_server.KeyServer] = {}
         self.processes: dict[str, subprocess.Popen] = {}
@@ -128,8 +129,10 @@
         for name, server in self.servers.items():
             self.store.put("servers", name, server.entry())
 
-    def add_server(self, name: str, service: str, **options) -> key_server.KeyServer:
-        server = self.servers[name] = key_server.KeyServer(name, service, "z1", **options)
+    def add_server(
+        self, name: str, service: str, *, zone: str = "z1", **options
+    ) -> key_server.KeyServer:
+        server = self.servers[name] = key_server.KeyServer(name, service, zone, **options)
         if not self.store.refusing:
             self.store.put("servers", name, server.entry())
         return server
@@ -145,7 +148,7 @@
         self.servers.pop(name)
         self.store.remove("servers", name)
 
-    def start_vm(self, vm: str, ip: str, *, store: str = "") -> None:
+    def start_vm(self, vm: str, ip: str, *, store: str = "", zone: str = "z1") -> None:
         """Start an entry VM; a restart uses the ports of the first start."""
         ports = self.ports.setdefault(
             vm,
@@ -160,11 +163,12 @@
         path.write_text(
             SETTINGS.format(
                 vm=vm,
-                zone="z1",
+                zone=zone,
                 store=store or self.store.address,
                 udp_end=int(ports["udp"]) + 1,
                 **ports,
             )
+            + self._extra_settings
         )
         source = str(pathlib.Path(__file__).parents[1] / "src")
         environment = os.environ | {"CELERYSTACK_NODE_FILE": str(path), "PYTHONPATH": source}
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -409,3 +409,85 @@
         self.assertIsInstance(self.call()[0], calls.Refused)
         self.pools["1"].answer()
         self.assertEqual([], self.call())
+
+
+class ColdServerTest(DispatchCase):
+    """A server is cold and tolerates few requests of all entry VMs."""
+
+    def setUp(self):
+        super().setUp()
+        cold = cold_starts.ColdPolicy(cold_s=3.0, per_s=1.0)
+        self.request_path.apply(
+            {fakes.SERVICE: dataclasses.replace(POLICY, sharded=self.sharded, cold=cold)}
+        )
+        entry = dataclasses.replace(self.entries["1"], cold_s=3.0)
+        self.directory.apply_changes([entry], [], self.clock.seconds())
+        own = owners.Owner(OWN_VM, fakes.ZONE, ("10.0.0.1", 7000), 1.0)
+        self.own, self.other = own, dataclasses.replace(own, vm=ids.EntryVmId("vm-2"))
+
+    def test_only_the_owner_of_the_queue_sends(self):
+        """Guards against requests of all entry VMs to a server that has gone cold."""
+        self.queue_owners.announce((self.other,), entry_vms=4)
+        self.assertIsInstance(self.call()[0], calls.Refused)
+        self.assertEqual(0, self.sent("1"))
+        self.queue_owners.announce((self.own,), entry_vms=4)
+        self.call()
+        self.assertEqual(1, self.sent("1"))
+
+    def test_everyone_sends_when_the_server_is_warm(self):
+        """Guards against a server that stays without requests after it has warmed up."""
+        self.queue_owners.announce((self.other,), entry_vms=4)
+        self.clock.advance(3.1)
+        self.call()
+        self.assertEqual(1, self.sent("1"))
+
+    def test_queued_call_counts_when_it_is_sent(self):
+        """Guards against calls that were queued for a warm server and are sent when it is cold."""
+        self.clock.advance(3.1)
+        self.call()
+        queued = self.call()
+        entry = dataclasses.replace(self.entries["1"], cold_s=3.0)
+        self.directory.apply_changes([entry], [], self.clock.seconds())
+        self.pools["1"].answer()
+        self.clock.advance(attempts.NOT_HELD_WAIT_S)
+        self.assertEqual(0, self.sent("1"))
+        self.assertIsInstance(queued[0], calls.Refused)
+
+    def test_server_that_refused_a_connection_may_have_restarted(self):
+        """Guards against a full load for a server that restarted under its id and is cold."""
+        self.queue_owners.announce((self.other,), entry_vms=4)
+        self.clock.advance(3.1)
+        self.call()
+        self.pools["1"].fail(errors.ConnectFailedError("refused", step="s"))
+        replies = self.call()
+        self.assertIsInstance(replies[0], calls.Refused)
+
+
+class OwnedQueueTest(DispatchCase):
+    """This VM owns the queue of a key's server."""
+
+    def setUp(self):
+        super().setUp()
+        own = owners.Owner(OWN_VM, fakes.ZONE, ("10.0.0.1", 7000), 1.0)
+        self.queue_owners.announce((own,), entry_vms=owners.FORWARDING_VMS_MIN)
+
+    def test_owner_uses_all_slots(self):
+        """Guards against an owner that keeps to its share although no other VM sends."""
+        for _ in range(5):
+            self.call()
+        self.assertEqual(self.entries["1"].slots, self.sent("1"))
+
+    def test_owner_needs_no_admitted_fraction(self):
+        """Guards against rejected calls although the queue's owner sees that they fit."""
+        self.key_routing.admits = False
+        self.call()
+        self.assertEqual(1, self.sent("1"))
+
+
+class LostOwnerTest(DispatchCase):
+    def test_calls_are_sent_directly_without_a_stream(self):
+        """Guards against rejected calls while the owner of the queue cannot be reached."""
+        other = owners.Owner(ids.EntryVmId("vm-2"), fakes.ZONE, ("10.0.0.2", 7000), 1.0)
+        self.queue_owners.announce((other,), entry_vms=owners.FORWARDING_VMS_MIN)
+        self.call()
+        self.assertEqual(1, self.sent("1"))
