Use the load that servers state in their answers

Cause: the header with running and waiting requests was not read, so an entry VM sent to servers whose slots others used. Change: the header is decoded into calls.ServerLoad. Requests of other senders count for half a second in the choice of a server. Figures that are unreadable, or contradict the slots, are logged once for each incarnation and ignored. Ruled out: using the pace, which changes many times a second and says nothing about the next request. Result: tests without a network.

--- a/src/celerystack/gateway/calls.py
+++ b/src/celerystack/gateway/calls.py
@@ -128,6 +128,24 @@
 Attempt = Answered | NotRun | OutcomeUnknown
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServerLoad:
+    """Load that a server states in an answer.
+
+    Attributes
+    ----------
+    running, waiting, slots : int
+        Requests that run and wait at the server, and its slots.
+    pace_percent : int or None
+        How long work takes at this moment; 100 is usual. None if it is not stated.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    pace_percent: int | None = None
+
+
 class UnreadableHeaderError(Exception):
     """A header of a server's answer cannot be decoded."""
 
@@ -209,6 +227,15 @@
             The time is not a number.
         """
 
+    def server_load(self, response: http.HttpResponse) -> ServerLoad | None:
+        """Return the load that the server states; None if it states none.
+
+        Raises
+        ------
+        UnreadableHeaderError
+            The figures are not whole numbers, or cannot be true.
+        """
+
     def answer_headers(self, response: http.HttpResponse) -> http.HeaderList:
         """Return the headers of a server's answer that are passed on to the caller."""
 
--- a/src/celerystack/gateway/server_queue.py
+++ b/src/celerystack/gateway/server_queue.py
@@ -34,6 +34,8 @@
 """Latency in seconds assumed before the first answer."""
 PAUSE_MAX_S = 300.0
 """Longest pause in seconds that a server can ask for."""
+STATED_LOAD_VALID_S = 0.5
+"""Time in seconds for which the load that a server states counts."""
 UNANSWERED_HALF_LIFE_S = 4.0
 """Time in seconds in which the effect of an unanswered call on the choice of servers halves.
 
@@ -86,6 +88,8 @@
         self._failed_connects = 0
         self._close_reason: str | None = None
         self.paused_until = float("-inf")
+        self._foreign_load = 0
+        self._foreign_load_until = float("-inf")
         self._unanswered_s = 0.0
         self._unanswered_at = now()
         self.latency_s = INITIAL_LATENCY_S
@@ -96,10 +100,24 @@
         """Number of calls that are in flight or queued."""
         return self._calls.load
 
+    @property
+    def foreign_load(self) -> int:
+        """Number of requests of other senders that the server stated recently."""
+        return self._foreign_load if self._now() < self._foreign_load_until else 0
+
+    def note_stated_load(self, load: calls.ServerLoad) -> None:
+        """Take the load that the server states, of which this VM knows its own part."""
+        foreign = load.running + load.waiting - self._limit.in_flight
+        self._foreign_load = max(0, foreign)
+        self._foreign_load_until = self._now() + STATED_LOAD_VALID_S
+
     @property
     def has_room(self) -> bool:
-        """Whether a call would be sent at once."""
-        return self._calls.has_room
+        """Whether a call would be sent, and run by the server, at once."""
+        if not self._calls.has_room:
+            return False
+        foreign = self.foreign_load
+        return not foreign or self._limit.in_flight + foreign < self.record.entry.slots
 
     def wait_estimate_s(self) -> float:
         """Return the expected time that a new call would spend in the queue."""
@@ -327,7 +345,8 @@
 
 
 def _cost(server_queue: ServerQueue, zone: str, now: float) -> tuple[bool, bool, float, float]:
-    cost = (server_queue.load + 1) * server_queue.expected_latency_s()
+    load = server_queue.load + server_queue.foreign_load
+    cost = (load + 1) * server_queue.expected_latency_s()
     if server_queue.record.entry.zone != zone:
         cost *= REMOTE_ZONE_COST_FACTOR
     if now < server_queue.record.warm_at:
--- a/src/celerystack/gateway/server_statements.py
+++ b/src/celerystack/gateway/server_statements.py
@@ -43,7 +43,7 @@
         """Take the statements in an answer."""
         if self._request_codec.is_leaving(response):
             self._directory.note_leaving(answered.incarnation)
-        for take in (self._take_pause, self._take_rate_limit):
+        for take in (self._take_pause, self._take_rate_limit, self._take_load):
             try:
                 take(answered, response)
             except calls.UnreadableHeaderError as error:
@@ -77,6 +77,17 @@
         )
         _log.info("%s", message, extra={"step": _STEP, "peer": incarnation.server})
 
+    def _take_load(self, answered: server_queue.ServerQueue, response: http.HttpResponse) -> None:
+        load = self._request_codec.server_load(response)
+        if load is None:
+            return
+        slots = answered.record.entry.slots
+        if load.slots != slots:
+            raise calls.UnreadableHeaderError(
+                f"the server states {load.slots} slots, its entry {slots}"
+            )
+        answered.note_stated_load(load)
+
     def _note_unreadable(
         self, incarnation: model.ServerIncarnation, error: calls.UnreadableHeaderError
     ) -> None:
--- a/src/celerystack/platform/requests.py
+++ b/src/celerystack/platform/requests.py
@@ -20,10 +20,12 @@
 RATE_LIMIT = b"server-limit"
 LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
+LOAD = b"celerystack-server-load"
 
 _REMAINING_MS_MAX = 600_000
 _STATUS_MISDIRECTED = 421
 _STATUS_UNAVAILABLE = 503
+_LOAD = re.compile(rb"(\d{1,6}),(\d{1,6}),(\d{1,6})(?:,(\d{1,6}))?")
 _NUMBER = re.compile(rb"\d{1,9}(?:\.\d{1,9})?")
 
 
@@ -119,6 +121,33 @@
             return 0.0
         return max(_decode_numbers(response, RETRY_AFTER), default=0.0)
 
+    def server_load(self, response: http.HttpResponse) -> calls.ServerLoad | None:
+        """Decode the server's load, of which the pace is optional.
+
+        Raises
+        ------
+        calls.UnreadableHeaderError
+            The figures are not whole numbers, or more requests run than there are slots.
+        """
+        value = response.header(LOAD)
+        if value is None:
+            return None
+        found = _LOAD.fullmatch(value.replace(b" ", b""))
+        if found is None:
+            raise calls.UnreadableHeaderError(f"{LOAD.decode()} is {value[:40]!r}, not a load")
+        running, waiting, slots = (int(figure) for figure in found.groups()[:3])
+        if running > slots or slots == 0:
+            raise calls.UnreadableHeaderError(
+                f"{LOAD.decode()} states {running} running requests in {slots} slots"
+            )
+        pace = found.group(4)
+        return calls.ServerLoad(
+            running=running,
+            waiting=waiting,
+            slots=slots,
+            pace_percent=None if pace is None else int(pace),
+        )
+
     def answer_headers(self, response: http.HttpResponse) -> http.HeaderList:
         """Return the end-to-end headers of a response, without its content length."""
         return tuple(
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -86,6 +86,9 @@
     def pause_s(self, response):
         return 0.0
 
+    def server_load(self, response):
+        return None
+
 
 class KeyRouting:
     admits = True
--- a/tests/gateway/test_server_signs.py
+++ b/tests/gateway/test_server_signs.py
@@ -105,3 +105,34 @@
         self.assertGreater(min(latest), 0.2)
         self.assertLess(max(latest), 4.0 * 1.3)
         self.assertGreater(self.arrivals_in(4.0), 0)
+
+
+class StatedLoadTest(ServerSignsCase):
+    sharded = False
+
+    def state_load(self, value):
+        self.first.extra_headers = [(requests.LOAD, value)]
+        self.run_vm(1.0)
+
+    def share_of_first(self):
+        before = [len(server.arrivals) for server in (self.first, self.second)]
+        self.run_vm(10.0)
+        first, second = (
+            len(server.arrivals) - count
+            for server, count in zip((self.first, self.second), before, strict=True)
+        )
+        return first / (first + second)
+
+    def test_server_that_others_load_gets_fewer_requests(self):
+        """Guards against requests to a server whose slots are taken by other senders."""
+        usual = self.share_of_first()
+        self.state_load(b"2,6,2,100")
+        self.assertLess(self.share_of_first(), usual)
+
+    def test_figures_that_cannot_be_true_are_ignored(self):
+        """Guards against a server that gets no requests because of figures that make no sense."""
+        self.state_load(b"2,6,2,100")
+        loaded = self.share_of_first()
+        for value in (b"9,9,2", b"2,6,8", b"many", b"-1,0,2", b"2,6", b"1,2,0"):
+            self.state_load(value)
+            self.assertGreater(self.share_of_first(), loaded)
