Take an owner's latencies as service times, and learn the work of routes from all servers

Above 0.6 utilization the planner ignores latencies above the average, as they contain waiting at the server; a queue owner's contain none. And a queue that has seen no answer of a route took the average of its other routes for it: an urgent request of little work counted as late in a queue of long work, went behind all and was shed, so that its work was never measured. Change: latencies of a server's owner always count, and queues share the expected work of each route.

--- a/src/celerystack/gateway/call_queue.py
+++ b/src/celerystack/gateway/call_queue.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer
 
 from celerystack.gateway import calls
-from celerystack.limits import concurrency, deadline_queue
+from celerystack.limits import concurrency, deadline_queue, route_work
 
 SERVICE_TIME_WEIGHT = 0.15
 """Weight of one answer in the moving average of a route's service time."""
@@ -50,6 +50,8 @@
         Clock in seconds to which deadlines refer.
     ordering : Ordering
         Order in which calls start.
+    route_work : RouteWork or None
+        Expected work of routes of which this queue has seen no answer yet.
     """
 
     def __init__(
@@ -59,10 +61,12 @@
         *,
         now: Callable[[], float],
         ordering: deadline_queue.Ordering = deadline_queue.BY_PRIORITY,
+        route_work: route_work.RouteWork | None = None,
     ) -> None:
         self.limit = limit
         self._reactor = reactor
         self._now = now
+        self._route_work = route_work
         self._queue: deadline_queue.DeadlineQueue[_WaitingCall] = deadline_queue.DeadlineQueue(
             ordering=ordering
         )
@@ -99,7 +103,11 @@
 
     def service_time_s(self, call: calls.Call) -> float:
         """Return the mean latency of a call's route; of all routes before its first answer."""
-        return self._service_time_s_by_route.get(call.route.name, self._queue.service_time_s)
+        route = call.route.name
+        known = self._service_time_s_by_route.get(route)
+        if known is None and self._route_work is not None:
+            known = self._route_work.expected_s(route)
+        return self._queue.service_time_s if known is None else known
 
     async def wait_for_turn(self, call: calls.Call) -> WaitOutcome:
         """Wait until the call may start; if it was taken, `release` must be called at its end."""
--- a/src/celerystack/gateway/server_queue.py
+++ b/src/celerystack/gateway/server_queue.py
@@ -10,7 +10,7 @@
 from celerystack.backend import client, http
 from celerystack.fleet import servers
 from celerystack.gateway import call_queue, calls
-from celerystack.limits import cold_starts, concurrency, deadline_queue
+from celerystack.limits import cold_starts, concurrency, deadline_queue, route_work
 
 IN_FLIGHT_MAX = 4
 """Largest number of requests in flight from this VM to one server."""
@@ -66,6 +66,7 @@
         on_response: Callable[[ServerQueue, http.HttpResponse], None],
         now: Callable[[], float],
         ordering: deadline_queue.Ordering = deadline_queue.BY_PRIORITY,
+        route_work: route_work.RouteWork | None = None,
     ) -> None:
         self.record = record
         self.incarnation = record.entry.incarnation
@@ -78,7 +79,9 @@
         self._limit = concurrency.ConcurrencyLimit(
             slots=record.entry.slots, entry_vms=entry_vms, maximum=IN_FLIGHT_MAX
         )
-        self._calls = call_queue.CallQueue(reactor, self._limit, now=now, ordering=ordering)
+        self._calls = call_queue.CallQueue(
+            reactor, self._limit, now=now, ordering=ordering, route_work=route_work
+        )
         self._started_at: dict[int, float] = {}
         self._sequence = 0
         self._last_answer_at = now()
--- a/src/celerystack/gateway/server_queues.py
+++ b/src/celerystack/gateway/server_queues.py
@@ -10,7 +10,7 @@
 from celerystack.fleet import servers
 from celerystack.forwarding import owners
 from celerystack.gateway import calls, config, server_queue, server_statements, service_queue
-from celerystack.limits import byte_budget, cold_starts, deadline_queue
+from celerystack.limits import byte_budget, cold_starts, deadline_queue, route_work
 from celerystack.ranges import model
 
 CONNECTIONS_SHARE = 0.7
@@ -69,6 +69,7 @@
         self._on_service_time = on_service_time
         self._now = now
         self._open_pool = open_pool
+        self._route_work = route_work.RouteWork()
         self._policies: dict[ids.ServiceName, config.ServicePolicy] = {}
         self._by_service: dict[ids.ServiceName, list[server_queue.ServerQueue]] = {}
         self._owned_by_service: dict[ids.ServiceName, list[server_queue.ServerQueue]] = {}
@@ -107,7 +108,9 @@
         found = by_service.get(service)
         if found is None:
             ordering = deadline_queue.IN_TIME_FIRST if owned else deadline_queue.BY_PRIORITY
-            found = service_queue.ServiceQueue(self._reactor, now=self._now, ordering=ordering)
+            found = service_queue.ServiceQueue(
+                self._reactor, now=self._now, ordering=ordering, route_work=self._route_work
+            )
             by_service[service] = found
             self._size_service_queues()
         return found
@@ -190,6 +193,7 @@
             request_codec=self._request_codec,
             entry_vms=self._entry_vms(),
             cold=self._cold,
+            route_work=self._route_work,
             on_answer=self._on_answer,
             on_response=self._statements.take,
             now=self._now,
@@ -198,6 +202,7 @@
     def _on_answer(
         self, answered: server_queue.ServerQueue, call: calls.Call, latency_s: float
     ) -> None:
+        self._route_work.observe(call.route.name, latency_s)
         for by_service in (self._shared_queue_by_service, self._owned_queue_by_service):
             queue = by_service.get(call.service)
             if queue is not None:
--- a/src/celerystack/gateway/service_queue.py
+++ b/src/celerystack/gateway/service_queue.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from celerystack.gateway import call_queue, calls
-from celerystack.limits import concurrency, deadline_queue
+from celerystack.limits import concurrency, deadline_queue, route_work
 
 SHARE_FACTOR = 1.4
 """In flight are at most so many times this VM's equal share of the slots: the VMs' loads differ.
@@ -51,6 +51,8 @@
         Clock in seconds to which deadlines refer.
     ordering : Ordering
         Order in which queued calls start.
+    route_work : RouteWork or None
+        Expected work of routes of which this queue has seen no answer yet.
     """
 
     def __init__(
@@ -59,10 +61,13 @@
         *,
         now: Callable[[], float],
         ordering: deadline_queue.Ordering = deadline_queue.BY_PRIORITY,
+        route_work: route_work.RouteWork | None = None,
     ) -> None:
         self._reactor = reactor
         self._limit = concurrency.FixedLimit(PLACES_MINIMUM)
-        self._calls = call_queue.CallQueue(reactor, self._limit, now=now, ordering=ordering)
+        self._calls = call_queue.CallQueue(
+            reactor, self._limit, now=now, ordering=ordering, route_work=route_work
+        )
 
     def set_slots(self, slots: int, *, entry_vms: int) -> None:
         """Set the number of slots of all servers, and of entry VMs that share them."""
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -177,6 +177,7 @@
             on_commit=lambda service: self._map_distributor.push(service),
             rate_limit=lambda incarnation: self._rate_limits.limit(incarnation),
             avoids_cold=avoids_cold,
+            owns_queue=self._owns_queue,
             now=now,
         )
         self._datagrams = _Datagrams(self._on_datagram)
@@ -503,6 +504,13 @@
             live, self._queue_owners.owners, entry_vms=len(self._map_distributor)
         )
 
+    def _owns_queue(self, vm: ids.EntryVmId, server: ids.ServerId) -> bool:
+        record = self._directory.by_id.get(server)
+        if record is None or not self._queue_owners.is_forwarding:
+            return False
+        owner = self._queue_owners.owner_of(server, record.entry.zone)
+        return owner is not None and owner.vm == vm
+
     def _update_for(
         self, peer: map_distribution.Peer, update: directory_sync.DirectoryUpdate | None
     ) -> directory_sync.DirectoryUpdate | None:
--- a/src/celerystack/ranges/planner.py
+++ b/src/celerystack/ranges/planner.py
@@ -102,6 +102,9 @@
     avoids_cold : callable
         Returns whether the cold servers of a service tolerate few requests, so that keys are not
         given to them.
+    owns_queue : callable
+        Returns whether an entry VM owns the queue of a server. The latencies that it measures
+        contain no waiting at the server.
     """
 
     def __init__(
@@ -116,6 +119,7 @@
         on_commit: Callable[[ids.ServiceName], None],
         rate_limit: Callable[[model.ServerIncarnation], float | None],
         avoids_cold: Callable[[ids.ServiceName], bool],
+        owns_queue: Callable[[ids.EntryVmId, ids.ServerId], bool],
         now: Callable[[], float],
     ) -> None:
         self.leadership = leadership
@@ -127,6 +131,7 @@
         self._on_commit = on_commit
         self._rate_limit = rate_limit
         self._avoids_cold = avoids_cold
+        self._owns_queue = owns_queue
         self._now = now
         self._lease_reports = lease_reports.LeaseReports(zone_of=self._zone_of)
         self._releases: dict[_ReleaseKey, _Release] = {}
@@ -175,9 +180,9 @@
         for service, keys in report.keys_by_service.items():
             self._load_by_service.setdefault(service, key_load.KeyLoad()).add(keys, now)
         for server, (count, mean_s) in report.service_time_by_server.items():
-            self.service_times.add(
-                server, count, mean_s, self._utilization_by_server.get(server, 0.0)
-            )
+            includes_waiting = not self._owns_queue(report.vm, server)
+            utilization = self._utilization_by_server.get(server, 0.0) if includes_waiting else 0.0
+            self.service_times.add(server, count, mean_s, utilization)
         self._unreachable_by_vm[report.vm] = (now, report.unreachable)
         for suspect, incarnation in report.crash_suspects:
             self.suspects.add(suspect, incarnation, now)
--- a/tests/ranges/test_planner.py
+++ b/tests/ranges/test_planner.py
@@ -16,6 +16,7 @@
 
 class PlannerCase(testtools.TestCase):
     avoids_cold = False
+    owns_queue = False
     sharded_services = (fakes.SERVICE,)
 
     def setUp(self):
@@ -37,6 +38,7 @@
         made = planner.Planner(
             rate_limit=lambda incarnation: self.limit_by_incarnation.get(incarnation),
             avoids_cold=lambda _: self.avoids_cold,
+            owns_queue=lambda vm, server: self.owns_queue,
             leadership=leadership.Leadership(
                 vm=VM, vm_incarnation=1, store=self.store, now=self.clock.seconds
             ),
@@ -78,6 +80,20 @@
             )
         )
 
+    def report_service_time(self, name, seconds):
+        report = messages.Report(
+            vm=VM,
+            zone=fakes.ZONE,
+            vm_incarnation=1,
+            stamp=self.clock.seconds(),
+            versions_by_service=self.range_maps.versions(),
+            remaining_by_incarnation={},
+            unreachable=(),
+            keys_by_service={},
+            service_time_by_server={ids.ServerId(name): (5, seconds)},
+        )
+        self.planner.on_report(report)
+
 
 class PlannerTest(PlannerCase):
     def test_first_map_is_settled(self):
@@ -103,6 +119,17 @@
         self.assertTrue(self.orders.released)
         self.assertTrue(all(segment.is_settled for segment in self.ranges().segments))
 
+    def test_latencies_of_a_queue_owner_are_service_times(self):
+        """Guards against servers that are overloaded because their slowness counts as waiting."""
+        for owns_queue, expected_s in ((False, 0.12), (True, 0.3)):
+            self.owns_queue = owns_queue
+            times = self.planner.service_times
+            self.planner._utilization_by_server[ids.ServerId("a")] = 0.9
+            for _ in range(40):
+                self.report_service_time("a", 0.3)
+            found = times.estimate([ids.ServerId("a")])[ids.ServerId("a")]
+            self.assertAlmostEqual(expected_s, found, delta=0.02)
+
     def test_cold_server_gets_keys_when_it_is_warm(self):
         """Guards against a cold server that gets all requests for some keys and crashes."""
         self.avoids_cold = True
