Choose between two queue owners by the waits that the heartbeats tell

Cause: a random choice by slots sends as much to an owner whose servers are cold or lost as to the others. Change: owners report the expected wait in their queues, the planner tells all, and an entry VM takes the shorter of two waits. A cold server counts with one slot. Ruled out: the shortest wait of all, which would get the requests of all entry VMs until the next heartbeat.

--- a/src/celerystack/fleet/messages.py
+++ b/src/celerystack/fleet/messages.py
@@ -55,6 +55,8 @@
         Server incarnations that have stated that they leave, before their entries do.
     queue_weight : float
         Share of the queues that the sender should own; 0 if it should own none.
+    queue_wait_by_service : dict
+        Expected wait in seconds in the queues that the sender owns for unsharded services.
     """
 
     vm: ids.EntryVmId
@@ -74,6 +76,7 @@
     rate_limits: tuple[rate_limits.RateLimit, ...] = ()
     leaving: tuple[model.ServerIncarnation, ...] = ()
     queue_weight: float = 0.0
+    queue_wait_by_service: dict[ids.ServiceName, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -117,6 +120,8 @@
         Evacuated zones; None if the planner has not read them yet.
     queue_owners : tuple of Owner
         Entry VMs that own the queues of the servers.
+    queue_waits_by_vm : dict
+        Expected wait in seconds by service, for the owners with such a wait.
     """
 
     vm: ids.EntryVmId
@@ -136,6 +141,9 @@
     leaving: tuple[model.ServerIncarnation, ...] = ()
     evacuations: evacuations.EvacuationList | None = None
     queue_owners: tuple[owners.Owner, ...] = ()
+    queue_waits_by_vm: dict[ids.EntryVmId, dict[ids.ServiceName, float]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -317,6 +325,7 @@
                 [_encode_rate_limit(limit) for limit in message.rate_limits],
                 [_encode_incarnation(incarnation) for incarnation in message.leaving],
                 message.queue_weight,
+                message.queue_wait_by_service,
             ]
             return msgpack.packb(["report", *fields])
         case PlannerHeartbeat():
@@ -341,6 +350,7 @@
                 [_encode_incarnation(incarnation) for incarnation in message.leaving],
                 None if message.evacuations is None else _encode_evacuations(message.evacuations),
                 [_encode_owner(owner) for owner in message.queue_owners],
+                message.queue_waits_by_vm,
             ]
             return msgpack.packb(["beacon", *fields])
         case RangesPart():
@@ -398,6 +408,7 @@
         limits,
         leaving,
         queue_weight,
+        queue_waits,
     ) = rest
     return Report(
         vm=vm,
@@ -428,6 +439,7 @@
         rate_limits=tuple(_decode_rate_limit(*limit) for limit in limits),
         leaving=tuple(codec.decode_incarnation(incarnation) for incarnation in leaving),
         queue_weight=float(queue_weight),
+        queue_wait_by_service={service: float(wait_s) for service, wait_s in queue_waits.items()},
     )
 
 
@@ -444,6 +456,7 @@
         leaving,
         evacuated,
         queue_owners,
+        queue_waits,
     ) = rest
     return PlannerHeartbeat(
         vm=vm,
@@ -468,6 +481,10 @@
         leaving=tuple(codec.decode_incarnation(incarnation) for incarnation in leaving),
         evacuations=None if evacuated is None else _decode_evacuations(*evacuated),
         queue_owners=tuple(_decode_owner(*owner) for owner in queue_owners),
+        queue_waits_by_vm={
+            vm: {service: float(wait_s) for service, wait_s in waits.items()}
+            for vm, waits in queue_waits.items()
+        },
     )
 
 
--- a/src/celerystack/forwarding/owners.py
+++ b/src/celerystack/forwarding/owners.py
@@ -5,6 +5,7 @@
 import dataclasses
 import hashlib
 import math
+import random
 from collections.abc import Callable, Iterable, Mapping
 
 from celerystack import ids
@@ -68,6 +69,9 @@
     return -owner.weight / math.log(uniform) if uniform < 1 else math.inf
 
 
+_NO_WAITS: Mapping[ids.EntryVmId, Mapping[ids.ServiceName, float]] = {}
+
+
 class QueueOwners:
     """The owners that the planner named last, and the queues that each of them owns.
 
@@ -96,6 +100,7 @@
         self._now = now
         self._announced_at = float("-inf")
         self._entry_vms = 0
+        self._waits_by_vm: Mapping[ids.EntryVmId, Mapping[ids.ServiceName, float]] = _NO_WAITS
         self._owner_by_server: dict[ids.ServerId, Owner] = {}
         self._listeners: list[Callable[[], None]] = []
         self.owners: tuple[Owner, ...] = ()
@@ -105,9 +110,22 @@
         """Call ``listener`` after each change of the owners."""
         self._listeners.append(listener)
 
-    def announce(self, named: tuple[Owner, ...], *, entry_vms: int) -> None:
-        """Take the owners in a heartbeat of the planner, or of this VM as the planner."""
+    def announce(
+        self,
+        named: tuple[Owner, ...],
+        *,
+        entry_vms: int,
+        waits_by_vm: Mapping[ids.EntryVmId, Mapping[ids.ServiceName, float]] = _NO_WAITS,
+    ) -> None:
+        """Take the owners in a heartbeat of the planner, or of this VM as the planner.
+
+        Parameters
+        ----------
+        waits_by_vm : mapping
+            Expected wait in seconds by service in the queues of the owners that have one.
+        """
         self._announced_at = self._now()
+        self._waits_by_vm = waits_by_vm
         self._entry_vms = entry_vms
         if named == self.owners:
             return
@@ -143,6 +161,20 @@
         """Return whether this VM may rely on being the only owner of a server's queue."""
         return self._now() - self._announced_at <= EXCLUSIVE_S and self.owns(server, zone)
 
+    def choose_by_slots(
+        self, slots_by_owner: Mapping[Owner, int], service: ids.ServiceName
+    ) -> Owner:
+        """Return the owner with the shorter wait of two, chosen at random by their slots.
+
+        The one with the shortest wait of all would get the requests of all entry VMs until the
+        next heartbeat.
+        """
+        candidates = random.choices(tuple(slots_by_owner), tuple(slots_by_owner.values()), k=2)
+        return min(candidates, key=lambda owner: self._wait_s(owner.vm, service))
+
+    def _wait_s(self, vm: ids.EntryVmId, service: ids.ServiceName) -> float:
+        return self._waits_by_vm.get(vm, {}).get(service, 0.0)
+
     def slots_by_owner(
         self, slots_by_server: Mapping[tuple[ids.ServerId, ids.ZoneName], int]
     ) -> dict[Owner, int]:
--- a/src/celerystack/gateway/call_queue.py
+++ b/src/celerystack/gateway/call_queue.py
@@ -94,6 +94,11 @@
         ahead = self.load - self.limit.limit + 1
         return max(0, ahead) * latency_s / self.limit.limit
 
+    @property
+    def mean_service_time_s(self) -> float:
+        """Mean latency of the answered calls of all routes in seconds."""
+        return self._queue.service_time_s
+
     def observe(self, call: calls.Call, latency_s: float) -> None:
         """Record the latency of an answered call, to estimate that of others of its route."""
         self._queue.observe(latency_s)
--- a/src/celerystack/gateway/forwarded.py
+++ b/src/celerystack/gateway/forwarded.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 
 from twisted.internet import defer
@@ -11,12 +10,16 @@
 from celerystack.fleet import servers
 from celerystack.forwarding import links, messages, owners
 from celerystack.gateway import attempts, calls, config
+from celerystack.limits import cold_starts
 from celerystack.ranges import model
 
 BODY_BYTES_MAX = 1024 * 1024
 """Largest body in bytes of a request that is forwarded; larger ones would hold up the others on the
 stream, and are sent to the server directly."""
 
+SLOTS_VALID_S = 0.5
+"""Time in seconds after which the slots of the owners are counted again, as servers become warm."""
+
 
 class ForwardedAttempts:
     """Makes each attempt at the owner of the server's queue, or from here if there is none.
@@ -38,15 +41,18 @@
         directory: servers.Directory,
         key_routing: attempts.KeyRouting,
         local: attempts.LocalAttempts,
+        cold: cold_starts.ColdStarts,
         now: Callable[[], float],
     ) -> None:
         self._vm = vm
+        self._cold = cold
         self._queue_owners = queue_owners
         self._links = owner_links
         self._directory = directory
         self._key_routing = key_routing
         self._local = local
         self._now = now
+        self._slots_valid_until = float("-inf")
         self._slots_version: tuple[int, int] | None = None
         self._slots_by_service: dict[ids.ServiceName, dict[owners.Owner, int]] = {}
 
@@ -75,13 +81,14 @@
             return None
         if policy.sharded:
             return self._owner_of_key(call)
-        slots = self._slots_by_owner(call.service)
-        usable = [
-            owner for owner in slots if owner.vm == self._vm or self._links.find(owner) is not None
-        ]
+        usable = {
+            owner: slots
+            for owner, slots in self._slots_by_owner(call.service).items()
+            if owner.vm == self._vm or self._links.find(owner) is not None
+        }
         if not usable:
             return None
-        return random.choices(usable, [slots[owner] for owner in usable])[0]
+        return self._queue_owners.choose_by_slots(usable, call.service)
 
     def _owner_of_key(self, call: calls.Call) -> owners.Owner | None:
         """Return the owner of the queue of the key's server; None while the key is moving."""
@@ -94,15 +101,23 @@
         return self._queue_owners.owner_of(record.entry.server, record.entry.zone)
 
     def _slots_by_owner(self, service: ids.ServiceName) -> dict[owners.Owner, int]:
+        """Return how many slots of a service each owner has.
+
+        A cold server, which gets few requests, counts with a single slot.
+        """
         version = self._directory.version, self._queue_owners.version
-        if version != self._slots_version:
+        now = self._now()
+        if version != self._slots_version or now >= self._slots_valid_until:
             self._slots_version = version
+            self._slots_valid_until = now + SLOTS_VALID_S
             self._slots_by_service.clear()
         found = self._slots_by_service.get(service)
         if found is None:
             found = self._slots_by_service[service] = self._queue_owners.slots_by_owner(
                 {
-                    (record.entry.server, record.entry.zone): record.entry.slots
+                    (record.entry.server, record.entry.zone): 1
+                    if self._cold.is_bound(service, record.warm_at)
+                    else record.entry.slots
                     for record in self._directory.usable(service)
                 }
             )
--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -135,6 +135,9 @@
             now=now,
         )
         self.coordinator.set_unreachable_source(self.request_path.refusing_servers)
+        self.coordinator.set_queue_waits_source(
+            self.request_path.server_queues.owned_wait_by_service
+        )
         self.coordinator.set_rate_limits(self.request_path.rate_limits)
         self.frontend = frontend.FrontEnd(
             reactor,
--- a/src/celerystack/gateway/request_path.py
+++ b/src/celerystack/gateway/request_path.py
@@ -92,6 +92,7 @@
             directory=directory,
             key_routing=key_routing,
             local=local,
+            cold=self._cold,
             now=now,
         )
         self.dispatcher = dispatch.Dispatcher(
--- a/src/celerystack/gateway/server_queues.py
+++ b/src/celerystack/gateway/server_queues.py
@@ -102,6 +102,16 @@
         """Return the number of entry VMs among which a server's limits are divided."""
         return 1 if self.is_owned(queue) else self._entry_vms()
 
+    def owned_wait_by_service(self) -> dict[ids.ServiceName, float]:
+        """Return the expected wait in seconds in the queues that this VM owns, where there is one.
+
+        Only of unsharded services, whose calls can go to another owner.
+        """
+        waits = {
+            service: queue.mean_wait_s() for service, queue in self._owned_queue_by_service.items()
+        }
+        return {service: wait_s for service, wait_s in waits.items() if wait_s > 0}
+
     def service_queue(self, service: ids.ServiceName, *, owned: bool) -> service_queue.ServiceQueue:
         """Return the queue of a service's calls for the owned servers, or for all servers."""
         by_service = self._owned_queue_by_service if owned else self._shared_queue_by_service
--- a/src/celerystack/gateway/service_queue.py
+++ b/src/celerystack/gateway/service_queue.py
@@ -99,3 +99,7 @@
     def wait_estimate_s(self, call: calls.Call) -> float:
         """Return the expected time that a new call of the same route would wait."""
         return self._calls.wait_estimate_s(self._calls.service_time_s(call))
+
+    def mean_wait_s(self) -> float:
+        """Return the expected time that a new call with the mean work of all routes would wait."""
+        return self._calls.wait_estimate_s(self._calls.mean_service_time_s)
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -198,6 +198,7 @@
         )
         updates.on_read(self._announce)
         self._unreachable_incarnations: Callable[[], Iterable[model.ServerIncarnation]] = tuple
+        self._queue_waits: Callable[[], dict[ids.ServiceName, float]] = dict
         self._rate_limits = rate_limits.RateLimits(now=now)
         self.admission = admission.FractionalAdmission()
         self.quarantine = crash_suspects.Quarantine()
@@ -258,6 +259,10 @@
         """Set the source of incarnations that refuse connections for requests, for the reports."""
         self._unreachable_incarnations = incarnations
 
+    def set_queue_waits_source(self, waits: Callable[[], dict[ids.ServiceName, float]]) -> None:
+        """Set the source of the expected waits in the queues that this VM owns."""
+        self._queue_waits = waits
+
     def set_rate_limits(self, limits: rate_limits.RateLimits) -> None:
         """Set the rate limits that servers state, which the entry VMs tell each other."""
         self._rate_limits = limits
@@ -461,7 +466,11 @@
         limits = self._rate_limits.next_announcements()
         self._rate_limits.note_announced(limits)
         evacuated = self._evacuations.list_all()
-        self._queue_owners.announce(self._choose_queue_owners(now), entry_vms=registered)
+        queue_waits = self._map_distributor.queue_waits_by_vm()
+        queue_waits[self._node.vm] = self._queue_waits()
+        self._queue_owners.announce(
+            self._choose_queue_owners(now), entry_vms=registered, waits_by_vm=queue_waits
+        )
         updates_since = functools.cache(self._updates.update_since)
         for peer in self._map_distributor.others():
             heartbeat = messages.PlannerHeartbeat(
@@ -482,6 +491,7 @@
                 leaving=leaving,
                 evacuations=evacuated,
                 queue_owners=self._queue_owners.owners,
+                queue_waits_by_vm=queue_waits,
             )
             self._datagrams.send(messages.encode(heartbeat), peer.node.address)
             self._map_distributor.resend(peer, now)
@@ -580,7 +590,11 @@
         self._note_address_reused(heartbeat.incarnations_with_reused_address)
         self._note_leaving(heartbeat.leaving)
         self._rate_limits.note_announced(heartbeat.rate_limits)
-        self._queue_owners.announce(heartbeat.queue_owners, entry_vms=heartbeat.entry_vms)
+        self._queue_owners.announce(
+            heartbeat.queue_owners,
+            entry_vms=heartbeat.entry_vms,
+            waits_by_vm=heartbeat.queue_waits_by_vm,
+        )
         if heartbeat.evacuations is not None:
             self._evacuations.apply_announced(heartbeat.evacuations)
         if heartbeat.update is not None:
@@ -619,6 +633,7 @@
             rate_limits=self._rate_limits.unannounced(),
             leaving=self._directory.leaving_incarnations(),
             queue_weight=0.0 if self._stopping else self._queue_weight,
+            queue_wait_by_service=self._queue_waits(),
         )
 
     def _take_part(self, part: messages.RangesPart) -> None:
--- a/src/celerystack/ranges/map_distribution.py
+++ b/src/celerystack/ranges/map_distribution.py
@@ -35,6 +35,8 @@
         Version of the newest configuration row that it has.
     queue_weight : float
         Share of the queues that it should own, by its report.
+    queue_wait_by_service : dict
+        Expected wait in seconds in the queues that it owns, by its report.
     """
 
     def __init__(self, node: nodes.Node) -> None:
@@ -45,6 +47,7 @@
         self.position = directory_sync.UNKNOWN
         self.config_row = directory_sync.UNKNOWN
         self.queue_weight = 0.0
+        self.queue_wait_by_service: dict[ids.ServiceName, float] = {}
         self.versions_by_service: dict[ids.ServiceName, int] = {}
         self._sent_by_service: dict[ids.ServiceName, dict[int, float]] = {}
 
@@ -162,6 +165,7 @@
             peer.position = report.position
             peer.config_row = report.config_row
             peer.queue_weight = report.queue_weight
+            peer.queue_wait_by_service = report.queue_wait_by_service
 
     def live_by_zone(self, now: float) -> dict[ids.ZoneName, tuple[ids.EntryVmId, ...]]:
         """Return this VM and those that reported recently, by availability zone."""
@@ -180,6 +184,14 @@
             if now - peer.reported_at < LIVE_S and peer.queue_weight > 0
         ]
 
+    def queue_waits_by_vm(self) -> dict[ids.EntryVmId, dict[ids.ServiceName, float]]:
+        """Return the expected waits by service that the other VMs reported, where there are any."""
+        return {
+            peer.node.vm: peer.queue_wait_by_service
+            for peer in self.others()
+            if peer.queue_wait_by_service
+        }
+
     def push(self, service: ids.ServiceName) -> None:
         """Send the changes since the last push to all entry VMs, or the whole map the first time.
 
--- a/tests/fleet/test_messages.py
+++ b/tests/fleet/test_messages.py
@@ -4,6 +4,7 @@
 
 from celerystack import errors, ids
 from celerystack.fleet import directory_sync, evacuations, messages
+from celerystack.forwarding import owners
 from celerystack.limits import rate_limits
 from tests.ranges import fakes
 
@@ -42,6 +43,8 @@
         age_s=0.2,
         evacuations=(evacuations.Evacuation(fakes.ZONE, 1.5),),
     ),
+    queue_owners=(owners.Owner(ids.EntryVmId("v1"), fakes.ZONE, ("10.0.0.1", 7000), 2.0),),
+    queue_waits_by_vm={ids.EntryVmId("v1"): {fakes.SERVICE: 0.25}},
 )
 REPORT = messages.Report(
     vm=ids.EntryVmId("v1"),
@@ -60,6 +63,8 @@
     config_row=ids.RowVersion(5),
     rate_limits=(LIMIT,),
     leaving=(fakes.incarnation("d"),),
+    queue_weight=1.5,
+    queue_wait_by_service={fakes.SERVICE: 0.25},
 )
 
 
--- a/tests/forwarding/test_owners.py
+++ b/tests/forwarding/test_owners.py
@@ -76,3 +76,12 @@
         self.queue_owners.announce((vm("a"), b), entry_vms=80)
         slots = {(SERVERS[0], fakes.ZONE): 4, (SERVERS[1], OTHER_ZONE): 4, (SERVERS[2], "z3"): 2}
         self.assertEqual(10, sum(self.queue_owners.slots_by_owner(slots).values()))
+
+    def test_owner_with_a_long_wait_gets_fewer_calls(self):
+        """Guards against a queue that grows while other owners have free slots."""
+        slots = {vm("a"): 4, vm("b"): 4}
+        self.queue_owners.announce(
+            tuple(slots), entry_vms=80, waits_by_vm={ids.EntryVmId("a"): {fakes.SERVICE: 1.0}}
+        )
+        chosen = [self.queue_owners.choose_by_slots(slots, fakes.SERVICE).vm for _ in range(400)]
+        self.assertAlmostEqual(0.25, chosen.count("a") / 400, delta=0.1)
