--- a/src/celerystack/gateway/call_queue.py
+++ b/src/celerystack/gateway/call_queue.py
@@ -50,6 +50,8 @@
         Clock in seconds to which deadlines refer.
     ordering : Ordering
         Order in which calls start.
+    length_max : int
+        Maximum number of waiting calls.
     """
 
     def __init__(
@@ -59,12 +61,13 @@
         *,
         now: Callable[[], float],
         ordering: deadline_queue.Ordering = deadline_queue.BY_PRIORITY,
+        length_max: int = deadline_queue.LENGTH_MAX,
     ) -> None:
         self.limit = limit
         self._reactor = reactor
         self._now = now
         self._queue: deadline_queue.DeadlineQueue[_WaitingCall] = deadline_queue.DeadlineQueue(
-            ordering=ordering
+            ordering=ordering, length_max=length_max
         )
         self._service_time_s_by_route: dict[str, float] = {}
         self._is_starting = False
@@ -100,6 +103,7 @@
     async def wait_for_turn(self, call: calls.Call) -> WaitOutcome:
         """Wait until the call may start; if it was taken, `release` must be called at its end."""
         if not self._queue and self.limit.try_start():
+            self._queue.note_started(kind=call.route.name, priority=call.route.priority)
             return WaitOutcome.TAKEN
         turn: defer.Deferred[WaitOutcome] = defer.Deferred()
         waiting = _WaitingCall(call, turn)
@@ -109,6 +113,7 @@
             due=call.arrived_at + TARGET_SHARE * call.route.target_latency_s,
             deadline=call.deadline,
             service_time_s=self.service_time_s(call),
+            kind=call.route.name,
             now=self._now(),
             concurrency=self.limit.limit,
         )
--- a/src/celerystack/gateway/service_queue.py
+++ b/src/celerystack/gateway/service_queue.py
@@ -51,6 +51,8 @@
         Clock in seconds to which deadlines refer.
     ordering : Ordering
         Order in which queued calls start.
+    length_max : int
+        Maximum number of queued calls.
     """
 
     def __init__(
@@ -59,10 +61,13 @@
         *,
         now: Callable[[], float],
         ordering: deadline_queue.Ordering = deadline_queue.BY_PRIORITY,
+        length_max: int = deadline_queue.LENGTH_MAX,
     ) -> None:
         self._reactor = reactor
         self._limit = concurrency.FixedLimit(PLACES_MINIMUM)
-        self._calls = call_queue.CallQueue(reactor, self._limit, now=now, ordering=ordering)
+        self._calls = call_queue.CallQueue(
+            reactor, self._limit, now=now, ordering=ordering, length_max=length_max
+        )
 
     def set_slots(self, slots: int, *, entry_vms: int) -> None:
         """Set the number of slots of all servers, and of entry VMs that share them."""
--- a/src/celerystack/limits/deadline_queue.py
+++ b/src/celerystack/limits/deadline_queue.py
@@ -4,15 +4,22 @@
 
 import bisect
 import dataclasses
+import math
 import operator
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
+from celerystack.limits import kind_shares
+
 LENGTH_MAX = 512
 """Default of the maximum number of queued items."""
 SERVICE_TIME_WEIGHT = 0.1
 """Weight of one observation in the moving average of the service time."""
 
+RESERVED_SHARE_MAX = 0.65
+"""Largest fraction of the time from an item's arrival to its due time that a work margin above 1
+reserves. Without it, items of long work would count as late from the start."""
+
 T = TypeVar("T")
 
 
@@ -27,11 +34,16 @@
         time; otherwise they go behind those of their own priority.
     work_margin : float
         Multiple of its expected service time that must fit before the due time of an item, so that
-        it counts as in time. Above 1 it allows for service times above the average.
+        it counts as in time. Above 1 it allows for service times above the average; it then takes
+        at most `RESERVED_SHARE_MAX` of the time until the due time, but one service time.
+    share_min : float
+        Items of kinds that are served too rarely go first; see `kind_shares.KindShares`. With 0,
+        kinds make no difference.
     """
 
     late_behind_all: bool = False
     work_margin: float = 1.0
+    share_min: float = 0.0
 
 
 BY_PRIORITY = Ordering()
@@ -46,23 +58,30 @@
     ----------
     number : int
         Number of arrival.
-    can_become_late : bool
-        Whether the item has a due time and is still expected to be answered by it.
+    has_own_time : bool
+        Whether the item has a service time of its own, other than the average.
+    latest_start : float
+        Time at which the item must start to be answered by its deadline.
+    latest_start_in_time : float
+        The same for its due time; infinite if the item has none or is late already.
     order : tuple
         Sort key; items with smaller ones go first.
     """
 
     item: T
     number: int
+    kind: str
     priority: int
     due: float
     deadline: float
-    service_time_s: float | None
-    can_become_late: bool
+    has_own_time: bool
+    latest_start: float
+    latest_start_in_time: float
     order: tuple[float, ...] = ()
 
 
 _order = operator.attrgetter("order")
+_latest_start = operator.attrgetter("latest_start")
 
 
 class DeadlineQueue(Generic[T]):
@@ -78,6 +97,8 @@
     ----------
     length_max : int
         Maximum number of items; beyond it the last item in order is shed.
+    ordering : Ordering
+        Order of the items.
     """
 
     def __init__(self, *, length_max: int = LENGTH_MAX, ordering: Ordering = BY_PRIORITY) -> None:
@@ -86,6 +107,8 @@
         self._entries: list[_Entry[T]] = []
         self._sequence = 0
         self._service_time_s = 0.0
+        self._uses_average = False
+        self._shares = kind_shares.KindShares(ordering.share_min) if ordering.share_min else None
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -102,6 +125,15 @@
         else:
             change = service_time_s - self._service_time_s
             self._service_time_s += SERVICE_TIME_WEIGHT * change
+        if self._uses_average:
+            self._follow_average()
+
+    def _follow_average(self) -> None:
+        for entry in self._entries:
+            if not entry.has_own_time:
+                entry.latest_start = entry.deadline - self._service_time_s
+                if entry.latest_start_in_time < math.inf and self._ordering.work_margin <= 1.0:
+                    entry.latest_start_in_time = entry.due - self._service_time_s
 
     def push(
         self,
@@ -113,6 +145,7 @@
         priority: int = 0,
         due: float | None = None,
         service_time_s: float | None = None,
+        kind: str = "",
     ) -> list[T]:
         """Add an item and return the items that are shed as a result, possibly including it.
 
@@ -126,80 +159,113 @@
             Time by which the answer is wanted; None for the deadline.
         service_time_s : float or None
             Expected service time of the item in seconds; None for the average of all items.
+        kind : str
+            Kind of the item, for `Ordering.share_min`.
         """
         self._sequence += 1
         due = deadline if due is None else min(due, deadline)
+        work_s = self._service_time_s if service_time_s is None else service_time_s
+        self._uses_average |= service_time_s is None
+        reserved_s = self._reserved_s(work_s, due - now)
         entry = _Entry(
-            item, self._sequence, priority, due, deadline, service_time_s, due < deadline
+            item=item,
+            number=self._sequence,
+            kind=kind,
+            priority=priority,
+            due=due,
+            deadline=deadline,
+            has_own_time=service_time_s is not None,
+            latest_start=deadline - work_s,
+            latest_start_in_time=due - reserved_s if due < deadline else math.inf,
         )
         self._insert(entry, is_late=False)
         self._move_late_items_back(now, concurrency)
         shed = self._shed_late(now, concurrency)
         if len(self._entries) > self._length_max:
-            shed.append(self._entries.pop().item)
-        return shed
+            shed.append(self._shed_last())
+        return [self._end(entry, served=False) for entry in shed]
+
+    def _reserved_s(self, work_s: float, available_s: float) -> float:
+        """Return the time to reserve for an item, given the time until its due time."""
+        with_margin_s = self._ordering.work_margin * work_s
+        return max(work_s, min(with_margin_s, RESERVED_SHARE_MAX * available_s))
+
+    def _shed_last(self) -> _Entry[T]:
+        """Remove and return the last item, if possible of a kind that is not served too rarely."""
+        if rare := self._kinds_served_too_rarely():
+            for index in reversed(range(len(self._entries))):
+                if self._entries[index].kind not in rare:
+                    return self._entries.pop(index)
+        return self._entries.pop()
+
+    def _kinds_served_too_rarely(self) -> frozenset[str]:
+        return frozenset() if self._shares is None else self._shares.served_too_rarely
+
+    def _end(self, entry: _Entry[T], *, served: bool) -> T:
+        """Record the outcome of an item that was removed, and return it."""
+        if self._shares is not None:
+            self._shares.record(entry.kind, entry.priority, served=served)
+        return entry.item
+
+    def note_started(self, *, kind: str, priority: int) -> None:
+        """Record that an item was started without being queued."""
+        if self._shares is not None:
+            self._shares.record(kind, priority, served=True)
 
     def _insert(self, entry: _Entry[T], *, is_late: bool) -> None:
-        self._set_order(entry, is_late=is_late)
-        bisect.insort(self._entries, entry, key=_order)
-
-    def _set_order(self, entry: _Entry[T], *, is_late: bool) -> None:
         at = entry.deadline if is_late else entry.due
         if self._ordering.late_behind_all:
             entry.order = is_late, entry.priority, at, entry.number
         else:
             entry.order = entry.priority, is_late, at, entry.number
+        bisect.insort(self._entries, entry, key=_order)
+
+    def _insert_late(self, entry: _Entry[T]) -> None:
+        entry.latest_start_in_time = math.inf
+        self._insert(entry, is_late=True)
 
     def _move_late_items_back(self, now: float, concurrency: int) -> None:
-        """Mark and move the items that are not expected to be answered by their due time.
+        """Move the items back that are not expected to be answered by their due time.
 
         Like `_shed_late` it looks at each item at each push and therefore makes no calls.
         """
-        average_s = self._service_time_s
-        margin = self._ordering.work_margin
-        step_s = average_s / concurrency
-        ahead = 1
-        is_sorted = True
-        for entry in self._entries:
-            if entry.can_become_late:
-                own_s = entry.service_time_s
-                work_s = average_s if own_s is None else own_s
-                if now + ahead * step_s + margin * work_s > entry.due:
-                    entry.can_become_late = is_sorted = False
-                    self._set_order(entry, is_late=True)
-                    continue
-            ahead += 1
-        if not is_sorted:
-            self._entries.sort(key=_order)
-
-    def _shed_late(self, now: float, concurrency: int) -> list[T]:
+        candidates = self._entries
+        if self._ordering.late_behind_all:
+            candidates = candidates[: bisect.bisect_left(candidates, (True,), key=_order)]
+        step_s = self._service_time_s / concurrency
+        starts_at = now + step_s
+        late: list[int] = []
+        for index, entry in enumerate(candidates):
+            if starts_at <= entry.latest_start_in_time:
+                starts_at += step_s
+            else:
+                late.append(index)
+        for entry in self._take(late):
+            self._insert_late(entry)
+
+    def _shed_late(self, now: float, concurrency: int) -> list[_Entry[T]]:
         """Remove and return the items that are not expected to be answered before their deadline.
 
         While items wait, ``concurrency`` requests are running. The item at position ``p`` starts
         when ``p + 1`` requests have finished, on average after ``(p + 1) / concurrency`` service
         times, and is answered one service time of its own later.
         """
-        average_s = self._service_time_s
-        step_s = average_s / concurrency
-        ahead = 1
-        shed: list[_Entry[T]] = []
-        for entry in self._entries:
-            own_s = entry.service_time_s
-            work_s = average_s if own_s is None else own_s
-            if now + ahead * step_s + work_s < entry.deadline:
-                ahead += 1
+        step_s = self._service_time_s / concurrency
+        starts_at = now + step_s
+        late: list[int] = []
+        for index, entry in enumerate(self._entries):
+            if starts_at < entry.latest_start:
+                starts_at += step_s
             else:
-                shed.append(entry)
-        if shed:
-            numbers = {entry.number for entry in shed}
-            self._entries = [entry for entry in self._entries if entry.number not in numbers]
-        return [entry.item for entry in shed]
-
-    def _service_time_of(self, entry: _Entry[T]) -> float:
-        return self._service_time_s if entry.service_time_s is None else entry.service_time_s
+                late.append(index)
+        return self._take(late)
 
-    def _latest_start(self, entry: _Entry[T]) -> float:
-        return entry.deadline - self._service_time_of(entry)
+    def _take(self, indices: list[int]) -> list[_Entry[T]]:
+        """Remove and return the entries at ascending indices."""
+        taken = [self._entries[index] for index in indices]
+        for index in reversed(indices):
+            del self._entries[index]
+        return taken
 
     def pop(self, now: float | None = None) -> T | None:
         """Remove and return the first item; None if the queue is empty.
@@ -207,23 +273,26 @@
         At the time ``now``, items that have become late since they were queued go behind others.
         """
         while self._entries:
-            entry = self._entries.pop(0)
-            if now is None or not self._becomes_late(entry, now):
-                return entry.item
-            entry.can_become_late = False
-            self._insert(entry, is_late=True)
+            entry = self._entries.pop(self._first_index())
+            if now is None or now <= entry.latest_start_in_time:
+                return self._end(entry, served=True)
+            self._insert_late(entry)
         return None
 
-    def _becomes_late(self, entry: _Entry[T], now: float) -> bool:
-        work_s = self._ordering.work_margin * self._service_time_of(entry)
-        return entry.can_become_late and now + work_s > entry.due
+    def _first_index(self) -> int:
+        """Return the index of the item to start next."""
+        if rare := self._kinds_served_too_rarely():
+            for index, entry in enumerate(self._entries):
+                if entry.kind in rare:
+                    return index
+        return 0
 
     def expire(self, now: float) -> list[T]:
         """Remove and return the items that can no longer be answered before their deadline."""
-        expired = [entry for entry in self._entries if self._latest_start(entry) <= now]
+        expired = [entry for entry in self._entries if entry.latest_start <= now]
         if expired:
-            self._entries = [entry for entry in self._entries if self._latest_start(entry) > now]
-        return [entry.item for entry in expired]
+            self._entries = [entry for entry in self._entries if entry.latest_start > now]
+        return [self._end(entry, served=False) for entry in expired]
 
     def remove(self, item: T) -> bool:
         """Remove an item, compared by identity; return whether it was queued."""
@@ -242,4 +311,4 @@
 
     def next_expiry(self) -> float | None:
         """Return when an item can first no longer be answered in time; None if there is none."""
-        return min(map(self._latest_start, self._entries), default=None)
+        return min(map(_latest_start, self._entries), default=None)
