--- a/src/celerystack/gateway/call_queue.py
+++ b/src/celerystack/gateway/call_queue.py
@@ -52,6 +52,8 @@
         Order in which calls start.
     route_work : RouteWork or None
         Expected work of routes of which this queue has seen no answer yet.
+    length_max : int
+        Maximum number of waiting calls.
     """
 
     def __init__(
@@ -62,13 +64,14 @@
         now: Callable[[], float],
         ordering: deadline_queue.Ordering = deadline_queue.BY_PRIORITY,
         route_work: route_work.RouteWork | None = None,
+        length_max: int = deadline_queue.LENGTH_MAX,
     ) -> None:
         self.limit = limit
         self._reactor = reactor
         self._now = now
         self._route_work = route_work
         self._queue: deadline_queue.DeadlineQueue[_WaitingCall] = deadline_queue.DeadlineQueue(
-            ordering=ordering
+            ordering=ordering, length_max=length_max
         )
         self._service_time_s_by_route: dict[str, float] = {}
         self._is_starting = False
@@ -117,6 +120,7 @@
     async def wait_for_turn(self, call: calls.Call) -> WaitOutcome:
         """Wait until the call may start; if it was taken, `release` must be called at its end."""
         if not self._queue and self.limit.try_start():
+            self._queue.note_started(kind=call.route.name, priority=call.route.priority)
             return WaitOutcome.TAKEN
         turn: defer.Deferred[WaitOutcome] = defer.Deferred()
         waiting = _WaitingCall(call, turn)
@@ -126,6 +130,7 @@
             due=call.arrived_at + TARGET_SHARE * call.route.target_latency_s,
             deadline=call.deadline,
             service_time_s=self.service_time_s(call),
+            kind=call.route.name,
             now=self._now(),
             concurrency=self.limit.limit,
         )
--- a/src/celerystack/gateway/service_queue.py
+++ b/src/celerystack/gateway/service_queue.py
@@ -53,6 +53,8 @@
         Order in which queued calls start.
     route_work : RouteWork or None
         Expected work of routes of which this queue has seen no answer yet.
+    length_max : int
+        Maximum number of queued calls.
     """
 
     def __init__(
@@ -62,11 +64,17 @@
         now: Callable[[], float],
         ordering: deadline_queue.Ordering = deadline_queue.BY_PRIORITY,
         route_work: route_work.RouteWork | None = None,
+        length_max: int = deadline_queue.LENGTH_MAX,
     ) -> None:
         self._reactor = reactor
         self._limit = concurrency.FixedLimit(PLACES_MINIMUM)
         self._calls = call_queue.CallQueue(
-            reactor, self._limit, now=now, ordering=ordering, route_work=route_work
+            reactor,
+            self._limit,
+            now=now,
+            ordering=ordering,
+            route_work=route_work,
+            length_max=length_max,
         )
 
     def set_slots(self, slots: int, *, entry_vms: int) -> None:
