Go to another queue owner if one has no server for a call

Change: an owner without a server that can take the call says that it has not run, and the entry VM asks other owners for half a second. Ruled out: sending to servers that refuse connections, which costs the call a failed attempt each.

--- a/src/celerystack/gateway/attempts.py
+++ b/src/celerystack/gateway/attempts.py
@@ -24,6 +24,12 @@
 """Maximum time that a call waits before it is sent again to an owner that rejected it."""
 
 
+NO_OWNED_SERVER = calls.NotRun(
+    calls.NotRunReason.NOT_SENT, "no server of this queue owner can take the call"
+)
+"""Outcome of an attempt at a queue owner whose servers are all lost, cold, paused or tried."""
+
+
 class KeyRouting(Protocol):
     """Key ranges, admission control and load statistics, as the request path uses them."""
 
@@ -131,6 +137,8 @@
         owned: bool,
     ) -> Tried | calls.Refused:
         """Wait for a place in the queue of an unsharded service, then choose a server."""
+        if owned and not self._owned_candidates(call, tried):
+            return Tried(None, NO_OWNED_SERVER)
         waiting = self._queues.service_queue(call.service, owned=owned)
         place = await waiting.take_place(call)
         if place is None:
@@ -152,9 +160,14 @@
             chosen = await self._choose_owner(call, tried)
         else:
             self._queues.refresh()
-            found = self._queues.owned if owned else self._queues.of_service
-            untried = [queue for queue in found(call.service) if queue.incarnation not in tried]
-            chosen = self._choose_any(call, untried)
+            if owned:
+                candidates = self._owned_candidates(call, tried)
+                if not candidates:
+                    return Tried(None, NO_OWNED_SERVER)
+            else:
+                found = self._queues.of_service(call.service)
+                candidates = [queue for queue in found if queue.incarnation not in tried]
+            chosen = self._choose_any(call, candidates)
         if isinstance(chosen, calls.Refused):
             return chosen
         attempt = await chosen.run(call)
@@ -217,6 +230,19 @@
     def _refuse_paused_owner(self, owner: server_queue.ServerQueue) -> calls.Refused:
         return refusals.refuse_paused([owner], "the key's server asked for a pause", self._now())
 
+    def _owned_candidates(
+        self, call: calls.Call, tried: frozenset[model.ServerIncarnation]
+    ) -> list[server_queue.ServerQueue]:
+        """Return the owned servers that can take the call now, or after the calls in the queue."""
+        return [
+            queue
+            for queue in self._queues.owned(call.service)
+            if queue.incarnation not in tried
+            and not queue.is_paused
+            and not queue.is_unreachable
+            and self._may_send(queue)
+        ]
+
     def _choose_any(
         self, call: calls.Call, candidates: list[server_queue.ServerQueue]
     ) -> server_queue.ServerQueue | calls.Refused:
--- a/src/celerystack/gateway/forwarded.py
+++ b/src/celerystack/gateway/forwarded.py
@@ -17,8 +17,10 @@
 """Largest body in bytes of a request that is forwarded; larger ones would hold up the others on the
 stream, and are sent to the server directly."""
 
+AVOID_S = 0.5
+"""Time in seconds for which an owner that had no server for a call gets no others of its service."""
 SLOTS_VALID_S = 0.5
-"""Time in seconds after which the slots of the owners are counted again, as servers become warm."""
+"""Time in seconds after which the slots of the owners are counted again; servers become warm."""
 
 
 class ForwardedAttempts:
@@ -52,6 +54,7 @@
         self._key_routing = key_routing
         self._local = local
         self._now = now
+        self._avoided_until: dict[tuple[owners.Owner, ids.ServiceName], float] = {}
         self._slots_valid_until = float("-inf")
         self._slots_version: tuple[int, int] | None = None
         self._slots_by_service: dict[ids.ServiceName, dict[owners.Owner, int]] = {}
@@ -67,14 +70,18 @@
         if owner is None:
             return await self._local.run(call, policy, tried)
         if owner.vm == self._vm:
-            return await self._local.run_owned(call, policy, tried)
-        link = self._links.find(owner)
-        if link is None:
-            return await self._local.run(call, policy, tried)
-        result = await link.forward(
-            lambda number: self._message(number, call, tried), deadline=call.deadline
-        )
-        return _tried(result)
+            outcome = await self._local.run_owned(call, policy, tried)
+        else:
+            link = self._links.find(owner)
+            if link is None:
+                return await self._local.run(call, policy, tried)
+            result = await link.forward(
+                lambda number: self._message(number, call, tried), deadline=call.deadline
+            )
+            outcome = _tried(result)
+        if isinstance(outcome, attempts.Tried) and outcome.incarnation is None:
+            self._avoided_until[owner, call.service] = self._now() + AVOID_S
+        return outcome
 
     def _choose_owner(self, call: calls.Call, policy: config.ServicePolicy) -> owners.Owner | None:
         if not self._queue_owners.is_forwarding or len(call.body) > BODY_BYTES_MAX:
@@ -84,12 +91,17 @@
         usable = {
             owner: slots
             for owner, slots in self._slots_by_owner(call.service).items()
-            if owner.vm == self._vm or self._links.find(owner) is not None
+            if self._is_usable(owner, call.service)
         }
         if not usable:
             return None
         return self._queue_owners.choose_by_slots(usable, call.service)
 
+    def _is_usable(self, owner: owners.Owner, service: ids.ServiceName) -> bool:
+        if self._now() < self._avoided_until.get((owner, service), float("-inf")):
+            return False
+        return owner.vm == self._vm or self._links.find(owner) is not None
+
     def _owner_of_key(self, call: calls.Call) -> owners.Owner | None:
         """Return the owner of the queue of the key's server; None while the key is moving."""
         segment = self._key_routing.find(call.service, call.key or 0)
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -494,3 +494,25 @@
         self.queue_owners.announce((other,), entry_vms=owners.FORWARDING_VMS_MIN)
         self.call()
         self.assertEqual(1, self.sent("1"))
+
+
+class OwnerWithoutServersTest(DispatchCase):
+    """The servers whose queues this VM owns cannot be reached, others can."""
+
+    sharded = False
+
+    def test_calls_go_to_servers_of_other_owners(self):
+        """Guards against rejected calls because one owner's zone has lost its servers."""
+        own = owners.Owner(OWN_VM, fakes.ZONE, ("10.0.0.1", 7000), 1.0)
+        other_zone = ids.ZoneName("z2")
+        other = owners.Owner(ids.EntryVmId("vm-2"), other_zone, ("10.0.0.2", 7000), 1e-9)
+        entry = dataclasses.replace(self.entries["2"], zone=other_zone)
+        self.directory.apply_changes([entry], [], self.clock.seconds())
+        self.queue_owners.announce((own, other), entry_vms=owners.FORWARDING_VMS_MIN)
+        for _ in range(server_queue.FAILURES_TO_SUSPECT):
+            self.call()
+            self.pools["1"].fail(errors.ConnectFailedError("refused", step="s"))
+            self.pools["2"].answer()
+        replies = self.call()
+        self.assertEqual((0, 1), (self.sent("1"), self.sent("2")))
+        self.assertEqual([], replies)
