--- a/src/celerystack/gateway/forwarded.py
+++ b/src/celerystack/gateway/forwarded.py
@@ -18,7 +18,7 @@
 stream, and are sent to the server directly."""
 
 AVOID_S = 0.5
-"""Time in seconds for which an owner that had no server for a call gets no others of the service."""
+"""Time in seconds for which an owner that had no server for a call gets no others."""
 SLOTS_VALID_S = 0.5
 """Time in seconds after which the slots of the owners are counted again; servers become warm."""
 
