--- a/standins/range_cluster.py
+++ b/standins/range_cluster.py
@@ -23,10 +23,7 @@
 zone = "{zone}"
 ip_address = "{ip}"
 [identity.limits]
-cpu_share = 0.86
-cpu_cores = 1
-memory_mb = 300
-link_mbps = 1000.0
+{limits}
 [network]
 internal_port_range = [{udp}, {udp_end}]
 [network.listen_addresses]
@@ -45,6 +42,9 @@
 retry_budget_slack = 60
 """
 
+LIMITS = {"cpu_share": 0.86, "cpu_cores": 1, "memory_mb": 300, "link_mbps": 1000.0}
+"""Limits of an entry VM in its settings, unless a test changes them."""
+
 
 def config_row_value(version: int, **changes) -> bytes:
     """Return the value of a configuration row; ``changes`` replace its top-level fields."""
@@ -145,8 +145,13 @@
         self.servers.pop(name)
         self.store.remove("servers", name)
 
-    def start_vm(self, vm: str, ip: str, *, store: str = "") -> None:
-        """Start an entry VM; a restart uses the ports of the first start."""
+    def start_vm(
+        self, vm: str, ip: str, *, store: str = "", limits: dict[str, float] | None = None
+    ) -> None:
+        """Start an entry VM; a restart uses the ports of the first start.
+
+        ``limits`` replace single entries of `LIMITS`.
+        """
         ports = self.ports.setdefault(
             vm,
             {
@@ -157,8 +162,10 @@
             },
         )
         path = self._folder / f"{vm}.toml"
+        lines = [f"{name} = {value}" for name, value in (LIMITS | (limits or {})).items()]
         path.write_text(
             SETTINGS.format(
+                limits="\n".join(lines),
                 vm=vm,
                 zone="z1",
                 store=store or self.store.address,
--- a/standins/scripted_backend.py
+++ b/standins/scripted_backend.py
@@ -39,7 +39,8 @@
 
 class FakeConnection(protocol.Protocol):
     def connectionMade(self):  # noqa: N802
-        self.buffer = b""
+        self.buffer = bytearray()
+        self._needed_bytes = 0
         self.lost = defer.Deferred()
         self.factory.connections.append(self)
         self.factory.accepted += 1
@@ -49,13 +50,20 @@
     def dataReceived(self, data):  # noqa: N802
         self.buffer += data
         self.factory.bytes_received += len(data)
-        while b"\r\n\r\n" in self.buffer:
-            head, _, rest = self.buffer.partition(b"\r\n\r\n")
-            request = Received(head, b"", self)
-            length = int(request.header(b"Content-Length") or 0)
-            if len(rest) < length:
+        while len(self.buffer) >= self._needed_bytes:
+            head_bytes = self.buffer.find(b"\r\n\r\n")
+            if head_bytes < 0:
                 return
-            request.body, self.buffer = rest[:length], rest[length:]
+            request = Received(bytes(self.buffer[:head_bytes]), b"", self)
+            body_at = head_bytes + 4
+            end = body_at + int(request.header(b"Content-Length") or 0)
+            if len(self.buffer) < end:
+                # A large body is not searched again with each piece that arrives.
+                self._needed_bytes = end
+                return
+            request.body = bytes(self.buffer[body_at:end])
+            del self.buffer[:end]
+            self._needed_bytes = 0
             self.factory.requests.append(request)
             self.factory.handler(request)
 
