Bound what an entry VM holds for all callers together

Cause: each request had its limit, but nothing limited the sum of bodies in receipt, unread responses and unparsed bytes; a body was held three times while it was written to a server; the decoder of chunked bodies took all that had arrived in one turn; connections were accepted until no descriptor was left.

Ruled out: counting only received bytes of declared bodies, because all callers then reach the limit together and none is served; the room for a declared length is taken before the body is read. The allocator's default: it raises its threshold to the largest freed block and keeps large bodies in fragments, so the platform's program fixes it at 128 KB.

Change: one byte account with parts for small and large bodies, unsent responses and answers in receipt, each with a reserved share; least progress, time and number of large bodies; a time for the head; a stalled body or an unread response gives way when there is no room; chunked bodies are decoded by a decoder of our own, a bounded number of chunks per turn; accepting pauses at a share of the descriptors; a body goes to a server without a copy; a rejected caller's bytes are discarded for up to 5 s while they keep coming.

--- a/src/celerystack/backend/connection.py
+++ b/src/celerystack/backend/connection.py
@@ -54,19 +54,22 @@
 class _RemainderProducer:
     """Writes the part of a request that did not fit into the socket buffer at first."""
 
-    def __init__(self, owner: ClientConnection, data: bytes) -> None:
+    def __init__(self, owner: ClientConnection, *parts: memoryview) -> None:
         self._owner = owner
-        self._data = memoryview(data)
+        self._parts = [part for part in parts if part]
 
     def resumeProducing(self) -> None:  # noqa: N802
-        if not self._data:
+        if not self._parts:
             self._owner.on_remainder_written()
             return
-        chunk, self._data = self._data[:WRITE_CHUNK_BYTES], self._data[WRITE_CHUNK_BYTES:]
+        part = self._parts[0]
+        chunk, self._parts[0] = part[:WRITE_CHUNK_BYTES], part[WRITE_CHUNK_BYTES:]
+        if not self._parts[0]:
+            del self._parts[0]
         self._owner.transport.write(bytes(chunk))
 
     def stopProducing(self) -> None:  # noqa: N802
-        self._data = memoryview(b"")
+        self._parts = []
 
 
 class ClientConnection(protocol.Protocol):
@@ -142,11 +145,14 @@
             exchange.fail(self._not_run("the send was not permitted"))
             return
         try:
-            data = self._encode(exchange.request)
+            head = self._encode_head(exchange.request)
         except ValueError as caught:
             self._on_idle(self)
             exchange.fail(self._not_run(str(caught)))
             return
+        # Only the start of the body is joined to the head, so that a large body is not copied.
+        body = memoryview(exchange.request.body)
+        data, rest = head + body[:WRITE_CHUNK_BYTES], body[WRITE_CHUNK_BYTES:]
         # Bypasses transport.write, which would delay the first byte to a later reactor turn. An
         # error of this direct send proves that no byte was sent.
         try:
@@ -162,18 +168,19 @@
         exchange.state = exchanges.ExchangeState.WRITTEN
         exchange.connection = self
         self._exchange = exchange
-        if sent < len(data):
+        if sent < len(data) or rest:
             self._has_remainder = True
-            self.transport.registerProducer(_RemainderProducer(self, data[sent:]), False)
+            remainder = _RemainderProducer(self, memoryview(data)[sent:], rest)
+            self.transport.registerProducer(remainder, False)
 
     def _not_run(self, reason: str) -> errors.NotRunError:
         return errors.NotRunError(reason, step="backend.exchange", peer=self._peer)
 
-    def _encode(self, request: http.HttpRequest) -> bytes:
-        data = wire.encode(request)
+    def _encode_head(self, request: http.HttpRequest) -> bytes:
+        head = wire.encode_head(request)
         self._h11.send(_request_event(request.method))
         self._h11.send(_END_OF_MESSAGE)
-        return data
+        return head
 
     def on_remainder_written(self) -> None:
         """Unregister the producer, because the whole request is in the socket buffer."""
--- a/src/celerystack/backend/wire.py
+++ b/src/celerystack/backend/wire.py
@@ -25,6 +25,17 @@
 def encode(request: http.HttpRequest) -> bytes:
     """Return the bytes of head and body.
 
+    Raises
+    ------
+    ValueError
+        As `encode_head`.
+    """
+    return encode_head(request) + request.body
+
+
+def encode_head(request: http.HttpRequest) -> bytes:
+    """Return the bytes of the head, to which the body is appended.
+
     Raises
     ------
     ValueError
@@ -39,5 +50,5 @@
     if _FRAMING_HEADER.search(head) or len(_HOST_HEADER.findall(head)) != 1:
         raise ValueError("the request head must have one Host and no framing header")
     if request.body or request.method not in _METHODS_WITHOUT_LENGTH:
-        return b"%sContent-Length: %d\r\n\r\n%s" % (head, len(request.body), request.body)
+        return b"%sContent-Length: %d\r\n\r\n" % (head, len(request.body))
     return head + b"\r\n"
--- a/src/celerystack/gateway/frontend.py
+++ b/src/celerystack/gateway/frontend.py
@@ -14,7 +14,8 @@
 
 from celerystack.backend import http
 from celerystack.gateway import calls, config, dispatch
-from celerystack.requests import callerhttp, listening
+from celerystack.limits import body_account
+from celerystack.requests import caller_limits, callerhttp, listening
 
 _log = logging.getLogger(__name__)
 
@@ -40,6 +41,12 @@
     ----------
     on_finished : callable
         Called with call, reply and clock time in seconds before a reply is written.
+    limits : Limits or None
+        Limits on callers, of which a configuration replaces those that it sets.
+    account : ByteAccount or None
+        Account for everything that is held for callers; None for one of this front end alone.
+    on_exceeded : callable
+        Called each time a caller exceeded a limit.
     """
 
     def __init__(
@@ -49,6 +56,9 @@
         dispatcher: dispatch.Dispatcher,
         request_codec: calls.RequestCodec,
         on_finished: Callable[[calls.Call, calls.Reply, float], None],
+        limits: callerhttp.Limits | None = None,
+        account: body_account.ByteAccount | None = None,
+        on_exceeded: Callable[[caller_limits.Limit], None] = lambda _: None,
         now: Callable[[], float],
     ) -> None:
         self._reactor = reactor
@@ -61,8 +71,10 @@
         self._factory = callerhttp.CallerFactory(
             reactor,
             self._on_request,
-            limits=callerhttp.Limits(idle_s=20.0),
+            limits=limits or callerhttp.Limits(),
             may_overlap=self._may_overlap,
+            account=account,
+            on_exceeded=on_exceeded,
             now=now,
         )
         self._port: Any = None
@@ -72,15 +84,17 @@
         """Apply a new configuration."""
         self._routes = config.RouteTable(routing.routes)
         self._splitter.retain(routing.routes)
-        self._factory.limits = callerhttp.Limits(
+        self._factory.limits = dataclasses.replace(
+            self._factory.limits,
             body_bytes_max=routing.limits.body_bytes_max,
             header_bytes_max=routing.limits.header_bytes_max,
+            header_s=routing.limits.header_timeout_s,
             idle_s=routing.limits.idle_timeout_s,
         )
 
     def listen(self, host: str, port: int) -> None:
         """Start to accept connections of callers."""
-        self._port = self._reactor.listenTCP(port, self._factory, 1024, host)
+        self._port = listening.listen(self._reactor, self._factory, host, port, backlog=1024)
 
     def announce_drain(self, *, take_until: float, deadline: float) -> None:
         """Send ``Connection: close`` with every reply from now on.
--- a/src/celerystack/gateway/metrics.py
+++ b/src/celerystack/gateway/metrics.py
@@ -8,12 +8,48 @@
 import prometheus_client
 
 from celerystack.gateway import calls
+from celerystack.limits import body_account
+from celerystack.requests import caller_limits
 
 _log = logging.getLogger(__name__)
 
 LATENCY_BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
 
 
+class CallerMetrics:
+    """Metrics of what is held for callers, and of the limits that they exceed."""
+
+    def __init__(
+        self, registry: prometheus_client.CollectorRegistry, account: body_account.ByteAccount
+    ) -> None:
+        self._exceeded = prometheus_client.Counter(
+            "celerystack_gateway_limits_exceeded",
+            "Requests and connections that were rejected, closed or not accepted, by limit.",
+            ["limit"],
+            registry=registry,
+        )
+        for limit in caller_limits.Limit:
+            self._exceeded.labels(limit.value)
+        held = prometheus_client.Gauge(
+            "celerystack_gateway_held_bytes",
+            "Memory that is held for callers, by part.",
+            ["part"],
+            registry=registry,
+        )
+        for part in body_account.Part:
+            held.labels(part.value).set_function(lambda part=part: account.used_by_part[part])
+        open_bodies = prometheus_client.Gauge(
+            "celerystack_gateway_open_large_bodies",
+            "Large request bodies that are being received.",
+            registry=registry,
+        )
+        open_bodies.set_function(lambda: account.open_large_bodies)
+
+    def record_exceeded(self, limit: caller_limits.Limit) -> None:
+        """Count a request or connection that exceeded a limit."""
+        self._exceeded.labels(limit.value).inc()
+
+
 class RequestMetrics:
     """Request metrics of one entry VM."""
 
--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -25,7 +25,7 @@
     shutdown,
     store_watcher,
 )
-from celerystack.limits import byte_budget
+from celerystack.limits import body_account
 from celerystack.ranges import coordinator, orders
 from celerystack.requests import callerhttp
 
@@ -84,6 +84,10 @@
         self._now = now
         self.registry = prometheus_client.CollectorRegistry()
         self.metrics = metrics.RequestMetrics(self.registry)
+        self.account = body_account.ByteAccount(
+            node_settings.account_limits(callerhttp.Limits.body_bytes_max)
+        )
+        self.caller_metrics = metrics.CallerMetrics(self.registry, self.account)
         self.directory = servers.Directory()
         updates = directory_sync.DirectorySync(self.directory, now=now)
         self._config: config.RoutingConfig | None = None
@@ -114,7 +118,7 @@
                 allowance=node_settings.retry_allowance,
                 window_s=node_settings.retry_window_s,
             ),
-            answer_budget=byte_budget.ByteBudget(node_settings.answer_bytes_max),
+            answer_budget=body_account.AnswerBudget(self.account),
             now=now,
         )
         self.coordinator.set_unreachable_source(self.dispatcher.refusing_servers)
@@ -124,6 +128,9 @@
             dispatcher=self.dispatcher,
             request_codec=request_codec,
             on_finished=self.metrics.record_reply,
+            limits=node_settings.caller_limits(),
+            account=self.account,
+            on_exceeded=self.caller_metrics.record_exceeded,
             now=now,
         )
         self.store_watcher = store_watcher.StoreWatcher(
@@ -218,5 +225,6 @@
 
     def _apply(self, routing: config.RoutingConfig) -> None:
         self._config = routing
+        self.account.set_limits(self.settings.account_limits(routing.limits.body_bytes_max))
         self.dispatcher.apply(routing.services_by_name)
         self.frontend.apply(routing)
--- a/src/celerystack/gateway/settings.py
+++ b/src/celerystack/gateway/settings.py
@@ -5,6 +5,11 @@
 import dataclasses
 
 from celerystack import ids
+from celerystack.limits import body_account, descriptors
+from celerystack.requests import caller_limits
+
+IDLE_WITHOUT_CONFIGURATION_S = 20.0
+"""Idle timeout of callers' connections in seconds before a configuration is known."""
 
 SMALL_CORES = 0.6
 """Below this number of processor cores a VM is small."""
@@ -12,10 +17,6 @@
 """Below this bandwidth in Mbit/s a VM is small: a planner sends map changes to all entry VMs, and
 whole maps of about 20 KB to those that lack them."""
 
-ANSWER_MEMORY_SHARE = 0.2
-"""Fraction of the memory for responses that are being received. A response is held twice for a
-moment, when it is joined and written to its caller, and the process itself needs the rest."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class NodeSettings:
@@ -33,6 +34,14 @@
         Bandwidth of the VM's link in Mbit/s.
     memory_bytes : int
         Memory in bytes that the process may use.
+    file_descriptors : int or None
+        Descriptors that the process may open; None if only the system limits them.
+    open_large_bodies_max : int
+        Largest number of large request bodies that are received at the same time.
+    body_progress_bytes : int
+        Least number of bytes of a request body that must arrive in each idle timeout.
+    body_time_s : float
+        Longest time in seconds in which the whole body of a request may arrive.
     """
 
     vm: ids.EntryVmId
@@ -49,11 +58,28 @@
     cores: float
     link_mbps: float
     memory_bytes: int
+    file_descriptors: int | None = None
+    open_large_bodies_max: int = body_account.OPEN_LARGE_BODIES_MAX
+    body_progress_bytes: int = caller_limits.BODY_PROGRESS_BYTES
+    body_time_s: float = caller_limits.BODY_S
 
-    @property
-    def answer_bytes_max(self) -> int:
-        """Largest number of bytes of responses that exchanges hold together."""
-        return int(self.memory_bytes * ANSWER_MEMORY_SHARE)
+    def account_limits(self, body_bytes_max: int) -> body_account.AccountLimits:
+        """Return the limits on what is held for callers, given the largest permitted body."""
+        return body_account.limits_for(
+            self.memory_bytes,
+            body_bytes_max=body_bytes_max,
+            open_large_bodies_max=self.open_large_bodies_max,
+        )
+
+    def caller_limits(self) -> caller_limits.Limits:
+        """Return the limits on callers, as far as the configuration does not set them."""
+        available = descriptors.process_limit(self.file_descriptors)
+        return caller_limits.Limits(
+            idle_s=IDLE_WITHOUT_CONFIGURATION_S,
+            body_s=self.body_time_s,
+            body_progress_bytes=self.body_progress_bytes,
+            connections_max=descriptors.caller_connections_max(available),
+        )
 
     @property
     def is_small(self) -> bool:
--- a/src/celerystack/platform/__main__.py
+++ b/src/celerystack/platform/__main__.py
@@ -21,8 +21,10 @@
 
 def main() -> int:
     """Run until SIGTERM; returns the exit code."""
+    from celerystack.platform import allocator
     from celerystack.platform import settings as node_settings
 
+    allocator.map_large_blocks()
     handler = nonblocking_log.NonBlockingHandler(sys.stdout.fileno())
     handler.addFilter(nonblocking_log.VolumeFilter())
     logs.configure(
--- a/src/celerystack/platform/settings.py
+++ b/src/celerystack/platform/settings.py
@@ -6,10 +6,13 @@
 import pathlib
 import tomllib
 from collections.abc import Mapping
+from typing import Any
 
 from celerystack import errors, ids
 from celerystack.gateway import settings
+from celerystack.limits import body_account
 from celerystack.platform import wire
+from celerystack.requests import caller_limits
 
 FILE_VARIABLE = "CELERYSTACK_NODE_FILE"
 METRICS_PORT = 9464
@@ -64,8 +67,36 @@
             cores=float(limits["cpu_share"]) * float(limits["cpu_cores"]),
             link_mbps=float(limits["link_mbps"]),
             memory_bytes=int(float(limits["memory_mb"]) * 1_000_000),
+            file_descriptors=_positive(limits, "file_descriptors", None),
+            open_large_bodies_max=_positive(
+                terms, "open_large_bodies", body_account.OPEN_LARGE_BODIES_MAX
+            ),
+            body_progress_bytes=_positive(
+                terms, "body_progress_bytes", caller_limits.BODY_PROGRESS_BYTES
+            ),
+            body_time_s=_positive_seconds(terms, "body_time", caller_limits.BODY_S),
         )
     except (KeyError, ValueError, TypeError, IndexError) as error:
         raise errors.SettingsError(
             f"malformed settings file: {error!r}", step="settings", peer=peer
         ) from error
+
+
+def _positive(table: Mapping[str, Any], name: str, default: int | None) -> Any:
+    """Return an optional positive integer."""
+    if name not in table:
+        return default
+    value = table[name]
+    if isinstance(value, bool) or not isinstance(value, int) or value < 1:
+        raise ValueError(f"{name} is {value!r}, not a positive integer")
+    return value
+
+
+def _positive_seconds(table: Mapping[str, Any], name: str, default: float) -> float:
+    """Return an optional positive duration in seconds."""
+    if name not in table:
+        return default
+    seconds = wire.seconds(table[name])
+    if not 0 < seconds < float("inf"):
+        raise ValueError(f"{name} is {table[name]!r}, not a positive duration")
+    return seconds
--- a/src/celerystack/requests/frontend.py
+++ b/src/celerystack/requests/frontend.py
@@ -84,7 +84,7 @@
 
     def listen(self, host: str, port: int, *, backlog: int = 1024) -> int:
         """Start listening and return the port number."""
-        self._port = self._reactor.listenTCP(port, self._factory, backlog, host)
+        self._port = listening.listen(self._reactor, self._factory, host, port, backlog=backlog)
         return self._port.getHost().port
 
     def announce_drain(self) -> None:
--- a/src/celerystack/requests/pipeline.py
+++ b/src/celerystack/requests/pipeline.py
@@ -59,6 +59,11 @@
     def __iter__(self) -> Iterator[R]:
         return (entry.request for entry in self._entries)
 
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes of responses that wait for earlier ones."""
+        return self._held_bytes
+
     @property
     def may_read_on(self) -> bool:
         """Whether one more request may be read before the ones that were read are answered."""
--- /dev/null
+++ b/src/celerystack/requests/transports.py
@@ -0,0 +1,43 @@
+"""What the sockets and buffers of callers' connections hold."""
+
+from __future__ import annotations
+
+import socket
+from typing import Any
+
+from twisted.internet import tcp
+
+
+def has_unread_bytes(transport: Any) -> bool:
+    """Return whether bytes of the peer have arrived that the transport has not read yet."""
+    if not isinstance(transport, tcp.Connection) or not transport.connected:
+        return False
+    try:
+        return bool(transport.getHandle().recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
+
+
+def can_send_directly(transport: Any) -> bool:
+    """Return whether a TCP transport is open and has no buffered bytes to send first."""
+    if not isinstance(transport, tcp.Connection):
+        return False
+    # Written bytes are in _tempDataBuffer until the transport moves them to dataBuffer.
+    buffered = transport.dataBuffer or transport._tempDataBuffer
+    return bool(transport.connected) and not transport.disconnecting and not buffered
+
+
+def held_bytes(transport: Any) -> int:
+    """Return the memory that a TCP transport uses for bytes to its peer.
+
+    The sent part of a buffer is held until the whole of it is sent.
+    """
+    if not isinstance(transport, tcp.Connection):
+        return 0
+    return len(transport.dataBuffer) + sum(map(len, transport._tempDataBuffer))
+
+
+def unsent_bytes(transport: Any) -> int:
+    """Return the number of bytes that a TCP transport has not sent to its peer yet."""
+    held = held_bytes(transport)
+    return held - transport.offset if held else 0
