Split the limits on callers into modules; bound requests per turn and unparsed bytes

Ruled out: resuming a paused parser only by the event loop; an answer that arrives later is a new turn, and test_thousand_requests_in_one_packet answers without one.

At most 16 requests of a connection are parsed per turn; connections have a part in the account, with what is not parsed yet, and their number is bounded by memory as well as by descriptors; closed connections free their buffers at once.

--- a/src/celerystack/gateway/settings.py
+++ b/src/celerystack/gateway/settings.py
@@ -78,7 +78,10 @@
             idle_s=IDLE_WITHOUT_CONFIGURATION_S,
             body_s=self.body_time_s,
             body_progress_bytes=self.body_progress_bytes,
-            connections_max=descriptors.caller_connections_max(available),
+            connections_max=min(
+                descriptors.caller_connections_max(available),
+                body_account.connections_max(self.memory_bytes),
+            ),
         )
 
     @property
--- a/src/celerystack/limits/body_account.py
+++ b/src/celerystack/limits/body_account.py
@@ -11,10 +11,16 @@
 """Fraction of the memory for large bodies; a single body of the largest size always fits."""
 SHARED_SHARE = 0.35
 """Fraction of the memory that the parts use together beyond what is reserved for each."""
+CONNECTION_BYTES = 12 * 1024
+"""Memory that the objects of one connection and its request take, without body and headers."""
+CONNECTIONS_RESERVED_SHARE = 0.1
+"""Fraction of the memory that only the state of connections uses."""
+CONNECTIONS_SHARE = 0.25
+"""Fraction of the memory for the state of connections and bytes that are not parsed yet."""
 SMALL_RESERVED_SHARE = 0.05
-"""Fraction of the memory that only small bodies and the state of connections use."""
+"""Fraction of the memory that only small bodies use."""
 SMALL_SHARE = 0.2
-"""Fraction of the memory for small bodies and the state of connections."""
+"""Fraction of the memory for small bodies."""
 UNSENT_RESERVED_SHARE = 0.05
 """Fraction of the memory that only unsent responses use."""
 UNSENT_SHARE = 0.15
@@ -32,6 +38,7 @@
 class Part(enum.Enum):
     """What the bytes are held for."""
 
+    CONNECTIONS = "connections"
     SMALL = "small_bodies"
     LARGE = "large_bodies"
     UNSENT = "unsent_responses"
@@ -88,6 +95,7 @@
     return AccountLimits(
         shared_bytes=max(int(memory_bytes * SHARED_SHARE), large_bytes_max),
         limit_by_part={
+            Part.CONNECTIONS: share(CONNECTIONS_RESERVED_SHARE, CONNECTIONS_SHARE),
             Part.SMALL: share(SMALL_RESERVED_SHARE, SMALL_SHARE),
             Part.LARGE: PartLimit(reserved_bytes=0, bytes_max=large_bytes_max),
             Part.UNSENT: share(UNSENT_RESERVED_SHARE, UNSENT_SHARE),
@@ -97,6 +105,11 @@
     )
 
 
+def connections_max(memory_bytes: int) -> int:
+    """Return the number of connections whose state fits into the memory for it."""
+    return max(1, int(memory_bytes * CONNECTIONS_SHARE) // CONNECTION_BYTES)
+
+
 class ByteAccount:
     """Counts held bytes by part against limits."""
 
@@ -186,6 +199,11 @@
         self._is_open_large = False
         self.count = 0
 
+    @property
+    def is_large(self) -> bool:
+        """Whether the body counts as large."""
+        return self._part is Part.LARGE
+
     def try_grow(self, count: int) -> bool:
         """Hold ``count`` bytes in total if the limits permit; return whether they do."""
         part = Part.SMALL if count <= SMALL_BODY_BYTES_MAX else Part.LARGE
--- /dev/null
+++ b/src/celerystack/requests/connection_checks.py
@@ -0,0 +1,106 @@
+"""Watches the open connections of callers: their progress, memory and number."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from celerystack.limits import body_account
+from celerystack.requests import caller_limits
+
+CHECK_INTERVAL_S = 1.0
+"""Interval in seconds at which the progress of bodies, heads and responses is checked."""
+
+
+class Connection(Protocol):
+    """A connection of a caller."""
+
+    @property
+    def unread_since(self) -> float:
+        """Clock time in seconds since when the caller reads nothing; infinite if it need not."""
+
+    @property
+    def unparsed_bytes(self) -> int:
+        """Bytes that were received and not parsed."""
+
+    def check_limits(self, now: float) -> None:
+        """Close or reject what makes too little progress."""
+
+    def abort_excessive(self, limit: caller_limits.Limit, reason: str) -> None:
+        """Close the connection at once and return what it holds to the account."""
+
+
+class ConnectionChecks:
+    """Checks the connections of one listener while any is open."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        *,
+        account: body_account.ByteAccount,
+        exceeded: caller_limits.ExceededLimits,
+        now: Callable[[], float],
+    ) -> None:
+        self._reactor = reactor
+        self._account = account
+        self._exceeded = exceeded
+        self._now = now
+        self._timer: Any = None
+        self._resume_accepting: Callable[[], None] | None = None
+        self.connections: set[Connection] = set()
+
+    def free_connections(self, limits: caller_limits.Limits) -> int:
+        """Return the number of connections that may be accepted now."""
+        if limits.connections_max is None:
+            return sys.maxsize
+        return limits.connections_max - len(self.connections)
+
+    def pause_accepting(self, resume: Callable[[], None]) -> None:
+        """Call ``resume`` after the next close of a connection."""
+        self._resume_accepting = resume
+        self._exceeded.note(
+            caller_limits.Limit.CONNECTIONS, f"{len(self.connections)} connections are open"
+        )
+
+    def opened(self, connection: Connection) -> None:
+        """Add a connection."""
+        self.connections.add(connection)
+        if self._timer is None:
+            self._timer = self._reactor.callLater(CHECK_INTERVAL_S, self._check)
+
+    def closed(self, connection: Connection) -> None:
+        """Remove a connection, and accept again if that was paused."""
+        self.connections.discard(connection)
+        resume, self._resume_accepting = self._resume_accepting, None
+        if resume is not None:
+            resume()
+        if not self.connections and self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _check(self) -> None:
+        self._timer = self._reactor.callLater(CHECK_INTERVAL_S, self._check)
+        now = self._now()
+        for connection in list(self.connections):
+            connection.check_limits(now)
+
+    def make_room_for_responses(self) -> None:
+        """Close connections whose callers do not read, longest first, while there is no room."""
+        while self._account.is_over(body_account.Part.UNSENT):
+            unread = min(self.connections, key=lambda one: one.unread_since, default=None)
+            if unread is None or unread.unread_since == float("inf"):
+                return
+            unread.abort_excessive(
+                caller_limits.Limit.UNREAD_RESPONSES, "the caller does not read its responses"
+            )
+
+    def make_room_for_input(self) -> None:
+        """Close connections with the most unparsed bytes while there is no room."""
+        while self._account.is_over(body_account.Part.CONNECTIONS):
+            largest = max(self.connections, key=lambda one: one.unparsed_bytes, default=None)
+            if largest is None or not largest.unparsed_bytes:
+                return
+            largest.abort_excessive(
+                caller_limits.Limit.MEMORY, "there is no room for unparsed bytes"
+            )
--- a/src/celerystack/requests/listening.py
+++ b/src/celerystack/requests/listening.py
@@ -29,13 +29,13 @@
 
     def doRead(self) -> None:  # noqa: N802
         """Accept as many connections as are free."""
-        free = self.factory.free_connections
+        free = self.factory.free_connections()
         if free > 0:
             self.numberAccepts = min(self.numberAccepts, free)
             super().doRead()
-        if self.factory.free_connections <= 0 and self.connected:
+        if self.factory.free_connections() <= 0 and self.connected:
             self.stopReading()
-            self.factory.pause_accepting(self._continue)
+            self.factory.checks.pause_accepting(self._continue)
 
     def _continue(self) -> None:
         if self.connected and not self.disconnecting:
--- a/src/celerystack/requests/transports.py
+++ b/src/celerystack/requests/transports.py
@@ -41,3 +41,10 @@
     """Return the number of bytes that a TCP transport has not sent to its peer yet."""
     held = held_bytes(transport)
     return held - transport.offset if held else 0
+
+
+def discard_unsent(transport: Any) -> None:
+    """Free the buffers of a closed TCP transport, which keeps them as long as it exists."""
+    if isinstance(transport, tcp.Connection):
+        transport.dataBuffer, transport.offset = b"", 0
+        transport._tempDataBuffer, transport._tempDataLen = [], 0
