Treat an answer with a status above 599 as a failure of its server

Cause: h11 accepts three-digit statuses up to 999, and backend/connection.py passed them on.

Ruled out: 000, other values below 100, other than three digits, a 101 that was not asked for (h11 rejects them, so they were a failure already); a missing reason (valid); interim responses (skipped). Both request paths receive responses by backend/connection.py.

Change: the check in _begin_response; OutcomeUnknownError, as for other malformed answers.

--- a/src/celerystack/backend/connection.py
+++ b/src/celerystack/backend/connection.py
@@ -28,6 +28,8 @@
 responses, chunk framing and trailers. Framing may be up to `FRAMING_BYTES_PER_BODY_BYTE` longer."""
 FRAMING_BYTES_PER_BODY_BYTE = 8
 """Framing of a chunk with a single byte is 5 bytes long; a short extension also fits."""
+STATUS_MAX = 599
+"""Largest status of a response."""
 _BODYLESS_STATUSES = (204, 304)
 _END_OF_MESSAGE = h11.EndOfMessage()
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)", re.IGNORECASE)
@@ -239,6 +241,10 @@
 
     def _begin_response(self, event: h11.Response) -> None:
         exchange = self._exchange
+        if event.status_code > STATUS_MAX:
+            # h11 rejects what is below 100, not of three digits, and a 101 that was not asked for.
+            self._fail_exchange(f"malformed answer: {event.status_code} is no status")
+            return
         headers = tuple((bytes(name), bytes(value)) for name, value in event.headers)
         if exchange.matches_request is not None and not exchange.matches_request(headers):
             _log.info(
