--- a/src/celerystack/control/entry_vm.py
+++ b/src/celerystack/control/entry_vm.py
@@ -28,7 +28,7 @@
 )
 from celerystack.control import view as cluster_view
 from celerystack.lease import lessor as lessors
-from celerystack.limits import retry_budget, shares
+from celerystack.limits import descriptors, retry_budget, shares
 from celerystack.observe import audit, metrics
 from celerystack.peers import mesh as peer_mesh
 from celerystack.peers import messages, sync
@@ -195,8 +195,11 @@
             self.routes,
             self.forwarder,
             limits=callerhttp.Limits(
-                body_bytes_max=self._settings.body_bytes_max, idle_s=self._settings.caller_idle_s
+                body_bytes_max=self._settings.body_bytes_max,
+                idle_s=self._settings.caller_idle_s,
+                connections_max=descriptors.caller_connections_max(descriptors.process_limit(None)),
             ),
+            on_exceeded=counters.record_exceeded,
             on_finished=counters.observe_request,
         )
         self.metrics = metrics_task.MetricsTask(
--- a/src/celerystack/observe/metrics.py
+++ b/src/celerystack/observe/metrics.py
@@ -7,6 +7,7 @@
 import prometheus_client
 
 from celerystack import ids, model
+from celerystack.requests import caller_limits
 
 LATENCY_BUCKETS_S = (
     0.001,
@@ -105,6 +106,12 @@
             ["server"],
             registry=registry,
         )
+        self._limits_exceeded = prometheus_client.Counter(
+            "celerystack_limits_exceeded",
+            "Requests and connections that were rejected, closed or not accepted, by limit.",
+            ["limit"],
+            registry=registry,
+        )
         self._callers = prometheus_client.Gauge(
             "celerystack_caller_connections", "Open connections of callers.", registry=registry
         )
@@ -138,6 +145,10 @@
             registry=registry,
         )
 
+    def record_exceeded(self, limit: caller_limits.Limit) -> None:
+        """Count a request or connection that exceeded a limit on callers."""
+        self._limits_exceeded.labels(limit.value).inc()
+
     def observe_request(
         self, service: ids.ServiceName, outcome: model.Outcome, duration_s: float
     ) -> None:
--- a/src/celerystack/requests/frontend.py
+++ b/src/celerystack/requests/frontend.py
@@ -15,6 +15,7 @@
 from celerystack import ids, model
 from celerystack.backend import exchange, http
 from celerystack.requests import (
+    caller_limits,
     callerhttp,
     calls,
     encoding,
@@ -60,6 +61,8 @@
         Called when the forwarder has returned a reply, before the response is written, with the
         service, the outcome and the time in seconds since the request arrived. Not called for
         requests that are rejected before they are forwarded, or whose forwarding raised an error.
+    on_exceeded : callable
+        Called each time a caller exceeded a limit.
     """
 
     def __init__(
@@ -69,6 +72,7 @@
         request_forwarder: forwarder.Forwarder,
         *,
         limits: callerhttp.Limits | None = None,
+        on_exceeded: Callable[[caller_limits.Limit], None] = lambda _: None,
         now: Callable[[], float] = time.monotonic,
         on_finished: Callable[[ids.ServiceName, model.Outcome, float], None] | None = None,
     ) -> None:
@@ -79,7 +83,11 @@
         self._now = now
         self._port: Any = None
         self._factory = callerhttp.CallerFactory(
-            reactor, self._on_request, limits=limits or callerhttp.Limits(), now=now
+            reactor,
+            self._on_request,
+            limits=limits or callerhttp.Limits(),
+            on_exceeded=on_exceeded,
+            now=now,
         )
 
     def listen(self, host: str, port: int, *, backlog: int = 1024) -> int:
