Start waiting calls without recursion

Ruled out: starting calls from the event loop, which would delay each of them by a turn.

Change: a nested start_waiting_calls returns, and the loop that runs already starts the next call.

--- a/src/celerystack/gateway/call_queue.py
+++ b/src/celerystack/gateway/call_queue.py
@@ -57,6 +57,7 @@
         self._queue: deadline_queue.DeadlineQueue[_WaitingCall] = deadline_queue.DeadlineQueue()
         self._service_time_s_by_route: dict[str, float] = {}
         self._expiry_timer: Any = None
+        self._is_starting = False
 
     @property
     def load(self) -> int:
@@ -114,14 +115,27 @@
         self.start_waiting_calls()
 
     def start_waiting_calls(self) -> None:
-        """Start as many waiting calls as the limit permits."""
+        """Start as many waiting calls as the limit permits.
+
+        A call may end before its start returns; the loop that started it then starts the next one,
+        because a recursion over the whole queue would exceed the limit of the interpreter.
+        """
+        if self._is_starting:
+            return
+        self._is_starting = True
+        try:
+            self._start_permitted()
+        finally:
+            self._is_starting = False
+        self._schedule_expiry()
+
+    def _start_permitted(self) -> None:
         while self._queue and self.limit.try_start():
             waiting = self._queue.pop(self._now())
             if waiting is None or waiting.turn.called:
                 self.limit.release()
                 continue
             waiting.turn.callback(WaitOutcome.TAKEN)
-        self._schedule_expiry()
 
     def remove_where(self, predicate: Callable[[calls.Call], bool], outcome: WaitOutcome) -> None:
         """End the wait of the calls for which ``predicate`` is true."""
