Serve what was read before a planned stop closes a connection; use memory of larger VMs for bodies

Shares of the memory gave a VM of 300 MB room for one body of 64 MB only, though the process itself takes the same 42 MB on every machine.

Ruled out: serving such requests without a limit in time; a caller that always sends one more would keep the process. The default stays as test_shutdown_answers_what_was_read has it; the platform's front end permits it up to 2.5 s after SIGTERM.

Change: CallerFactory.serve_read_until; the account shares 0.75 of the memory less 64 MB.

--- a/src/celerystack/gateway/frontend.py
+++ b/src/celerystack/gateway/frontend.py
@@ -107,6 +107,7 @@
             Clock time in seconds at which the process ends.
         """
         self._factory.draining = True
+        self._factory.serve_read_until = take_until
         self._drain = _Drain(take_until=take_until, deadline=deadline)
 
     def stop_accepting(self) -> None:
--- a/src/celerystack/limits/body_account.py
+++ b/src/celerystack/limits/body_account.py
@@ -7,10 +7,14 @@
 
 SMALL_BODY_BYTES_MAX = 64 * 1024
 """Largest body that counts as small."""
-LARGE_SHARE = 0.25
-"""Fraction of the memory for large bodies; a single body of the largest size always fits."""
-SHARED_SHARE = 0.35
-"""Fraction of the memory that the parts use together beyond what is reserved for each."""
+PEAK_SHARE = 0.75
+"""Fraction of the memory that the process uses, besides what is reserved for each part."""
+PROCESS_BYTES = 64_000_000
+"""Memory of the process without requests (about 42 MB), and of copies that exist for a moment."""
+SHARED_SHARE_MIN = 0.2
+"""Smallest fraction of the memory that the parts use together beyond what is reserved for each."""
+LARGE_SHARE = 0.85
+"""Fraction of the shared bytes for large bodies; a single body of the largest size always fits."""
 CONNECTION_BYTES = 12 * 1024
 """Memory that the objects of one connection and its request take, without body and headers."""
 CONNECTIONS_RESERVED_SHARE = 0.1
@@ -91,9 +95,12 @@
             reserved_bytes=int(memory_bytes * reserved), bytes_max=int(memory_bytes * largest)
         )
 
-    large_bytes_max = max(int(memory_bytes * LARGE_SHARE), body_bytes_max)
+    shared_bytes = max(
+        int(memory_bytes * PEAK_SHARE) - PROCESS_BYTES, int(memory_bytes * SHARED_SHARE_MIN)
+    )
+    large_bytes_max = max(int(shared_bytes * LARGE_SHARE), body_bytes_max)
     return AccountLimits(
-        shared_bytes=max(int(memory_bytes * SHARED_SHARE), large_bytes_max),
+        shared_bytes=max(shared_bytes, large_bytes_max),
         limit_by_part={
             Part.CONNECTIONS: share(CONNECTIONS_RESERVED_SHARE, CONNECTIONS_SHARE),
             Part.SMALL: share(SMALL_RESERVED_SHARE, SMALL_SHARE),
--- a/src/celerystack/requests/callerhttp.py
+++ b/src/celerystack/requests/callerhttp.py
@@ -244,7 +244,10 @@
             request.start()
 
     def is_last(self, request: CallerRequest) -> bool:
-        """Return whether no complete request of the connection was read after this one."""
+        """Return whether nothing that is still served was read after this request."""
+        has_more = bool(self._dataBuffer or self._buffer)
+        if has_more and self.factory.now() < self.factory.serve_read_until:
+            return False
         return self._pipeline.is_last(request)
 
     def send_in_order(self, request: CallerRequest, response: bytes) -> None:
@@ -412,6 +415,12 @@
         Account for everything that is held for callers; None for one of this factory alone.
     on_exceeded : callable
         Called each time a caller exceeded a limit.
+
+    Attributes
+    ----------
+    serve_read_until : float
+        Clock time in seconds up to which, while draining, requests are served that were read behind
+        the one that is answered. Later, and by default, the connection closes before them.
     """
 
     protocol = CallerChannel
@@ -433,6 +442,7 @@
         self.limits = limits
         self.now = now
         self.draining = False
+        self.serve_read_until = float("-inf")
         self.account = account or body_account.ByteAccount(
             body_account.limits_for(MEMORY_BYTES, body_bytes_max=limits.body_bytes_max)
         )
