--- a/src/celerystack/requests/callerhttp.py
+++ b/src/celerystack/requests/callerhttp.py
@@ -3,21 +3,27 @@
 from __future__ import annotations
 
 import contextlib
-import dataclasses
-import io
-import socket
 import time
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet import defer, protocol, tcp
+from twisted.internet import defer, protocol
 from twisted.protocols import basic
 from twisted.python import failure
-from twisted.web import http, iweb
-from zope.interface import provider
 
-from celerystack.backend import http as backend_http
-from celerystack.requests import pipeline
+from celerystack.limits import body_account
+from celerystack.requests import (
+    body_intake,
+    bounded_channel,
+    caller_limits,
+    caller_request,
+    connection_checks,
+    pipeline,
+    rejection,
+    transports,
+    turns,
+    unread_responses,
+)
 
 DRAIN_IDLE_S = 1.5
 """While draining, idle connections stay open this long after the last response, so that a
@@ -29,208 +35,37 @@
 FIRST_REQUEST_S = 0.5
 """While draining, a new connection stays open this long for its first request."""
 
-LINGER_S = 1.0
-"""Longest time in seconds for which the rest of a rejected request is read and discarded."""
+COUNTED_HEADER_BYTES = 2048
+"""Headers up to this size are part of what is counted for each connection."""
 
+MEMORY_BYTES = 512_000_000
+"""Memory that is assumed for the default account of a factory."""
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Limits:
-    """Limits on a caller's request and its connection, in bytes and seconds."""
+Limits = caller_limits.Limits
+CallerRequest = caller_request.CallerRequest
 
-    body_bytes_max: int = 1024 * 1024
-    header_bytes_max: int = 32 * 1024
-    header_count_max: int = 100
-    idle_s: float = 60.0
 
+_LATE_HEAD = rejection.Rejection(
+    408, b"the request head took too long", caller_limits.Limit.HEADER_TIME
+)
+_LONG_LINE = rejection.Rejection(400, b"a header line is too long")
+_MALFORMED = rejection.Rejection(400, b"malformed request")
 
-@provider(iweb.INonQueuedRequestFactory)
-class CallerRequest(http.Request):
-    """One request of a caller; ``factory.on_request`` is called when it is complete."""
 
-    channel: CallerChannel
-
-    def __init__(self, channel: CallerChannel) -> None:
-        super().__init__(channel)
-        self.factory = channel.factory
-        self.received_at = channel.received_at
-        self._rejected = False
-        self._closes_connection = False
-        self._abandoned = False
-        self._body_bytes_received = 0
-        self._on_disconnect: Callable[[], None] | None = None
-        self.factory.request_started(self)
-
-    def gotLength(self, length: int | None) -> None:  # noqa: N802
-        """Create the body buffer, or reject a declared length above the limit.
-
-        The body stays in memory, because entry VMs have no disk for twisted.web's temporary files.
-        """
-        self.content = io.BytesIO()
-        if length is not None and length > self.factory.limits.body_bytes_max:
-            self._reject()
-
-    def parseCookies(self) -> None:  # noqa: N802
-        """Do nothing; cookies are forwarded unparsed."""
-
-    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
-        """Append body bytes, or reject a chunked body above the limit."""
-        if self._rejected:
-            return
-        self._body_bytes_received += len(data)
-        if self._body_bytes_received > self.factory.limits.body_bytes_max:
-            self._reject()
-            return
-        self.content.write(data)
-
-    def _reject(self) -> None:
-        self._rejected = True
-        self.channel.reject(413, b"the request body is too large")
-
-    def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:  # noqa: N802
-        """Pass on the complete request; query and form data are not parsed."""
-        if self._rejected:
-            return
-        self.method, self.uri, self.clientproto = command, path, version
-        self.path = path.partition(b"?")[0]
-        self.channel.request_read(self)
-
-    def start(self) -> None:
-        """Pass on the request, because the requests before it allow it to run."""
-        self.factory.on_request(self)
-
-    def header_list(self) -> backend_http.HeaderList:
-        """Return the request headers with names in lower case."""
-        return tuple(
-            (name.lower(), value)
-            for name, values in self.requestHeaders.getAllRawHeaders()
-            for value in values
-        )
-
-    def body(self) -> bytes:
-        """Return the request body."""
-        return self.content.getvalue()
-
-    def on_disconnect(self, callback: Callable[[], None]) -> None:
-        """Register a callback for the loss of the caller's connection before the response ends."""
-        self._on_disconnect = callback
-
-    def is_disconnected(self) -> bool:
-        """Return whether no response can reach the caller any more."""
-        return self._disconnected or self._abandoned
-
-    @property
-    def closes_connection(self) -> bool:
-        """Whether the connection is closed after the response."""
-        return self._closes_connection
-
-    def note_last(self) -> None:
-        """Record that the caller sends no request after this one."""
-        self._closes_connection = True
-
-    def close_after_answer(self) -> None:
-        """Close the connection after this response and add ``Connection: close`` to it."""
-        self._closes_connection = True
-        self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
-
-    def abort(self) -> None:
-        """Close the caller's connection at once, so that the caller detects a partial response."""
-        self.channel.transport.abortConnection()
-
-    def answer(
-        self, status: int, reason: bytes, headers: backend_http.HeaderList, body: bytes
-    ) -> None:
-        """Write a complete response and finish it.
-
-        Bypasses the header map of twisted.web, which normalizes each name and value again. The
-        headers must contain the length of the body and no line breaks.
-        """
-        if self.is_disconnected():
-            return
-        if self.factory.draining and self.channel.is_last(self):
-            self.close_after_answer()
-        self.startedWriting = 1
-        parts = [b"%s %d %s" % (self.clientproto, status, reason)]
-        parts += [b"%s: %s" % header for header in headers]
-        for name, values in self.responseHeaders.getAllRawHeaders():
-            parts += [b"%s: %s" % (name, value) for value in values]
-        parts.append(b"")
-        bodyless = self.method == b"HEAD" or status in http.NO_BODY_CODES
-        parts.append(b"" if bodyless else body)
-        self.channel.send_in_order(self, b"\r\n".join(parts))
-
-    def write(self, data: bytes) -> None:
-        """Write body bytes; while draining, the head gets ``Connection: close``."""
-        if not self.startedWriting and self.factory.draining:
-            self.close_after_answer()
-        super().write(data)
-
-    def finish(self) -> None:
-        """Finish the response."""
-        super().finish()
-        self.factory.request_ended(self)
-
-    def connectionLost(self, reason: failure.Failure) -> None:  # noqa: N802
-        """Run the disconnect callback if the response was not finished."""
-        super().connectionLost(reason)
-        if not self.finished and not self._abandoned:
-            self._end_unanswered()
-
-    def abandon(self) -> None:
-        """End a request whose response cannot be sent, because the connection closes before it."""
-        self._abandoned = True
-        self._end_unanswered()
-
-    def _end_unanswered(self) -> None:
-        self.factory.request_ended(self)
-        if self._on_disconnect is not None:
-            self._on_disconnect()
-
-
-def _discard(data: bytes) -> None:
-    """Discard bytes that a caller sends after its request was rejected."""
-
-
-def _has_unread_bytes(transport: Any) -> bool:
-    """Return whether bytes of the peer have arrived that the transport has not read yet."""
-    if not isinstance(transport, tcp.Connection) or not transport.connected:
-        return False
-    try:
-        return bool(transport.getHandle().recv(1, socket.MSG_PEEK))
-    except OSError:
-        return False
-
-
-def _can_send_directly(transport: Any) -> bool:
-    """Return whether a TCP transport is open and has no buffered bytes to send first."""
-    if not isinstance(transport, tcp.Connection):
-        return False
-    # Written bytes are in _tempDataBuffer until the transport moves them to dataBuffer.
-    buffered = transport.dataBuffer or transport._tempDataBuffer
-    return bool(transport.connected) and not transport.disconnecting and not buffered
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Rejection:
-    """Status and reason of the response to a request that cannot be read."""
-
-    status: int
-    reason: bytes
-
-
-class CallerChannel(http.HTTPChannel):
+class CallerChannel(bounded_channel.BoundedChannel):
     """HTTP/1.1 connection of a caller, with the limits of its factory."""
 
     requestFactory = CallerRequest  # noqa: N815
     factory: CallerFactory
-    _linger_timer: Any = None
-    _rejection: _Rejection | None = None
+    _rejection: rejection.Rejection | None = None
+    _linger: rejection.Linger | None = None
+    _head_until: float | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Apply the header limits and register the connection."""
         limits = self.factory.limits
         self.totalHeadersSize = limits.header_bytes_max
         self.maxHeaders = limits.header_count_max
-        self.factory.channels.add(self)
         self.received_at = self.factory.now()
         self._first_request_until = self.received_at + FIRST_REQUEST_S
         self._pipeline: pipeline.Pipeline[CallerRequest] = pipeline.Pipeline(
@@ -238,14 +73,24 @@
         )
         self._unparsed_since: list[float] = []
         self._is_replaying = False
+        self._unread = unread_responses.UnreadResponses(self.factory.account)
+        self._state = body_account.Hold(self.factory.account, body_account.Part.CONNECTIONS)
+        self._state.set(body_account.CONNECTION_BYTES)
         super().connectionMade()
+        self.factory.checks.opened(self)
 
     def connectionLost(self, reason: failure.Failure) -> None:  # noqa: N802
         """Unregister the connection."""
-        self.factory.channels.discard(self)
-        if self._linger_timer is not None and self._linger_timer.active():
-            self._linger_timer.cancel()
+        self.factory.checks.closed(self)
+        if self._linger is not None:
+            self._linger.cancel()
         super().connectionLost(reason)
+        # Requests and channel refer to each other, so their memory would wait for the collector.
+        self.requests = []
+        self._pipeline.clear()
+        transports.discard_unsent(self.transport)
+        self._unread.release()
+        self._state.release()
         self.factory.check_drained()
 
     def send(self, data: bytes) -> None:
@@ -254,7 +99,7 @@
         `write` would wait for the next reactor turn and change the epoll registration twice per
         response.
         """
-        if _can_send_directly(self.transport):
+        if transports.can_send_directly(self.transport):
             # The transport handles a full socket buffer and reports other errors.
             with contextlib.suppress(OSError):
                 data = data[self.transport.getHandle().send(data) :]
@@ -264,12 +109,36 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Record when the bytes were received, from which the deadlines of requests count."""
         self.received_at = self.factory.now()
+        if self._rejection is not None:
+            if self._linger is not None and not self.factory.draining:
+                self._linger.extend()
+            return
         super().dataReceived(data)
+        self._note_head()
+
+    def _note_head(self) -> None:
+        """Record until when the head must be complete, if a part of one has arrived."""
+        if not self.line_mode or not (self._buffer or self._receivedHeaderSize):
+            self._head_until = None
+        elif self._head_until is None:
+            self._head_until = self.received_at + self.factory.limits.header_s
+        if self._buffer or self._state.count != body_account.CONNECTION_BYTES:
+            self.count_input()
+
+    @property
+    def header_bytes(self) -> int:
+        """Size of the head that is being received."""
+        return self._receivedHeaderSize
+
+    @property
+    def is_rejected(self) -> bool:
+        """Whether a request of the connection was rejected, and no more are read."""
+        return self._rejection is not None
 
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
         """Read on while earlier requests are not answered, as far as the pipeline permits."""
         if not self._handlingRequest:
-            super().rawDataReceived(data)
+            self.receive_body(data)
         elif self._is_replaying or not self._dataBuffer:
             if self._may_read_on():
                 self._parse(data)
@@ -279,6 +148,22 @@
             self._keep_unparsed(data)
             self._replay_unparsed()
 
+    @property
+    def unparsed_bytes(self) -> int:
+        """Bytes beyond the state of a connection with a small request."""
+        return self._state.count - body_account.CONNECTION_BYTES
+
+    def count_input(self) -> None:
+        """Count the state of the connection, long headers and bytes that are not parsed yet."""
+        headers = sum(request.header_bytes for request in self.requests)
+        unparsed = len(self._buffer) + sum(map(len, self._dataBuffer))
+        unparsed += self.undecoded_bytes
+        count = body_account.CONNECTION_BYTES + unparsed + max(0, headers - COUNTED_HEADER_BYTES)
+        has_grown = count > self._state.count
+        self._state.set(count)
+        if has_grown:
+            self.factory.checks.make_room_for_input()
+
     def _may_read_on(self) -> bool:
         if not self.persistent or self._rejection is not None:
             return False
@@ -303,7 +188,9 @@
         """Return whether no request is being received, answered or about to be read."""
         if self.requests or self._buffer or self._dataBuffer:
             return False
-        return self._has_waited_for_first_request() and not _has_unread_bytes(self.transport)
+        return self._has_waited_for_first_request() and not transports.has_unread_bytes(
+            self.transport
+        )
 
     def _has_waited_for_first_request(self) -> bool:
         return self.factory.now() >= self._first_request_until
@@ -314,6 +201,7 @@
         position = 0 if self._is_replaying else len(self._dataBuffer)
         self._dataBuffer.insert(position, data)
         self._unparsed_since.insert(position, self.received_at)
+        self.count_input()
         is_full = sum(map(len, self._dataBuffer)) > self._optimisticEagerReadSize
         if is_full and not self._waitingForTransport:
             self._networkProducer.pauseProducing()
@@ -325,6 +213,11 @@
         self.allContentReceived()
         self._replay_unparsed()
 
+    def parse_kept(self) -> None:
+        """Parse bytes that were kept for later requests."""
+        self._replay_unparsed()
+        self._note_head()
+
     def _replay_unparsed(self) -> None:
         """Parse the bytes that were kept, as far as the pipeline permits."""
         was_replaying, self._is_replaying = self._is_replaying, True
@@ -332,10 +225,15 @@
             self.received_at = self._unparsed_since.pop(0)
             self._parse(self._dataBuffer.pop(0))
         self._is_replaying = was_replaying
+        if not was_replaying and self.unparsed_bytes:
+            self.count_input()
 
     def request_read(self, request: CallerRequest) -> None:
         """Start a complete request, or keep it until the requests before it allow it."""
         self._pipeline.add(request, request.content.tell())
+        if request.header_bytes > COUNTED_HEADER_BYTES:
+            self.count_input()
+        self.count_request()
         self._start_requests()
 
     def _start_requests(self) -> None:
@@ -346,19 +244,63 @@
             request.start()
 
     def is_last(self, request: CallerRequest) -> bool:
-        """Return whether no complete request of the connection was read after this one."""
+        """Return whether nothing that is still served was read after this request."""
+        has_more = bool(self._dataBuffer or self._buffer)
+        if has_more and self.factory.now() < self.factory.serve_read_until:
+            return False
         return self._pipeline.is_last(request)
 
     def send_in_order(self, request: CallerRequest, response: bytes) -> None:
         """Send a whole response once all earlier ones are sent, and finish its request."""
         if not self._pipeline.is_first(request):
             self._pipeline.hold(request, response)
+            self._count_unsent()
             return
         self.send(response)
         request.finish()
+        if self._unread.held_bytes or transports.held_bytes(self.transport):
+            self._count_unsent()
+
+    def _count_unsent(self) -> None:
+        """Count responses that wait for earlier ones or for the caller to read."""
+        in_transport = transports.held_bytes(self.transport)
+        waiting = self._pipeline.held_bytes
+        if not in_transport + waiting + self._unread.held_bytes:
+            return
+        left = transports.unsent_bytes(self.transport) + waiting
+        if self._unread.update(in_transport + waiting, left, self.factory.now()):
+            self.factory.checks.make_room_for_responses()
+
+    @property
+    def unread_since(self) -> float:
+        """Clock time in seconds since when the caller reads nothing; infinite if it need not."""
+        return self._unread.since
+
+    def abort_excessive(self, limit: caller_limits.Limit, reason: str) -> None:
+        """Close the connection at once and return what it holds to the account."""
+        self._unread.release()
+        self._state.set(body_account.CONNECTION_BYTES)
+        self.factory.exceeded.note(limit, reason)
+        self.transport.abortConnection()
+        transports.discard_unsent(self.transport)
+
+    def check_limits(self, now: float) -> None:
+        """Close or reject what makes too little progress."""
+        self._count_unsent()
+        if now - self.unread_since > self.factory.limits.idle_s:
+            reason = "the caller does not read its responses"
+            self.abort_excessive(caller_limits.Limit.UNREAD_RESPONSES, reason)
+        if self._rejection is not None:
+            return
+        if self._head_until is not None and now >= self._head_until:
+            self.reject(_LATE_HEAD)
+        elif self.requests:
+            self.requests[-1].body_intake.check_pace(now)
 
     def requestDone(self, request: CallerRequest) -> None:  # noqa: N802
         """Send held responses, start further requests and read on, after a response was sent."""
+        if not self._busyReceiving:
+            self.begin_turn()
         if not self._pipeline.is_first(request):
             raise TypeError("a response was finished before those of earlier requests")
         self._pipeline.remove_first()
@@ -382,6 +324,8 @@
             self._await_request()
         if self._savedTimeOut and not self._pipeline.is_running:
             self.setTimeout(self._savedTimeOut)
+        if self._awaits_parsing and not self._busyReceiving:
+            self.continue_requests()
 
     def _abandon_requests(self) -> None:
         """End the requests behind a response that closes the connection; they count as unread."""
@@ -391,35 +335,39 @@
     def resumeProducing(self) -> None:  # noqa: N802
         """Start requests that waited because the caller did not read its responses."""
         super().resumeProducing()
+        self._count_unsent()
         self._start_requests()
         self._replay_unparsed()
 
-    def reject(self, status: int, reason: bytes) -> None:
+    def reject(self, rejected: rejection.Rejection) -> None:
         """Reject a request that cannot be read, once those before it are answered."""
-        if self._linger_timer is not None or self._rejection is not None:
+        if self._rejection is not None:
             return
-        self._rejection = _Rejection(status, reason)
+        self._rejection = rejected
+        self.factory.exceeded.note(rejected.limit, rejected.reason.decode())
         self.paused = True
-        self.dataReceived = _discard
+        self._discard_input()
         if not self._pipeline:
             self._send_rejection()
 
-    def _send_rejection(self) -> None:
-        """Send the rejection and close the connection.
+    def _discard_input(self) -> None:
+        """Discard what has arrived of the rejected request and behind it."""
+        self._buffer = b""
+        self.stop_decoding()
+        if self.requests:
+            self.requests[-1].discard_incomplete()
 
-        Discards what the caller sends for up to `LINGER_S`, because closing a socket with unread
-        bytes resets the connection and the caller might lose the response.
-        """
-        status, body = self._rejection.status, self._rejection.reason + b"\n"
-        self.transport.write(
-            b"HTTP/1.1 %d %s\r\nX-Celerystack-Outcome: not-run\r\nContent-Length: %d\r\n"
-            b"Connection: close\r\n\r\n%s" % (status, http.RESPONSES[status], len(body), body)
-        )
+    def _send_rejection(self) -> None:
+        """Send the rejection, and close the connection when the caller has stopped sending."""
+        self.transport.write(self._rejection.encode())
         self.persistent = False
         self.setTimeout(None)
+        self._networkProducer.resumeProducing()
         self._networkProducer.unregisterProducer()
         self.transport.loseWriteConnection()
-        self._linger_timer = self.callLater(LINGER_S, self.transport.abortConnection)
+        self._linger = rejection.Linger(
+            self.callLater, self.transport.abortConnection, now=self.factory.now
+        )
 
     def checkPersistence(self, request: CallerRequest, version: bytes) -> bool:  # noqa: N802
         """Return whether the connection stays open after this request.
@@ -436,17 +384,18 @@
         return False
 
     def _send100Continue(self) -> None:  # noqa: N802
-        # Between the responses to earlier requests it would belong to one of those.
-        if not self._pipeline:
+        # Between the responses to earlier requests it would belong to one of those, and a rejected
+        # body is not wanted.
+        if not self._pipeline and self._rejection is None:
             super()._send100Continue()
 
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
         """Reject a line above `MAX_LENGTH`; twisted.web only closes the connection."""
-        self.reject(400, b"a header line is too long")
+        self.reject(_LONG_LINE)
 
     def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
         # The response of twisted.web has no outcome header.
-        self.reject(400, b"malformed request")
+        self.reject(_MALFORMED)
 
 
 def _never_overlaps(_request: CallerRequest) -> bool:
@@ -463,6 +412,16 @@
         Called with each complete request.
     may_overlap : callable
         Returns whether a pipelined request may run beside other requests of its connection.
+    account : ByteAccount or None
+        Account for everything that is held for callers; None for one of this factory alone.
+    on_exceeded : callable
+        Called each time a caller exceeded a limit.
+
+    Attributes
+    ----------
+    serve_read_until : float
+        Clock time in seconds up to which, while draining, requests are served that were read behind
+        the one that is answered. Later, and by default, the connection closes before them.
     """
 
     protocol = CallerChannel
@@ -475,6 +434,8 @@
         *,
         limits: Limits,
         may_overlap: Callable[[CallerRequest], bool] = _never_overlaps,
+        account: body_account.ByteAccount | None = None,
+        on_exceeded: Callable[[caller_limits.Limit], None] = lambda _: None,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self.on_request = on_request
@@ -482,7 +443,16 @@
         self.limits = limits
         self.now = now
         self.draining = False
-        self.channels: set[CallerChannel] = set()
+        self.serve_read_until = float("-inf")
+        self.account = account or body_account.ByteAccount(
+            body_account.limits_for(MEMORY_BYTES, body_bytes_max=limits.body_bytes_max)
+        )
+        self.exceeded = caller_limits.ExceededLimits(on_exceeded, now=now)
+        self.turns = turns.TurnQueue(reactor)
+        self.open_bodies = body_intake.OpenBodies(self.account, now=now)
+        self.checks = connection_checks.ConnectionChecks(
+            reactor, account=self.account, exceeded=self.exceeded, now=now
+        )
         self._reactor = reactor
         self._active: set[CallerRequest] = set()
         self._drain_waiters: list[defer.Deferred[None]] = []
@@ -505,8 +475,18 @@
     def request_ended(self, request: CallerRequest) -> None:
         """Record that a request was answered or its connection was lost."""
         self._active.discard(request)
+        request.body_intake.release()
         self.check_drained()
 
+    @property
+    def channels(self) -> set[CallerChannel]:
+        """Open connections."""
+        return self.checks.connections
+
+    def free_connections(self) -> int:
+        """Return the number of connections that may be accepted now."""
+        return self.checks.free_connections(self.limits)
+
     def close_idle(self) -> None:
         """Close connections on which no request is being received or answered."""
         for channel in list(self.channels):
