Add the commands evacuate and restore for an availability zone

Cause: operators can drain one server, but not a zone. Draining its servers one by one misses those that start later, and takes one command each.

Ruled out: a drain row for each server of the zone, for the same reason; a time after which an owner in the zone gets no more requests, because the number of moves at the same time is limited and a service with many shards would be rejected while it moves; refusing an evacuation that leaves one service without servers, because one service with a single zone would block all others.

Change: the row evacuate/<zone> is read like drain/<id> and applies to every server declared in the zone. A service whose servers are all in evacuated zones gets no requests, and those that wait are woken when that ends. evacuate refuses an unknown zone and the last zone with servers; the versions of the rows that this depends on are conditions of the transaction. status, /status, the audit trail, a metric and log lines show evacuations.

tests/differential/test_routes.py: its fake view has the new method as well.

--- a/src/celerystack/commands/operator_rows.py
+++ b/src/celerystack/commands/operator_rows.py
@@ -1,8 +1,9 @@
-"""Conditional writes of operator rows (``drain/<id>`` and ``release/<id>``)."""
+"""Conditional writes of operator rows (``drain/``, ``evacuate/`` and ``release/``)."""
 
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Awaitable, Callable
 
 from twisted.internet import task
 
@@ -14,6 +15,12 @@
 
 RETRY_S = 0.1
 
+RowVersions = dict[ids.RowKey, ids.RowVersion]
+
+
+async def _no_conditions() -> RowVersions:
+    return {}
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class OperatorChange:
@@ -23,6 +30,9 @@
     ----------
     present : bool
         Whether the row exists after the change.
+    check : callable
+        Called before each attempt. Raises if the change is not allowed, and returns the versions of
+        the other rows on which this depends; the change is committed only if they still have them.
     """
 
     action: audit.Action
@@ -31,6 +41,7 @@
     operator: str
     reason: str
     present: bool
+    check: Callable[[], Awaitable[RowVersions]] = _no_conditions
 
 
 async def commit(remote: job.RemoteContext, requested: OperatorChange) -> bool:
@@ -39,8 +50,9 @@
         (row,) = await remote.table.get([requested.key])
         if (row.value is not None) == requested.present:
             return False
+        conditions = await requested.check()
         try:
-            await _transact(remote, requested, row)
+            await _transact(remote, requested, row, conditions)
             return True
         except errors.TransactionConflictError:
             if remote.clock.seconds() >= remote.deadline:
@@ -48,7 +60,12 @@
             await task.deferLater(remote.clock, RETRY_S, lambda: None)
 
 
-async def _transact(remote: job.RemoteContext, requested: OperatorChange, row: ports.Row) -> None:
+async def _transact(
+    remote: job.RemoteContext,
+    requested: OperatorChange,
+    row: ports.Row,
+    conditions: RowVersions,
+) -> None:
     operator = job.default_operator(requested.operator)
     time_ms = remote.now_ms()
     new = codec.OperatorRow(
@@ -66,7 +83,7 @@
         after=_describe(value, key=row.key),
     )
     await transactor.Transactor(remote.clock, remote.table).transact(
-        expected_versions_by_key={row.key: row.version},
+        expected_versions_by_key={**conditions, row.key: row.version},
         writes=(ports.Write(row.key, value),),
         audit=entry,
         deadline=remote.deadline,
--- a/src/celerystack/control/entry_vm.py
+++ b/src/celerystack/control/entry_vm.py
@@ -14,6 +14,7 @@
 from celerystack.control import (
     claims_task,
     committer,
+    evacuations,
     lessor_task,
     losses_task,
     membership_task,
@@ -199,6 +200,7 @@
             ),
             on_finished=counters.observe_request,
         )
+        self.evacuations = evacuations.EvacuationReports(view=self.view, counters=counters)
         self.metrics = metrics_task.MetricsTask(
             self._clock,
             counters=counters,
--- a/src/celerystack/control/routes.py
+++ b/src/celerystack/control/routes.py
@@ -41,6 +41,7 @@
         self._on_route = on_route
         self._services_by_prefix: dict[str, model.Service] = {}
         self._prefix_lengths: list[int] = []
+        self._evacuated_services: frozenset[ids.ServiceName] = frozenset()
         self._chunks_by_service: dict[ids.ServiceName, list[shard_map.ShardMapChunk]] = {}
         self._waiters_by_service: dict[ids.ServiceName, set[defer.Deferred[None]]] = {}
         view.add_listener(self._view_changed)
@@ -77,7 +78,11 @@
         return result
 
     def current_route(self, service: model.Service, key_hash: ids.KeyHash) -> model.RouteResult:
-        """Return the owner of a key hash without counting the lookup."""
+        """Return the owner of a key hash without counting the lookup.
+
+        If all servers of a service are in evacuated zones, no server may receive its shards. They
+        stay with their owners, which get no requests.
+        """
         chunks = self._chunks_by_service.get(service.name)
         if not chunks:
             return model.NoOwner(ids.ShardId(0))
@@ -91,7 +96,7 @@
         if shard in chunk.moves_by_shard:
             return model.Moving(shard)
         owner = chunk.owner(shard)
-        if owner is None:
+        if owner is None or service.name in self._evacuated_services:
             return model.NoOwner(shard)
         return model.Route(owner, shard, chunk.epoch(shard), _former_zones(chunk, shard))
 
@@ -132,7 +137,9 @@
             self._prefix_lengths = sorted(lengths, reverse=True)
         for name in change.services:
             self._chunks_by_service[name] = [chunk for _, chunk in self._view.chunks(name)]
-        for name in services_by_name if change.configuration else change.services:
+        if change.configuration or change.zones:
+            self._evacuated_services = self._view.evacuated_services()
+        for name in services_by_name if change.configuration or change.zones else change.services:
             self.wake(name)
 
 
--- a/src/celerystack/control/server_status.py
+++ b/src/celerystack/control/server_status.py
@@ -58,8 +58,15 @@
         return reachable or self._is_zone_connected(server.zone)
 
     def is_leaving(self, server: ids.ServerId) -> bool:
-        """Return whether a server must give up its shards, because it is drained or leaves."""
-        return self._view.is_draining(server) or server in self._membership.leaving_servers
+        """Return whether a server must give up its shards and gets no new ones.
+
+        It is drained, its zone is evacuated, or the platform is about to remove it.
+        """
+        return (
+            self._view.is_draining(server)
+            or self._view.is_evacuated(server)
+            or server in self._membership.leaving_servers
+        )
 
     def can_release(self, source: ids.ServerId) -> bool:
         """Return whether a planned move away from a server can be expected to finish."""
--- a/src/celerystack/control/status.py
+++ b/src/celerystack/control/status.py
@@ -18,6 +18,7 @@
         "ready": process.is_ready(),
         "draining": process.draining,
         "config_version": process.view.configuration.version,
+        "evacuated_zones": sorted(process.view.evacuated_zones()),
         "store_reachable": process.table_sync.reachable,
         "peers": {
             peer.entry_vm.vm: {
--- a/src/celerystack/control/view.py
+++ b/src/celerystack/control/view.py
@@ -35,11 +35,14 @@
         Services whose shard map has changed.
     configuration : bool
         Whether a new configuration version is in force.
+    zones : frozenset of ZoneName
+        Zones whose evacuation was requested or withdrawn.
     """
 
     servers: frozenset[ids.ServerId]
     services: frozenset[ids.ServiceName]
     configuration: bool
+    zones: frozenset[ids.ZoneName] = frozenset()
 
 
 class ClusterView:
@@ -55,6 +58,7 @@
         self._chunks_by_key: dict[ids.RowKey, shard_map.ShardMapChunk] = {}
         self.configuration = model.Configuration()
         self.server_rows_by_id: dict[ids.ServerId, model.ServerRow] = {}
+        self._requested_zones: frozenset[ids.ZoneName] = frozenset()
         cache.add_listener(self._rows_changed)
 
     def add_listener(self, listener: Callable[[ViewChange], None]) -> None:
@@ -97,6 +101,19 @@
         """Return whether an operator has asked for the server to be drained."""
         return self._cache.get(keys.drain(server)).value is not None
 
+    def is_evacuated(self, server: ids.ServerId) -> bool:
+        """Return whether a server is declared in a zone that an operator has evacuated."""
+        declared = self.declared_server(server)
+        return declared is not None and declared.zone in self._requested_zones
+
+    def evacuated_zones(self) -> frozenset[ids.ZoneName]:
+        """Return the evacuated zones in which servers are declared."""
+        return self._requested_zones & self.configuration.server_zones()
+
+    def evacuated_services(self) -> frozenset[ids.ServiceName]:
+        """Return the services whose declared servers are all in evacuated zones."""
+        return self.configuration.services_confined_to(self._requested_zones)
+
     def release_row(self, server: ids.ServerId) -> ports.Row:
         """Return the row with the operator's evidence that the server's process is gone."""
         return self._cache.get(keys.release(server))
@@ -151,6 +168,7 @@
 
     def _rows_changed(self, rows: list[ports.Row]) -> None:
         servers: set[ids.ServerId] = set()
+        zones: set[ids.ZoneName] = set()
         services: set[ids.ServiceName] = set()
         configuration = False
         for row in rows:
@@ -160,11 +178,15 @@
                 services |= self._load_chunk(row)
             elif row.key.startswith(keys.DRAIN_PREFIX):
                 servers.add(ids.ServerId(row.key.removeprefix(keys.DRAIN_PREFIX)))
+            elif row.key.startswith(keys.EVACUATE_PREFIX):
+                zones.add(self._load_evacuation(row))
             elif row.key.startswith("config/"):
                 configuration = True
         if configuration:
             configuration = self._load_configuration()
-        change = ViewChange(frozenset(servers), frozenset(services), configuration)
+        change = ViewChange(
+            frozenset(servers), frozenset(services), configuration, frozenset(zones)
+        )
         for listener in self._listeners:
             listener(change)
 
@@ -180,6 +202,14 @@
             return set()
         return {server}
 
+    def _load_evacuation(self, row: ports.Row) -> ids.ZoneName:
+        zone = ids.ZoneName(row.key.removeprefix(keys.EVACUATE_PREFIX))
+        if row.value is None:
+            self._requested_zones -= {zone}
+        else:
+            self._requested_zones |= {zone}
+        return zone
+
     def _load_chunk(self, row: ports.Row) -> set[ids.ServiceName]:
         service = shard_map.service_of_row_key(row.key)
         if row.value is None:
--- a/src/celerystack/model.py
+++ b/src/celerystack/model.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Set
 
 from celerystack import ids
 
@@ -85,6 +86,16 @@
     services_by_name: dict[ids.ServiceName, Service] = dataclasses.field(default_factory=dict)
     servers_by_id: dict[ids.ServerId, BackendServer] = dataclasses.field(default_factory=dict)
 
+    def server_zones(self) -> frozenset[ids.ZoneName]:
+        """Return the zones in which servers are declared."""
+        return frozenset(server.zone for server in self.servers_by_id.values())
+
+    def services_confined_to(self, zones: Set[ids.ZoneName]) -> frozenset[ids.ServiceName]:
+        """Return the services that have servers, all of them in the given zones."""
+        servers = self.servers_by_id.values()
+        elsewhere = {server.service for server in servers if server.zone not in zones}
+        return frozenset(server.service for server in servers) - elsewhere
+
 
 @dataclasses.dataclass(frozen=True)
 class LessorRef:
--- a/src/celerystack/observe/audit.py
+++ b/src/celerystack/observe/audit.py
@@ -23,6 +23,8 @@
     APPLY = "apply"
     DRAIN = "drain"
     UNDRAIN = "undrain"
+    EVACUATE = "evacuate"
+    RESTORE = "restore"
     RELEASE = "release"
     ASSIGN = "assign"
     MOVE_START = "move_start"
@@ -64,7 +66,7 @@
     time_ms : int
         Unix time in milliseconds; together with ``transaction`` it determines the row's key.
     subject : str
-        What was changed, such as ``config``, ``server/<id>`` or ``map/<service>``.
+        What was changed, such as ``config``, ``server/<id>``, ``zone/<zone>`` or ``map/<service>``.
     """
     return codec.AuditRow(
         transaction=transaction,
--- a/src/celerystack/observe/metrics.py
+++ b/src/celerystack/observe/metrics.py
@@ -131,6 +131,12 @@
         self._config_version = prometheus_client.Gauge(
             "celerystack_config_version", "Configuration version in force.", registry=registry
         )
+        self._evacuated = prometheus_client.Gauge(
+            "celerystack_zone_evacuated",
+            "1 for a zone whose servers get no new requests, 0 after the evacuation has ended.",
+            ["zone"],
+            registry=registry,
+        )
         self._store_errors = prometheus_client.Counter(
             "celerystack_store_errors",
             "Failed calls to platform services.",
@@ -185,6 +191,10 @@
         """Set the configuration version in force."""
         self._config_version.set(version)
 
+    def set_zone_evacuated(self, zone: ids.ZoneName, evacuated: bool) -> None:
+        """Set whether a zone is evacuated."""
+        self._evacuated.labels(zone).set(int(evacuated))
+
     def count_store_failure(self, operation: str, failure: StoreFailure) -> None:
         """Count a failed call; ``operation`` is a step such as ``table.get``."""
         self._store_errors.labels(operation, failure.value).inc()
--- a/src/celerystack/queries/status.py
+++ b/src/celerystack/queries/status.py
@@ -30,10 +30,14 @@
     server_rows = await remote.table.scan(keys.SERVER_PREFIX)
     map_rows = await remote.table.scan(keys.MAP_PREFIX)
     drain_rows = await remote.table.scan(keys.DRAIN_PREFIX)
+    evacuate_rows = await remote.table.scan(keys.EVACUATE_PREFIX)
     release_rows = await remote.table.scan(keys.RELEASE_PREFIX)
     services, shards_by_server = _service_reports(current, map_rows)
     report = {
         "config_version": current.version,
+        "evacuated_zones": _zone_reports(
+            current, shards_by_server, _decode_operator_rows(evacuate_rows, keys.EVACUATE_PREFIX)
+        ),
         "services": services,
         "servers": _server_reports(
             current,
@@ -55,6 +59,23 @@
     }
 
 
+def _zone_reports(
+    current: model.Configuration,
+    shards_by_server: collections.Counter[ids.ServerId],
+    evacuate_rows_by_zone: dict[str, codec.OperatorRow],
+) -> dict[str, Any]:
+    report: dict[str, Any] = {}
+    for zone, row in sorted(evacuate_rows_by_zone.items()):
+        servers = [s.server for s in current.servers_by_id.values() if s.zone == zone]
+        report[zone] = {
+            "evacuated_by": row.operator,
+            "reason": row.reason,
+            "servers": len(servers),
+            "shards": sum(shards_by_server[server] for server in servers),
+        }
+    return report
+
+
 def _service_reports(
     current: model.Configuration, rows: list[ports.Row]
 ) -> tuple[dict[str, Any], collections.Counter[ids.ServerId]]:
@@ -119,6 +140,11 @@
 
 def _format_report(report: dict[str, Any]) -> str:
     lines = [f"configuration version: {report['config_version']}"]
+    for zone, entry in report["evacuated_zones"].items():
+        lines.append(
+            f"zone {zone}: evacuated by {entry['evacuated_by']}, "
+            f"{entry['shards']} shards left on its {entry['servers']} servers"
+        )
     for name, entry in report["services"].items():
         if not entry["divided"]:
             lines.append(f"service {name}: not divided by key")
--- a/src/celerystack/queries/table_reads.py
+++ b/src/celerystack/queries/table_reads.py
@@ -81,10 +81,20 @@
 
 async def configuration(remote: job.RemoteContext) -> model.Configuration:
     """Read the configuration in force; return an empty one of version 0 if there is none."""
-    current = await accepted(remote)
+    return merged(await accepted(remote))
+
+
+def merged(current: change.Accepted) -> model.Configuration:
+    """Return the configuration that the accepted files declare."""
     return loader.merge_files(current.text_by_file, version=current.version)
 
 
+async def evacuated_zones(remote: job.RemoteContext) -> frozenset[ids.ZoneName]:
+    """Read which zones are evacuated, whether or not servers are declared in them."""
+    rows = await remote.table.scan(keys.EVACUATE_PREFIX)
+    return frozenset(ids.ZoneName(row.key.removeprefix(keys.EVACUATE_PREFIX)) for row in rows)
+
+
 async def resolve_base(
     remote: job.RemoteContext, folder: pathlib.Path, base: int | None, current: change.Accepted
 ) -> change.Base:
@@ -148,6 +158,16 @@
     return found
 
 
+def require_zone(current: model.Configuration, zone: ids.ZoneName) -> None:
+    """Raise `errors.CelerystackError` with a hint if no server is declared in a zone."""
+    known = sorted(current.server_zones())
+    if zone not in known:
+        shown = f" (zones with servers: {', '.join(known)})" if known else ""
+        raise errors.CelerystackError(
+            f"unknown zone {zone!r}{problems.hint(zone, known)}{shown}", step="config.lookup"
+        )
+
+
 def require_service(current: model.Configuration, service: str) -> model.Service:
     """Return a declared service; raises `errors.CelerystackError` with a hint if it is unknown."""
     found = current.services_by_name.get(ids.ServiceName(service))
--- a/src/celerystack/run.py
+++ b/src/celerystack/run.py
@@ -11,7 +11,7 @@
 
 import celerystack
 from celerystack import clock, errors, settings
-from celerystack.commands import apply, drain, job, release, router, undrain
+from celerystack.commands import apply, drain, evacuate, job, release, restore, router, undrain
 from celerystack.observe import logs
 from celerystack.queries import check, diff, explain, owner, show_audit, show_settings, status
 
@@ -22,6 +22,8 @@
     "apply": apply.apply,
     "drain": drain.drain,
     "undrain": undrain.undrain,
+    "evacuate": evacuate.evacuate,
+    "restore": restore.restore,
     "release": release.release,
     "status": status.status,
     "owner": owner.owner,
--- a/src/celerystack/state/codec.py
+++ b/src/celerystack/state/codec.py
@@ -23,7 +23,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class OperatorRow:
-    """Rows ``drain/<id>`` and ``release/<id>``: who made the request, when and why."""
+    """Rows ``drain/<id>``, ``evacuate/<zone>`` and ``release/<id>``: who asked, when and why."""
 
     operator: str
     time_ms: int
--- a/src/celerystack/state/keys.py
+++ b/src/celerystack/state/keys.py
@@ -9,6 +9,7 @@
 SERVER_PREFIX = "server/"
 MAP_PREFIX = "map/"
 DRAIN_PREFIX = "drain/"
+EVACUATE_PREFIX = "evacuate/"
 RELEASE_PREFIX = "release/"
 AUDIT_PREFIX = "audit/"
 
@@ -33,6 +34,11 @@
     return ids.RowKey(DRAIN_PREFIX + server_id)
 
 
+def evacuate(zone: ids.ZoneName) -> ids.RowKey:
+    """Return the key of the row that requests the evacuation of a zone."""
+    return ids.RowKey(EVACUATE_PREFIX + zone)
+
+
 def release(server_id: ids.ServerId) -> ids.RowKey:
     """Return the key of the row with an operator's evidence that a server's process ended."""
     return ids.RowKey(RELEASE_PREFIX + server_id)
--- a/tests/differential/test_routes.py
+++ b/tests/differential/test_routes.py
@@ -35,6 +35,7 @@
     cluster_view = types.SimpleNamespace(
         configuration=types.SimpleNamespace(services_by_name={s.name: s for s in services}),
         add_listener=listeners.append,
+        evacuated_services=frozenset,
     )
     service_routes = routes.Routes(
         cluster_view, may_send=lambda _: True, is_usable=lambda _: True, on_route=lambda *_: None
--- a/tests/queries/test_table_queries.py
+++ b/tests/queries/test_table_queries.py
@@ -109,6 +109,19 @@
         self.assertIn("server rv-01: active", text)
         self.assertIn("drain requested by op", text)
 
+    def test_status_of_evacuated_zones(self) -> None:
+        """Guards against a status from which an operator cannot tell when a zone is empty."""
+        self.save()
+        row = codec.OperatorRow(operator="op", time_ms=1, reason="power")
+        self.table.put(keys.evacuate(ids.ZoneName("z1")), codec.encode_fields(row))
+        report = json.loads(self.platform.run(status.status(json=True))[1])
+        self.assertEqual(
+            {"z1": {"evacuated_by": "op", "reason": "power", "servers": 1, "shards": 1}},
+            report["evacuated_zones"],
+        )
+        text = self.platform.run(status.status())[1]
+        self.assertIn("zone z1: evacuated by op, 1 shards left on its 1 servers\n", text)
+
     def test_shards_without_a_map_row_are_shown(self) -> None:
         """Guards against a status that hides that no shard has a map row yet."""
         text = self.platform.run(status.status())[1]
