Add the command where, which asks an entry VM where a request would go

Cause: operators can see the recorded owner of a key, but not what an entry VM would do with a request now: which server it would choose, how long its queue is, and what would reject the request.

A deadline queue tells its prospect for an item, and a server why it is not usable.

tests/system/test_evacuation.py: the late entry VM gets more load.

--- a/src/celerystack/commands/job.py
+++ b/src/celerystack/commands/job.py
@@ -12,6 +12,7 @@
 from twisted.internet import interfaces
 
 from celerystack import settings
+from celerystack.queries import ports as query_ports
 from celerystack.store import ports
 
 
@@ -45,6 +46,8 @@
         Time source of deadlines and retry delays.
     objects : ports.ObjectPort or None
         None if ``object_address`` is not set; jobs that need it list it in ``required``.
+    admin : query_ports.AdminPort or None
+        The same for ``admin_address``.
     deadline : float
         Clock time in seconds at which the command gives up.
     now_ms : callable
@@ -55,6 +58,7 @@
     clock: interfaces.IReactorTime
     table: ports.TablePort
     objects: ports.ObjectPort | None
+    admin: query_ports.AdminPort | None = None
     deadline: float
     out: TextIO
     now_ms: Callable[[], int] = lambda: int(time.time() * 1000)
--- a/src/celerystack/control/entry_vm.py
+++ b/src/celerystack/control/entry_vm.py
@@ -22,6 +22,7 @@
     placer_task,
     queueing_chooser,
     reconciler_task,
+    request_locator,
     routes,
     send_permission,
     table_sync,
@@ -174,6 +175,7 @@
             on_route=self.traffic.count_request,
         )
         self.losses = losses_task.LossesTask(self._clock, view=self.view, mesh=self.mesh)
+        chooser = queueing_chooser.QueueingChooser(server_choice.ServerChooser(zone=self.me.zone))
         dependencies = forwarder.Dependencies(
             routes=self.routes,
             claims=claims_task.ClaimsTask(
@@ -184,12 +186,21 @@
                 membership=self.membership,
             ),
             losses=self.losses,
-            chooser=queueing_chooser.QueueingChooser(
-                server_choice.ServerChooser(zone=self.me.zone)
-            ),
+            chooser=chooser,
             budget=retry_budget.RetryBudget(),
         )
         self.forwarder = forwarder.Forwarder(self._reactor, dependencies)
+        self.locator = request_locator.RequestLocator(
+            self._clock,
+            own_entry_vm=self.me,
+            view=self.view,
+            routes=self.routes,
+            servers=self.placer.servers,
+            chooser=chooser,
+            losses=self.losses,
+            queue_state=self.forwarder.queue_state,
+            last_reply_at=self.lessor_task.lessor.last_reply_at,
+        )
         counters = metrics.Metrics(self.registry)
         self.front_end = frontend.FrontEnd(
             self._reactor,
--- a/src/celerystack/control/losses_task.py
+++ b/src/celerystack/control/losses_task.py
@@ -54,6 +54,12 @@
         """Return whether requests with a fingerprint are to be rejected."""
         return self._quarantine.is_quarantined(fingerprint, self._clock.seconds())
 
+    def quarantine_s(self, fingerprint: ids.Fingerprint) -> float | None:
+        """Return the rest of a fingerprint's quarantine in seconds; None if it has none."""
+        until = self._quarantine.quarantined_until(fingerprint)
+        rest_s = 0.0 if until is None else until - self._clock.seconds()
+        return rest_s if rest_s > 0.0 else None
+
     def record_completion(self, fingerprint: ids.Fingerprint) -> None:
         """Clear a fingerprint whose complete response arrived."""
         for report in self._quarantine.record_completion(fingerprint, self._clock.seconds()):
--- a/src/celerystack/control/queueing_chooser.py
+++ b/src/celerystack/control/queueing_chooser.py
@@ -21,6 +21,10 @@
         """Return the server for the next request; None only if there are no candidates."""
         return self._chooser.choose_for_queue(servers, now)
 
+    def scores(self, servers: tuple[model.BackendServer, ...], now: float) -> list[float]:
+        """Return the score of each server; `choose` returns one with the lowest."""
+        return self._chooser.scores(servers, now)
+
     def started(self, server: model.BackendServer, now: float) -> None:
         """Record that a request joined the queue of a server."""
         self._chooser.started(server.server, now)
--- a/src/celerystack/control/server_status.py
+++ b/src/celerystack/control/server_status.py
@@ -34,14 +34,20 @@
 
     def is_usable(self, server: ids.ServerId) -> bool:
         """Return whether a server may receive shards or new requests."""
+        return not self.unusable_reason(server)
+
+    def unusable_reason(self, server: ids.ServerId) -> str:
+        """Return why a server may receive neither shards nor new requests; empty if it may."""
         row = self._view.server_rows_by_id.get(server)
-        return (
-            row is not None
-            and row.state is model.ServerState.ACTIVE
-            and bool(row.incarnation)
-            and self._view.declared_server(server) is not None
-            and not self.is_leaving(server)
-        )
+        if row is None:
+            return "it has no row yet"
+        if row.state is not model.ServerState.ACTIVE:
+            return f"its row is {row.state.value}"
+        if not row.incarnation:
+            return "it has not answered yet"
+        if self._view.declared_server(server) is None:
+            return "it is not declared"
+        return self.leaving_reason(server)
 
     def may_receive(self, server: model.BackendServer) -> bool:
         """Return whether shards may be given to a server now.
@@ -62,11 +68,17 @@
 
         It is drained, its zone is evacuated, or the platform is about to remove it.
         """
-        return (
-            self._view.is_draining(server)
-            or self._view.is_evacuated(server)
-            or server in self._membership.leaving_servers
-        )
+        return bool(self.leaving_reason(server))
+
+    def leaving_reason(self, server: ids.ServerId) -> str:
+        """Return why a server must give up its shards; empty if it need not."""
+        if self._view.is_draining(server):
+            return "it is drained"
+        if self._view.is_evacuated(server):
+            return f"zone {self.zone(server)} is evacuated"
+        if server in self._membership.leaving_servers:
+            return "the platform is about to remove it"
+        return ""
 
     def can_release(self, source: ids.ServerId) -> bool:
         """Return whether a planned move away from a server can be expected to finish."""
--- a/src/celerystack/control/service.py
+++ b/src/celerystack/control/service.py
@@ -30,6 +30,7 @@
         registry=process.registry,
         ready=process.is_ready,
         status=lambda: status.of_process(process),
+        where=process.locator.locate,
     )
     reactor.listenTCP(port, site, interface=host)
     reactor.callWhenRunning(process.start)
--- a/src/celerystack/limits/deadline_queue.py
+++ b/src/celerystack/limits/deadline_queue.py
@@ -42,6 +42,26 @@
         return self.priority, self.is_late, at, self.number
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prospect:
+    """What a queue would do with an item that is added now.
+
+    Attributes
+    ----------
+    ahead : int
+        Number of items that go before it.
+    wait_s : float
+        Expected time in seconds until it starts.
+    retry_s : float or None
+        None if the item would be queued. If it would be shed, the expected time in seconds until an
+        item with as much time would not be, provided that no other items arrive.
+    """
+
+    ahead: int
+    wait_s: float
+    retry_s: float | None
+
+
 class DeadlineQueue(Generic[T]):
     """Bounded queue that sheds items which cannot be answered in time.
 
@@ -112,6 +132,23 @@
             shed.append(self._entries.pop().item)
         return shed
 
+    def prospect(self, *, deadline: float, now: float, concurrency: int) -> Prospect:
+        """Return what `push` would do with an item of priority 0; changes nothing.
+
+        The maximum length of the queue is not considered.
+        """
+        order = (0, False, deadline, self._sequence + 1)
+        ahead = bisect.bisect_left(self._entries, order, key=_order)
+        step_s = self._service_time_s / concurrency
+        wait_s = (ahead + 1) * step_s
+        late_s = now + wait_s + self._service_time_s - deadline
+        if late_s < 0.0:
+            return Prospect(ahead, wait_s, None)
+        if late_s <= ahead * step_s:
+            return Prospect(ahead, wait_s, late_s)
+        # Even the first item of the queue would be late, so only one that finds no queue is taken.
+        return Prospect(ahead, wait_s, (len(self._entries) + 1) * step_s)
+
     def _move_late_items_back(self, now: float, concurrency: int) -> None:
         step_s = self._service_time_s / concurrency
         ahead = 0
--- a/src/celerystack/observe/admin.py
+++ b/src/celerystack/observe/admin.py
@@ -1,4 +1,4 @@
-"""HTTP site of the admin listener: metrics, health, readiness and status."""
+"""HTTP site of the admin listener: metrics, health, readiness, status and routing queries."""
 
 from __future__ import annotations
 
@@ -22,12 +22,12 @@
     Parameters
     ----------
     render_body : callable
-        Returns HTTP status code, content type and body.
+        Returns HTTP status code, content type and body, given the fields of the query.
     """
 
     isLeaf = True  # noqa: N815 (name set by twisted.web)
 
-    def __init__(self, render_body: Callable[[], tuple[int, bytes, bytes]]) -> None:
+    def __init__(self, render_body: Callable[[dict[str, str]], tuple[int, bytes, bytes]]) -> None:
         super().__init__()
         self._render_body = render_body
 
@@ -43,7 +43,7 @@
 
     def _body(self, request: server.Request) -> tuple[int, bytes, bytes]:
         try:
-            return self._render_body()
+            return self._render_body(_query_fields(request))
         except Exception:
             path = request.path.decode("ascii", "replace")
             _log.exception("admin page could not be rendered", extra={"step": f"admin {path}"})
@@ -62,6 +62,7 @@
     registry: prometheus_client.CollectorRegistry,
     ready: Callable[[], bool],
     status: Callable[[], Mapping[str, Any]],
+    where: Callable[[Mapping[str, str]], tuple[int, Mapping[str, Any]]],
 ) -> server.Site:
     """Build the site of the admin listener.
 
@@ -73,6 +74,8 @@
         Returns whether ``/readyz`` responds with 200; otherwise it responds with 503.
     status : callable
         Returns the content of ``/status`` as JSON types.
+    where : callable
+        Returns HTTP status code and content of ``/where`` as JSON types, given the query's fields.
 
     Returns
     -------
@@ -80,10 +83,11 @@
         Site for the caller to listen with. A page whose callable raises responds with 500.
     """
     root = resource.Resource()
-    root.putChild(b"metrics", _Page(lambda: _render_metrics(registry)))
-    root.putChild(b"healthz", _Page(lambda: (http.OK, TEXT_TYPE, b"ok\n")))
-    root.putChild(b"readyz", _Page(lambda: _render_readiness(ready())))
-    root.putChild(b"status", _Page(lambda: _render_status(status())))
+    root.putChild(b"metrics", _Page(lambda _: _render_metrics(registry)))
+    root.putChild(b"healthz", _Page(lambda _: (http.OK, TEXT_TYPE, b"ok\n")))
+    root.putChild(b"readyz", _Page(lambda _: _render_readiness(ready())))
+    root.putChild(b"status", _Page(lambda _: _render_json(http.OK, status())))
+    root.putChild(b"where", _Page(lambda fields: _render_json(*where(fields))))
     result = _Site(root)
     result.displayTracebacks = False
     return result
@@ -100,5 +104,13 @@
     return http.SERVICE_UNAVAILABLE, TEXT_TYPE, b"not ready\n"
 
 
-def _render_status(status: Mapping[str, Any]) -> tuple[int, bytes, bytes]:
-    return http.OK, JSON_TYPE, json.dumps(status, indent=2, sort_keys=True).encode() + b"\n"
+def _render_json(code: int, content: Mapping[str, Any]) -> tuple[int, bytes, bytes]:
+    return code, JSON_TYPE, json.dumps(content, indent=2, sort_keys=True).encode() + b"\n"
+
+
+def _query_fields(request: server.Request) -> dict[str, str]:
+    """Return the last value of each field of the query."""
+    return {
+        name.decode("utf-8", "replace"): values[-1].decode("utf-8", "replace")
+        for name, values in request.args.items()
+    }
--- a/src/celerystack/requests/dispatch.py
+++ b/src/celerystack/requests/dispatch.py
@@ -17,6 +17,8 @@
 """Connections to a killed process break within a few ms of each other; a longer window would merge
 two losses of a server that restarts quickly."""
 
+SHED_REASON = "the request cannot be answered before its deadline"
+
 Answer = http.HttpResponse | exchange.StreamedResponse
 OnLoss = Callable[[ids.ServerId, tuple[ids.Fingerprint, ...]], None]
 
@@ -76,6 +78,31 @@
     broken: set[PendingAttempt]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class QueueState:
+    """The queue of this entry VM for one server, as an attempt that starts now would find it.
+
+    Attributes
+    ----------
+    running : int
+        Attempts that count against the concurrency limit.
+    limit : int
+        The concurrency limit.
+    waiting : int
+        Attempts that wait.
+    service_time_s : float
+        Moving average of the time that the server needs; 0 before any response.
+    prospect : Prospect or None
+        None if the attempt would be admitted at once.
+    """
+
+    running: int
+    limit: int
+    waiting: int
+    service_time_s: float
+    prospect: deadline_queue.Prospect | None
+
+
 class Dispatcher:
     """Sends the requests of this entry VM to one server, within its concurrency limit.
 
@@ -144,10 +171,24 @@
         shed = self._queue.push(
             waiting, deadline=deadline, now=self._now(), concurrency=self._limit.limit
         )
-        self._fail_waiting(shed, "the request cannot be answered before its deadline")
+        self._fail_waiting(shed, SHED_REASON)
         self._schedule_expiry()
         return waiting
 
+    def queue_state(self, deadline: float) -> QueueState:
+        """Return what `admit` would do with an attempt; changes nothing."""
+        limit = self._limit
+        is_free = not self._queue and limit.in_flight < limit.limit
+        return QueueState(
+            running=limit.in_flight,
+            limit=limit.limit,
+            waiting=len(self._queue),
+            service_time_s=self._queue.service_time_s,
+            prospect=None
+            if is_free
+            else self._queue.prospect(deadline=deadline, now=self._now(), concurrency=limit.limit),
+        )
+
     def _fail_waiting(self, waiting: list[defer.Deferred[bool]], reason: str) -> None:
         for item in waiting:
             item.errback(errors.NotRunError(reason, step="requests.queue", peer=self.server.server))
--- a/src/celerystack/requests/forwarder.py
+++ b/src/celerystack/requests/forwarder.py
@@ -124,6 +124,11 @@
             for attempt in dispatcher.pending
         )
 
+    def queue_state(self, server_id: ids.ServerId, deadline: float) -> dispatch.QueueState | None:
+        """Return the queue for a server; None if this entry VM has not sent it any request."""
+        dispatcher = self._dispatchers_by_server.get(server_id)
+        return None if dispatcher is None else dispatcher.queue_state(deadline)
+
     def possibly_running_count(self, server_id: ids.ServerId) -> int:
         """Return how many attempts may still run on a server.
 
--- a/src/celerystack/requests/frontend.py
+++ b/src/celerystack/requests/frontend.py
@@ -127,34 +127,24 @@
     def _parse_call(self, request: callerhttp.CallerRequest) -> calls.Call:
         headers = request.header_list()
         target = request.uri
-        if not _TARGET_PATTERN.fullmatch(target):
-            raise RequestError(400, "the request target must be a path of visible characters")
-        if not _METHOD_PATTERN.fullmatch(request.method) or request.method == b"CONNECT":
-            raise RequestError(400, "the method is not supported")
+        check_request_line(request.method, target)
         names = [name for name, _ in headers]
         if b"transfer-encoding" in names and not _is_chunked(headers):
             # twisted.web ignores "identity", but a server may delimit such a request differently.
             raise RequestError(400, "the transfer encoding is not supported")
         if _CONTROL_CHARACTER.search(b"".join([value for _, value in headers])):
             raise RequestError(400, "a header value contains a control character")
-        path = target.partition(b"?")[0].decode("ascii")
-        service = self._routes.service_for(path)
-        if service is None:
-            raise RequestError(404, "no service owns this path")
+        service = find_service(self._routes, target)
         if names.count(b"host") > 1:
             raise RequestError(400, "repeated Host header")
-        key = ""
-        if service.divided:
-            key = self._routes.request_key(service, path, headers) or ""
-            if not key or not key.isprintable():
-                raise RequestError(400, "the request has no key, or one that is not printable")
+        key = find_key(self._routes, service, target, headers)
         return calls.Call(
             service=service,
             method=request.method.decode("ascii"),
             target=target,
             headers=encoding.request_headers(headers),
             body=request.body(),
-            deadline=request.received_at + _deadline_ms(request.method, headers, service) / 1000,
+            deadline=request.received_at + deadline_ms(request.method, headers, service) / 1000,
             key=key,
             request_id=_request_id(headers),
         )
@@ -248,7 +238,40 @@
     return codings == [b"chunked"]
 
 
-def _deadline_ms(method: bytes, headers: http.HeaderList, service: model.Service) -> int:
+def check_request_line(method: bytes, target: bytes) -> None:
+    """Raise `RequestError` if the method or the request target is not supported."""
+    if not _TARGET_PATTERN.fullmatch(target):
+        raise RequestError(400, "the request target must be a path of visible characters")
+    if not _METHOD_PATTERN.fullmatch(method) or method == b"CONNECT":
+        raise RequestError(400, "the method is not supported")
+
+
+def find_service(routes: ports.RouteSource, target: bytes) -> model.Service:
+    """Return the service of a valid request target; raises `RequestError` if there is none."""
+    service = routes.service_for(_path(target))
+    if service is None:
+        raise RequestError(404, "no service owns this path")
+    return service
+
+
+def find_key(
+    routes: ports.RouteSource, service: model.Service, target: bytes, headers: http.HeaderList
+) -> str:
+    """Return the key of a request, empty if its service has none; raises `RequestError`."""
+    if not service.divided:
+        return ""
+    key = routes.request_key(service, _path(target), headers) or ""
+    if not key or not key.isprintable():
+        raise RequestError(400, "the request has no key, or one that is not printable")
+    return key
+
+
+def _path(target: bytes) -> str:
+    return target.partition(b"?")[0].decode("ascii")
+
+
+def deadline_ms(method: bytes, headers: http.HeaderList, service: model.Service) -> int:
+    """Return the time in milliseconds that a request has; raises `RequestError`."""
     idempotent = method.decode("ascii", "replace") in service.idempotent_methods
     limit_ms = DEADLINE_MAX_MS if idempotent else NON_IDEMPOTENT_DEADLINE_MAX_MS
     values = [value for name, value in headers if name == b"x-deadline-ms"]
--- a/src/celerystack/requests/quarantine.py
+++ b/src/celerystack/requests/quarantine.py
@@ -86,6 +86,10 @@
         """Return whether requests with this fingerprint must be rejected as not run."""
         return self._quarantined_until_by_fingerprint.get(request, now) > now
 
+    def quarantined_until(self, request: ids.Fingerprint) -> float | None:
+        """Return the end of the last quarantine of a fingerprint; None if there was none."""
+        return self._quarantined_until_by_fingerprint.get(request)
+
     def quarantined_count(self, now: float) -> int:
         """Return the number of fingerprints that are rejected at ``now``."""
         return sum(until > now for until in self._quarantined_until_by_fingerprint.values())
--- a/src/celerystack/requests/server_choice.py
+++ b/src/celerystack/requests/server_choice.py
@@ -112,6 +112,11 @@
             servers, self._median_s([self._stats(s.server) for s in servers]), now
         )
 
+    def scores(self, servers: Sequence[model.BackendServer], now: float) -> list[float]:
+        """Return the score of each server, of which `choose_for_queue` takes the lowest."""
+        median_s = self._median_s([self._stats(server.server) for server in servers])
+        return self._scores(servers, median_s, now)
+
     def started(self, server: ids.ServerId, now: float) -> None:
         """Record that a request was assigned to ``server``."""
         self._stats(server).outstanding += 1
@@ -148,14 +153,19 @@
     def _choose_lowest_score(
         self, servers: Sequence[model.BackendServer], median_s: float, now: float
     ) -> model.BackendServer:
-        scores = [
+        scores = self._scores(servers, median_s, now)
+        lowest = min(scores)
+        ties = [s for s, score in zip(servers, scores, strict=True) if score <= lowest]
+        return self._random.choice(ties)
+
+    def _scores(
+        self, servers: Sequence[model.BackendServer], median_s: float, now: float
+    ) -> list[float]:
+        return [
             self._weighted_latency_s(server, median_s, now)
             * (self._stats(server.server).outstanding + 1)
             for server in servers
         ]
-        lowest = min(scores)
-        ties = [s for s, score in zip(servers, scores, strict=True) if score <= lowest]
-        return self._random.choice(ties)
 
     def _weighted_latency_s(
         self, server: model.BackendServer, median_s: float, now: float
--- a/src/celerystack/requests/targets.py
+++ b/src/celerystack/requests/targets.py
@@ -12,6 +12,10 @@
 from celerystack import errors, ids, model, timing
 from celerystack.requests import calls, ports
 
+NO_SERVER_REASON = "no server is usable"
+MOVING_REASON = "the key's shard is being moved"
+NO_OWNER_REASON = "no server owned the key before the deadline"
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Target:
@@ -106,7 +110,7 @@
             servers = tuple(s for s in servers if avoid_until_by_server.get(s.server, now) <= now)
         server = self._chooser.choose(call.service, servers, self._now()) if servers else None
         if server is None:
-            raise self._not_run("no server is usable")
+            raise self._not_run(NO_SERVER_REASON)
         return Target(server, None)
 
     async def _find_owner(
@@ -117,7 +121,7 @@
         while True:
             now = self._now()
             if now >= call.deadline:
-                raise self._not_run("no server owned the key before the deadline")
+                raise self._not_run(NO_OWNER_REASON)
             wait_deadline = call.deadline
             match self._routes.route(call.service, key_hash):
                 case model.Route(server=owner) if avoid_until_by_server.get(owner, now) > now:
@@ -129,7 +133,7 @@
                 case model.Moving():
                     hold_deadline = hold_deadline or now + timing.MOVE_WAIT_MAX_S
                     if now >= hold_deadline:
-                        raise self._not_run("the key's shard is being moved")
+                        raise self._not_run(MOVING_REASON)
                     wait_deadline = min(wait_deadline, hold_deadline)
                 case _:
                     hold_deadline = 0.0
--- a/src/celerystack/run.py
+++ b/src/celerystack/run.py
@@ -13,7 +13,16 @@
 from celerystack import clock, errors, settings
 from celerystack.commands import apply, drain, evacuate, job, release, restore, router, undrain
 from celerystack.observe import logs
-from celerystack.queries import check, diff, explain, owner, show_audit, show_settings, status
+from celerystack.queries import (
+    check,
+    diff,
+    explain,
+    owner,
+    show_audit,
+    show_settings,
+    status,
+    where,
+)
 
 SUBCOMMANDS: dict[str, Callable[..., job.Job]] = {
     "router": router.router,
@@ -27,6 +36,7 @@
     "release": release.release,
     "status": status.status,
     "owner": owner.owner,
+    "where": where.where,
     "explain": explain.explain,
     "audit": show_audit.audit,
     "settings": show_settings.settings,
@@ -165,6 +175,7 @@
     requested_job: job.RemoteJob, loaded: settings.Settings, reactor: object
 ) -> int:
     # The adapters are built in a coroutine, so that a failure to build them stops the reactor.
+    from celerystack.queries import admin_pages
     from celerystack.store import objects, table
 
     monotonic = clock.MonotonicClock(reactor)
@@ -183,6 +194,13 @@
         )
         if loaded.object_address
         else None,
+        admin=admin_pages.HttpAdmin(
+            reactor,
+            address=loaded.admin_address,
+            timeout_s=loaded.store_timeout_s,
+        )
+        if loaded.admin_address
+        else None,
         deadline=monotonic.seconds() + loaded.command_limit_s,
         out=sys.stdout,
     )
--- a/src/celerystack/settings.py
+++ b/src/celerystack/settings.py
@@ -155,7 +155,10 @@
         _parse_address, "", "Listener for other entry VMs.", kind="IP:port"
     )
     admin_address: str = _setting(
-        _parse_address, "", "Listener for metrics, health and status (HTTP).", kind="IP:port"
+        _parse_address,
+        "",
+        "Listener for metrics, health, status and routing queries (HTTP).",
+        kind="IP:port",
     )
     advertised_peer_address: str = _setting(
         _parse_address,
--- a/standins/memory_platform.py
+++ b/standins/memory_platform.py
@@ -11,6 +11,7 @@
 
 from celerystack import errors, ids, settings
 from celerystack.commands import job
+from celerystack.queries import ports as query_ports
 from celerystack.store import ports
 
 
@@ -149,6 +150,7 @@
         self.clock = task.Clock()
         self.table = FakeTable(self.clock)
         self.objects = FakeObjects()
+        self.admin: query_ports.AdminPort | None = None
         self.wall_ms = 1_700_000_000_000
 
     def start(self, remote_job: job.Job, out: io.StringIO) -> defer.Deferred[int]:
@@ -158,6 +160,7 @@
             clock=self.clock,
             table=self.table,
             objects=self.objects,
+            admin=self.admin,
             deadline=self.clock.seconds() + 10.0,
             out=out,
             now_ms=self._now_ms,
--- a/tests/limits/test_deadline_queue.py
+++ b/tests/limits/test_deadline_queue.py
@@ -76,6 +76,43 @@
         queue.push("second", due=5.0, deadline=10.0, now=0.0, concurrency=1)
         self.assertEqual(["second", "first", None], [queue.pop(2.5) for _ in range(3)])
 
+    @hypothesis.given(
+        strategies.lists(strategies.integers(1, 12), max_size=8),
+        strategies.integers(1, 12),
+        strategies.sampled_from((1, 2, 4)),
+    )
+    def test_prospect_agrees_with_push(self, deadlines, deadline, concurrency):
+        """Guards against announcing a wait or a rejection that the queue does not decide."""
+        queue = self.queue(1.0)
+        for item, other in enumerate(deadlines):
+            self.push(queue, item, float(other), concurrency=concurrency)
+        length = len(queue)
+        prospect = queue.prospect(deadline=float(deadline), now=0.0, concurrency=concurrency)
+        self.assertEqual(length, len(queue))
+        shed = self.push(queue, "new", float(deadline), concurrency=concurrency)
+        self.assertEqual("new" in shed, prospect.retry_s is not None)
+        if prospect.retry_s is None:
+            order = [queue.pop() for _ in range(len(queue))]
+            self.assertEqual(order.index("new"), prospect.ahead)
+            self.assertEqual((prospect.ahead + 1) / concurrency, prospect.wait_s)
+
+    def test_time_to_come_back(self):
+        """Guards against a time at which the same request would be shed again."""
+        queue = self.queue(1.0)
+        for item in range(4):
+            self.push(queue, item, 6.0)
+
+        def retry_s(allowed_s):
+            return queue.prospect(deadline=allowed_s, now=0.0, concurrency=1).retry_s
+
+        self.assertIsNone(retry_s(6.5))
+        # All four go first: the item would be answered after 6 s.
+        self.assertEqual(0.0, retry_s(6.0))
+        # None goes first; the next slot and the item's own time take 2 s.
+        self.assertIsNone(retry_s(2.5))
+        # No place in the queue is early enough, so it has to be empty.
+        self.assertEqual(5.0, retry_s(1.5))
+
     def test_length_bound_sheds_the_latest_deadline(self):
         """Guards against unbounded memory, and against shedding the item with an early deadline."""
         queue = self.queue(length_max=2)
--- a/tests/observe/test_admin.py
+++ b/tests/observe/test_admin.py
@@ -19,9 +19,16 @@
         registry = prometheus_client.CollectorRegistry()
         prometheus_client.Gauge("g", "Gauge.", registry=registry).set(5)
         self.site = admin.site(
-            registry=registry, ready=lambda: self.ready, status=lambda: self.status
+            registry=registry,
+            ready=lambda: self.ready,
+            status=lambda: self.status,
+            where=self.where,
         )
 
+    def where(self, fields: dict[str, str]) -> tuple[int, dict]:
+        self.where_fields = fields
+        return self.where_result
+
     def fetch(self, path: str, method: str = "GET") -> tuple[int, bytes]:
         peer = address.IPv4Address("TCP", "127.0.0.1", 1)
         protocol = self.site.buildProtocol(peer)
@@ -49,6 +56,14 @@
         """Guards against a status that is not valid JSON."""
         self.assertEqual({"vm": "e-1"}, json.loads(self.fetch("/status")[1]))
 
+    def test_where_passes_the_fields_of_the_query(self) -> None:
+        """Guards against a query that is answered for another request, or with another status."""
+        self.where_result = (http.NOT_FOUND, {"error": "no service owns this path"})
+        code, body = self.fetch("/where?method=GET&path=%2Fa%2Fk%3Fx%3D1")
+        self.assertEqual({"method": "GET", "path": "/a/k?x=1"}, self.where_fields)
+        self.assertEqual(http.NOT_FOUND, code)
+        self.assertEqual({"error": "no service owns this path"}, json.loads(body))
+
     def test_failing_status_is_one_line_without_details(self) -> None:
         """Guards against a response with a traceback if the status cannot be rendered."""
         logging.getLogger(admin.__name__).disabled = True
--- a/tests/requests/test_queueing.py
+++ b/tests/requests/test_queueing.py
@@ -27,6 +27,24 @@
         outcomes = sorted(a.header(b"x-celerystack-outcome") for a in answers)
         self.assertEqual(outcomes, [b"not-run"] * 4 + [b"unknown"] * 2)
 
+    async def test_queue_state_is_what_the_next_request_finds(self):
+        """Guards against a queue state of another limit, or one that changes the queue."""
+        harness, (server,) = await self.harness()
+        server.handler = lambda r: None
+        deadline = time.monotonic() + 5.0
+        self.assertIsNone(harness.forwarder.queue_state("a0", deadline))
+        running = [harness.call(method="POST", headers=deadline_headers(2000)) for _ in range(2)]
+        await backend_fakes.wait_until(until=lambda: len(server.requests) == 2)
+        waiting = [harness.call(method="POST", headers=deadline_headers(300)) for _ in range(3)]
+        await backend_fakes.sleep(0.05)
+        for _ in range(2):
+            state = harness.forwarder.queue_state("a0", deadline)
+            self.assertEqual((2, 2, 3), (state.running, state.limit, state.waiting))
+            self.assertEqual(3, state.prospect.ahead)
+        for reply in (*waiting, *running):
+            await reply
+        self.assertIsNone(harness.forwarder.queue_state("a0", deadline).prospect)
+
     async def test_route_changes_while_waiting(self):
         """Guards against a write to a server that lost the key while the request was queued."""
         harness, (old, new) = await self.harness(servers=2)
--- a/tests/system/test_evacuation.py
+++ b/tests/system/test_evacuation.py
@@ -49,7 +49,7 @@
         targets = running.targets()
         others = tuple(target for target in targets if target.entry_vm != LATE_VM)
         own = tuple(target for target in targets if target.entry_vm == LATE_VM)
-        finish_load = scenario.start_load(22, targets=others)
+        finish_load = scenario.start_load(26, targets=others)
         scenario.sleep_until(2)
         assert running.command("evacuate", ZONE, "--reason", "test").returncode == 0
         evacuated_at = time.monotonic()
@@ -60,7 +60,7 @@
         running.kill("fd-2")
         running.start_backend("fd-2")
         running.start_entry_vm(LATE_VM)
-        late_records = scenario.start_load(4, targets=own, callers=4, rate=60.0)()
+        late_records = scenario.start_load(6, targets=own, callers=16, rate=120.0)()
         assert _gauge(scenario, LATE_VM) == f'celerystack_zone_evacuated{{zone="{ZONE}"}} 1.0'
         running.set_platform_faults(outage="none")
         time.sleep(2)
