--- a/src/celerystack/control/entry_vm.py
+++ b/src/celerystack/control/entry_vm.py
@@ -14,6 +14,7 @@
 from celerystack.control import (
     claims_task,
     committer,
+    evacuations,
     lessor_task,
     losses_task,
     membership_task,
@@ -21,6 +22,7 @@
     placer_task,
     queueing_chooser,
     reconciler_task,
+    request_locator,
     routes,
     send_permission,
     table_sync,
@@ -173,6 +175,7 @@
             on_route=self.traffic.count_request,
         )
         self.losses = losses_task.LossesTask(self._clock, view=self.view, mesh=self.mesh)
+        chooser = queueing_chooser.QueueingChooser(server_choice.ServerChooser(zone=self.me.zone))
         dependencies = forwarder.Dependencies(
             routes=self.routes,
             claims=claims_task.ClaimsTask(
@@ -183,12 +186,21 @@
                 membership=self.membership,
             ),
             losses=self.losses,
-            chooser=queueing_chooser.QueueingChooser(
-                server_choice.ServerChooser(zone=self.me.zone)
-            ),
+            chooser=chooser,
             budget=retry_budget.RetryBudget(),
         )
         self.forwarder = forwarder.Forwarder(self._reactor, dependencies)
+        self.locator = request_locator.RequestLocator(
+            self._clock,
+            own_entry_vm=self.me,
+            view=self.view,
+            routes=self.routes,
+            servers=self.placer.servers,
+            chooser=chooser,
+            losses=self.losses,
+            queue_state=self.forwarder.queue_state,
+            last_reply_at=self.lessor_task.lessor.last_reply_at,
+        )
         counters = metrics.Metrics(self.registry)
         self.front_end = frontend.FrontEnd(
             self._reactor,
@@ -202,6 +214,7 @@
             on_exceeded=counters.record_exceeded,
             on_finished=counters.observe_request,
         )
+        self.evacuations = evacuations.EvacuationReports(view=self.view, counters=counters)
         self.metrics = metrics_task.MetricsTask(
             self._clock,
             counters=counters,
