Expose queue owners, forwarded attempts and spared cold servers as metrics

Cause: an operator could not see which entry VMs own queues, and whether forwarding or the bound on cold servers is at work. Change: counters of forwarded attempts by result, gauges of owners, owned servers and calls, and requests that cold servers were spared; a log line when the owners change.

--- a/src/celerystack/forwarding/owners.py
+++ b/src/celerystack/forwarding/owners.py
@@ -4,12 +4,15 @@
 
 import dataclasses
 import hashlib
+import logging
 import math
 import random
 from collections.abc import Callable, Iterable, Mapping
 
 from celerystack import ids
 
+_log = logging.getLogger(__name__)
+
 FORWARDING_VMS_MIN = 30
 """Number of entry VMs from which calls are forwarded to owners. Fewer VMs see each server often
 enough to order and count its requests themselves, so that the hop costs more than it gains."""
@@ -129,6 +132,11 @@
         self._entry_vms = entry_vms
         if named == self.owners:
             return
+        _log.info(
+            "queue owners: %s",
+            ", ".join(owner.vm for owner in named) or "none",
+            extra={"step": "forwarding"},
+        )
         self.owners = named
         self._owner_by_server.clear()
         self.version += 1
--- a/src/celerystack/gateway/forwarded.py
+++ b/src/celerystack/gateway/forwarded.py
@@ -30,6 +30,8 @@
     ----------
     vm : EntryVmId
         This entry VM, whose own queues need no hop.
+    on_forwarded : callable
+        Called with the result of each forwarded attempt.
     now : callable
         Clock in seconds to which deadlines refer.
     """
@@ -44,10 +46,12 @@
         key_routing: attempts.KeyRouting,
         local: attempts.LocalAttempts,
         cold: cold_starts.ColdStarts,
+        on_forwarded: Callable[[messages.ResultKind], None],
         now: Callable[[], float],
     ) -> None:
         self._vm = vm
         self._cold = cold
+        self._on_forwarded = on_forwarded
         self._queue_owners = queue_owners
         self._links = owner_links
         self._directory = directory
@@ -78,6 +82,7 @@
             result = await link.forward(
                 lambda number: self._message(number, call, tried), deadline=call.deadline
             )
+            self._on_forwarded(result.kind)
             outcome = _tried(result)
         if isinstance(outcome, attempts.Tried) and outcome.incarnation is None:
             self._avoided_until[owner, call.service] = self._now() + AVOID_S
--- a/src/celerystack/gateway/metrics.py
+++ b/src/celerystack/gateway/metrics.py
@@ -8,6 +8,7 @@
 
 import prometheus_client
 
+from celerystack.forwarding import messages
 from celerystack.gateway import calls
 from celerystack.limits import body_account
 from celerystack.requests import caller_limits
@@ -29,6 +30,53 @@
     gauge.set_function(count)
 
 
+class ForwardingMetrics:
+    """Metrics of queue owners, of forwarded attempts and of the bound on cold servers."""
+
+    def __init__(self, registry: prometheus_client.CollectorRegistry) -> None:
+        self._registry = registry
+        self._attempts = prometheus_client.Counter(
+            "celerystack_forwarded_attempts",
+            "Attempts that were forwarded to queue owners, by result.",
+            ["result"],
+            registry=registry,
+        )
+        for kind in messages.ResultKind:
+            self._attempts.labels(kind.value)
+
+    def record_result(self, kind: messages.ResultKind) -> None:
+        """Count a forwarded attempt by the result that the owner sent, or that its loss implies."""
+        self._attempts.labels(kind.value).inc()
+
+    def register_gauges(
+        self,
+        *,
+        owners: Callable[[], int],
+        owned_servers: Callable[[], int],
+        owned_calls: Callable[[], int],
+        cold_rejections: Callable[[], int],
+    ) -> None:
+        """Expose figures that other parts hold.
+
+        Parameters
+        ----------
+        owners : callable
+            Returns the number of queue owners that the planner named.
+        owned_servers, owned_calls : callable
+            Return the number of servers whose queues this VM owns, and of calls in them.
+        cold_rejections : callable
+            Returns how often a server was not chosen because it is cold.
+        """
+        for name, text, read in (
+            ("queue_owners", "Queue owners that the planner named.", owners),
+            ("owned_servers", "Servers whose queues this VM owns.", owned_servers),
+            ("owned_calls", "Calls in flight or queued at these servers.", owned_calls),
+            ("cold_rejections", "Requests that cold servers were spared.", cold_rejections),
+        ):
+            gauge = prometheus_client.Gauge(f"celerystack_{name}", text, registry=self._registry)
+            gauge.set_function(read)
+
+
 class CallerMetrics:
     """Metrics of what is held for callers, and of the limits that they exceed."""
 
--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -119,6 +119,7 @@
             is_small=node_settings.is_small,
             now=now,
         )
+        forwarding_metrics = metrics.ForwardingMetrics(self.registry)
         self.request_path = request_path.RequestPath(
             reactor,
             vm=node_settings.vm,
@@ -136,8 +137,15 @@
                 window_s=node_settings.retry_window_s,
             ),
             answer_budget=body_account.AnswerBudget(self.account),
+            on_forwarded=forwarding_metrics.record_result,
             now=now,
         )
+        forwarding_metrics.register_gauges(
+            owners=lambda: len(queue_owners.owners),
+            owned_servers=self.request_path.owned_servers,
+            owned_calls=self.request_path.owned_calls,
+            cold_rejections=self.request_path.cold_rejections,
+        )
         self.coordinator.set_unreachable_source(self.request_path.refusing_servers)
         self.coordinator.set_queue_waits_source(
             self.request_path.server_queues.owned_wait_by_service
--- a/src/celerystack/gateway/request_path.py
+++ b/src/celerystack/gateway/request_path.py
@@ -8,7 +8,7 @@
 from celerystack import ids
 from celerystack.backend import client
 from celerystack.fleet import servers
-from celerystack.forwarding import links, listener, owners
+from celerystack.forwarding import links, listener, messages, owners
 from celerystack.gateway import (
     attempts,
     calls,
@@ -32,6 +32,8 @@
         This entry VM and its availability zone, whose servers are preferred.
     answer_budget : ByteBudget
         Budget for the bodies of all responses that are being received.
+    on_forwarded : callable
+        Called with the result of each attempt that was forwarded to a queue owner.
     now : callable
         Clock in seconds to which deadlines refer.
     open_pool : callable
@@ -51,6 +53,7 @@
         request_codec: calls.RequestCodec,
         budget: retries.RetryBudgetShare,
         answer_budget: byte_budget.ByteBudget,
+        on_forwarded: Callable[[messages.ResultKind], None] = lambda _: None,
         now: Callable[[], float],
         open_pool: Callable[..., client.ServerPool] = client.ServerPool,
     ) -> None:
@@ -93,6 +96,7 @@
             key_routing=key_routing,
             local=local,
             cold=self._cold,
+            on_forwarded=on_forwarded,
             now=now,
         )
         self.dispatcher = dispatch.Dispatcher(
@@ -113,6 +117,22 @@
         self.server_queues.apply(policies)
         self._cold.set_policies({name: policy.cold for name, policy in policies.items()})
 
+    def owned_servers(self) -> int:
+        """Return the number of servers whose queues this VM owns."""
+        return sum(map(self.server_queues.is_owned, self.server_queues.by_incarnation.values()))
+
+    def owned_calls(self) -> int:
+        """Return the number of calls in flight or queued at the servers whose queues it owns."""
+        return sum(
+            queue.load
+            for queue in self.server_queues.by_incarnation.values()
+            if self.server_queues.is_owned(queue)
+        )
+
+    def cold_rejections(self) -> int:
+        """Return how many requests were not sent to cold servers."""
+        return self._cold.rejections
+
     def refusing_servers(self) -> list[model.ServerIncarnation]:
         """Return the server incarnations whose recent connection attempts failed."""
         return [
--- a/src/celerystack/limits/cold_starts.py
+++ b/src/celerystack/limits/cold_starts.py
@@ -58,6 +58,11 @@
         Returns whether this VM is the one that may send to a server, by its id and zone.
     now : callable
         Clock in seconds.
+
+    Attributes
+    ----------
+    rejections : int
+        Number of requests that were not sent because of the bound.
     """
 
     def __init__(
@@ -71,6 +76,7 @@
         self._is_sender = is_sender
         self._now = now
         self._policy_by_service: Mapping[ids.ServiceName, ColdPolicy] = {}
+        self.rejections = 0
         self._sent_at_by_incarnation: dict[model.ServerIncarnation, collections.deque[float]] = {}
 
     def set_policies(self, policy_by_service: Mapping[ids.ServiceName, ColdPolicy]) -> None:
@@ -113,6 +119,7 @@
         if not self.is_bound(service, cold_until):
             return True
         if not self.may_send(incarnation, service=service, zone=zone, cold_until=cold_until):
+            self.rejections += 1
             return False
         self._recent(incarnation).append(self._now())
         return True
