Apply the work margin to requests that are due at their deadline

Cause: a repeated request has little time left, so its due time is its deadline. Such items were never late, started before new requests, and half of them were answered after their deadline, because their work was above the average.

Ruled out: the limit of the margin for these items; it exists for long work with time to spare and would leave them a margin of 1.

Change: with a work margin above 1, items that are due at their deadline become late as well, and then wait behind those in time.

--- a/src/celerystack/limits/deadline_queue.py
+++ b/src/celerystack/limits/deadline_queue.py
@@ -34,8 +34,9 @@
         time; otherwise they go behind those of their own priority.
     work_margin : float
         Multiple of its expected service time that must fit before the due time of an item, so that
-        it counts as in time. Above 1 it allows for service times above the average; it then takes
-        at most `RESERVED_SHARE_MAX` of the time until the due time, but one service time.
+        it counts as in time. Above 1 it allows for service times above the average. It takes at
+        most `RESERVED_SHARE_MAX` of the time until the due time, but one service time; for items
+        that are due at their deadline, such as repeated requests, it is not limited.
     share_min : float
         Items of kinds that are served too rarely go first; see `kind_shares.KindShares`. With 0,
         kinds make no difference.
@@ -63,7 +64,8 @@
     latest_start : float
         Time at which the item must start to be answered by its deadline.
     latest_start_in_time : float
-        The same for its due time; infinite if the item has none or is late already.
+        The same for its due time, with the work margin; infinite if the item cannot become late or
+        is late already.
     order : tuple
         Sort key; items with smaller ones go first.
     """
@@ -166,7 +168,8 @@
         due = deadline if due is None else min(due, deadline)
         work_s = self._service_time_s if service_time_s is None else service_time_s
         self._uses_average |= service_time_s is None
-        reserved_s = self._reserved_s(work_s, due - now)
+        reserved_s = self._reserved_s(work_s, due - now if due < deadline else math.inf)
+        can_be_late = due < deadline or reserved_s > work_s
         entry = _Entry(
             item=item,
             number=self._sequence,
@@ -176,7 +179,7 @@
             deadline=deadline,
             has_own_time=service_time_s is not None,
             latest_start=deadline - work_s,
-            latest_start_in_time=due - reserved_s if due < deadline else math.inf,
+            latest_start_in_time=due - reserved_s if can_be_late else math.inf,
         )
         self._insert(entry, is_late=False)
         self._move_late_items_back(now, concurrency)
--- a/tests/differential/test_deadline_queue.py
+++ b/tests/differential/test_deadline_queue.py
@@ -43,6 +43,7 @@
     service_time_s: float | None
     late: bool = False
     reserved_s: float | None = None
+    has_margin: bool = False
 
     @property
     def kind(self) -> str:
@@ -87,9 +88,16 @@
 
     def reserve(self, entry: Entry, now: float) -> None:
         if self.ordering.work_margin > 1.0:
-            available = deadline_queue.RESERVED_SHARE_MAX * (entry.due - now)
-            with_margin = self.ordering.work_margin * self.own_time(entry)
-            entry.reserved_s = max(self.own_time(entry), min(with_margin, available))
+            reserved = self.ordering.work_margin * self.own_time(entry)
+            if entry.due < entry.deadline:
+                reserved = min(reserved, deadline_queue.RESERVED_SHARE_MAX * (entry.due - now))
+            entry.reserved_s = max(self.own_time(entry), reserved)
+            entry.has_margin = entry.reserved_s > self.own_time(entry)
+
+    def misses_due_time(self, entry: Entry, start: float) -> bool:
+        if entry.late or (entry.due >= entry.deadline and not entry.has_margin):
+            return False
+        return start > entry.due - self.reserved(entry)
 
     def push(self, entry: Entry, now: float, concurrency: int) -> list[Item]:
         self.arrivals += 1
@@ -99,8 +107,7 @@
         step = self.service_time_s / concurrency
         start = now + step
         for one in self.ordered():
-            late_start = start > one.due - self.reserved(one)
-            if not one.late and one.due < one.deadline and late_start:
+            if self.misses_due_time(one, start):
                 one.late = True
             else:
                 start += step
@@ -122,8 +129,7 @@
         while self.entries:
             ordered = self.ordered()
             first = next((one for one in ordered if one.kind in self.rare()), ordered[0])
-            missed = now > first.due - self.reserved(first)
-            if not first.late and first.due < first.deadline and missed:
+            if self.misses_due_time(first, now):
                 first.late = True
                 continue
             self.entries.remove(first)
--- a/tests/limits/test_deadline_queue.py
+++ b/tests/limits/test_deadline_queue.py
@@ -117,6 +117,18 @@
             queue.push("b", due=5.0, service_time_s=service_time_s, **options)
             self.assertEqual(expected, queue.pop())
 
+    def test_work_margin_holds_for_items_due_at_their_deadline(self):
+        """Guards against repeated requests that start first and are answered after their deadline.
+
+        Half of them run longer than the average, and their outcome is `unknown`.
+        """
+        for margin, expected in ((1.0, "repeated"), (2.0, "new")):
+            queue = self.queue(1.0, ordering=deadline_queue.Ordering(work_margin=margin))
+            options = {"now": 0.0, "concurrency": 10}
+            self.assertEqual([], queue.push("repeated", deadline=1.6, **options))
+            self.assertEqual([], queue.push("new", due=4.0, deadline=9.0, **options))
+            self.assertEqual(expected, queue.pop())
+
     def test_work_margin_holds_when_an_item_starts(self):
         """Guards against a margin that ends while the item waits."""
         for margin, expected in ((1.0, "early"), (2.0, "second")):
