Shed requests without time left before they enter the queue

Cause: callers that repeat a request until its deadline send it again when it can no longer be answered even at once. Such items went through the whole queue, displaced others at that push, and counted as shed items of their kind, which then was preferred to a more urgent one.

Ruled out: leaving them out of the count only; they cost as much as an item that is kept.

Change: push returns such an item at once. In the default order others are now looked at by the next push, not by this one.

--- a/src/celerystack/limits/deadline_queue.py
+++ b/src/celerystack/limits/deadline_queue.py
@@ -164,10 +164,13 @@
         kind : str
             Kind of the item, for `Ordering.share_min`.
         """
-        self._sequence += 1
         due = deadline if due is None else min(due, deadline)
         work_s = self._service_time_s if service_time_s is None else service_time_s
+        if deadline - work_s <= now:
+            # Repeated requests that have no time left: they say nothing about their kind's share.
+            return [item]
         self._uses_average |= service_time_s is None
+        self._sequence += 1
         reserved_s = self._reserved_s(work_s, due - now if due < deadline else math.inf)
         can_be_late = due < deadline or reserved_s > work_s
         entry = _Entry(
--- a/tests/differential/test_deadline_queue.py
+++ b/tests/differential/test_deadline_queue.py
@@ -100,6 +100,8 @@
         return start > entry.due - self.reserved(entry)
 
     def push(self, entry: Entry, now: float, concurrency: int) -> list[Item]:
+        if self.latest_start(entry) <= now:
+            return [entry.item]
         self.arrivals += 1
         entry.arrival = self.arrivals
         self.reserve(entry, now)
