Tell callers of a full owned queue when there will be capacity

Change: an owned queue derives the retry time of a refused call from the calls ahead of it, its concurrency and its service time (limits/retry_times.py). Shared queues keep their estimate: they know only the calls of this entry VM.

--- a/src/celerystack/gateway/attempts.py
+++ b/src/celerystack/gateway/attempts.py
@@ -142,7 +142,9 @@
         waiting = self._queues.service_queue(call.service, owned=owned)
         place = await waiting.take_place(call)
         if place is None:
-            return refusals.refuse("the service's queue is too long", waiting.wait_estimate_s(call))
+            # An owned queue knows when its slots become free, a shared one only its own calls.
+            estimate_s = waiting.retry_after_s if owned else waiting.wait_estimate_s
+            return refusals.refuse("the service's queue is too long", estimate_s(call))
         try:
             return await self._choose_and_run(call, policy, tried, owned=owned)
         finally:
--- a/src/celerystack/gateway/call_queue.py
+++ b/src/celerystack/gateway/call_queue.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer
 
 from celerystack.gateway import calls
-from celerystack.limits import concurrency, deadline_queue, route_work
+from celerystack.limits import concurrency, deadline_queue, retry_times, route_work
 
 SERVICE_TIME_WEIGHT = 0.15
 """Weight of one answer in the moving average of a route's service time."""
@@ -102,6 +102,16 @@
         """Mean latency of the answered calls of all routes in seconds."""
         return self._queue.service_time_s
 
+    def retry_after_s(self, call: calls.Call) -> float:
+        """Return when a call that was shed should come back, in seconds from now."""
+        return retry_times.retry_after_s(
+            calls_ahead=self._queue.count_up_to(call.route.priority),
+            concurrency=self.limit.limit,
+            service_time_s=self._queue.service_time_s,
+            target_latency_s=call.route.target_latency_s,
+            remaining_s=max(0.0, call.deadline - self._now()),
+        )
+
     def observe(self, call: calls.Call, latency_s: float) -> None:
         """Record the latency of an answered call, to estimate that of others of its route."""
         self._queue.observe(latency_s)
--- a/src/celerystack/gateway/server_queue.py
+++ b/src/celerystack/gateway/server_queue.py
@@ -91,6 +91,7 @@
         self._failed_connects = 0
         self._close_reason: str | None = None
         self.paused_until = float("-inf")
+        self._is_owned = False
         self._foreign_load = 0
         self._foreign_load_until = float("-inf")
         self._unanswered_s = 0.0
@@ -148,6 +149,7 @@
             Whether this VM owns the queue and so uses all slots of the server, but no more, because
             the server's own queue has no order.
         """
+        self._is_owned = is_owned
         maximum = self.record.entry.slots if is_owned else IN_FLIGHT_MAX
         self._limit.set_sharing(entry_vms=entry_vms, maximum=maximum)
         self._calls.set_ordering(
@@ -213,8 +215,11 @@
         """Wait in the queue, send the call and return the outcome."""
         match await self._calls.wait_for_turn(call):
             case call_queue.WaitOutcome.SHED:
+                retry_after_s = (
+                    self._calls.retry_after_s(call) if self._is_owned else self.wait_estimate_s()
+                )
                 return calls.Refused(
-                    reason="the server's queue is too long", retry_after_s=self.wait_estimate_s()
+                    reason="the server's queue is too long", retry_after_s=retry_after_s
                 )
             case call_queue.WaitOutcome.KEY_MOVED:
                 return calls.NotRun(calls.NotRunReason.KEY_MOVED)
--- a/src/celerystack/gateway/service_queue.py
+++ b/src/celerystack/gateway/service_queue.py
@@ -108,6 +108,10 @@
         """Return the expected time that a new call of the same route would wait."""
         return self._calls.wait_estimate_s(self._calls.service_time_s(call))
 
+    def retry_after_s(self, call: calls.Call) -> float:
+        """Return when a call that got no place should come back, in seconds from now."""
+        return self._calls.retry_after_s(call)
+
     def mean_wait_s(self) -> float:
         """Return the expected time that a new call with the mean work of all routes would wait."""
         return self._calls.wait_estimate_s(self._calls.mean_service_time_s)
--- a/src/celerystack/limits/deadline_queue.py
+++ b/src/celerystack/limits/deadline_queue.py
@@ -138,6 +138,10 @@
     def __len__(self) -> int:
         return len(self._entries)
 
+    def count_up_to(self, priority: int) -> int:
+        """Return the number of items that are at least as urgent as a priority."""
+        return sum(entry.priority <= priority for entry in self._entries)
+
     def set_ordering(self, ordering: Ordering) -> None:
         """Change the order of the items that are added from now on."""
         if ordering != self._ordering:
