Confirm a server whose entry stays after a broken connection

Cause: an entry VM waited for an entry written after the failure, but entries change only if more than their sequence number does. Change: an entry that was read without a gap for three heartbeat intervals and half a second after the failure confirms its server, because the platform removes the entries of silent ones by then. Ruled out: confirming at the next read, which a server that has just ended passes, too.

--- a/src/celerystack/fleet/servers.py
+++ b/src/celerystack/fleet/servers.py
@@ -126,6 +126,8 @@
         self.version = 0
         self._newest_incarnation_by_address: dict[str, model.ServerIncarnation] = {}
         self._read_at: float | None = None
+        self._entries_read_at = float("-inf")
+        self._entries_read_since = float("-inf")
         self._grace_ends_at = 0.0
         self._failed_at = float("-inf")
         self._next_expiry_at = 0.0
@@ -143,6 +145,7 @@
     ) -> None:
         """Apply changed entries and removed server ids that were read at the time ``now``."""
         self.note_answer(now)
+        self._note_entries_read(now)
         for entry in entries:
             self._update(entry, now)
         for server in removed:
@@ -282,6 +285,19 @@
         """Record the start time and the resulting store version of a read of the entries."""
         self._reads.append((started_at, version))
 
+    def has_stayed(self, record: ServerRecord, since: float, duration_s: float) -> bool:
+        """Return whether an entry stayed in the table for a time after ``since``.
+
+        The entries must have been read without a gap from before ``since`` on.
+        """
+        is_unbroken = self._entries_read_since <= since
+        return record.present and is_unbroken and self._entries_read_at - since >= duration_s
+
+    def _note_entries_read(self, now: float) -> None:
+        if now - self._entries_read_at > OUTAGE_S:
+            self._entries_read_since = now
+        self._entries_read_at = max(self._entries_read_at, now)
+
     def version_after(self, moment: float) -> ids.RowVersion | None:
         """Return the store version of the first read that began after ``moment``, or None."""
         return next((version for started_at, version in self._reads if started_at > moment), None)
--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -117,6 +117,7 @@
             avoids_cold=self._bounds_cold_requests,
             link_mbps=node_settings.link_mbps,
             is_small=node_settings.is_small,
+            heartbeat_s=node_settings.heartbeat_s,
             now=now,
         )
         forwarding_metrics = metrics.ForwardingMetrics(self.registry)
--- a/src/celerystack/gateway/settings.py
+++ b/src/celerystack/gateway/settings.py
@@ -36,6 +36,8 @@
     cold_overshoot, cold_slack : float
         In one second a cold server tolerates ``cold_overshoot`` times its rate and ``cold_slack``
         requests more.
+    heartbeat_s : float
+        Interval in seconds at which servers renew their entries.
     forwarding_vms_min : int
         Number of entry VMs from which calls are forwarded to queue owners.
     cores : float
@@ -68,6 +70,7 @@
     evacuation_s: float
     cold_overshoot: float
     cold_slack: float
+    heartbeat_s: float
     forwarding_vms_min: int
     cores: float
     link_mbps: float
--- a/src/celerystack/platform/settings.py
+++ b/src/celerystack/platform/settings.py
@@ -20,6 +20,8 @@
 """Must equal the port in the deployment file."""
 OWN_TABLE = "celerystack"
 """Table with the settings that the platform does not know."""
+HEARTBEAT_DEFAULT = "1s"
+"""Interval of the servers' heartbeats if the settings name none."""
 EVACUATION_DEFAULT = "5000ms"
 """Time until an evacuation is binding if the settings name none."""
 DEFAULT_FILE = "/etc/celerystack/local.toml"
@@ -73,6 +75,9 @@
             evacuation_s=wire.seconds(terms.get("evacuation", EVACUATION_DEFAULT)),
             cold_overshoot=float(terms.get("cold_overshoot", 1.0)),
             cold_slack=float(terms.get("cold_slack", 0.0)),
+            heartbeat_s=wire.seconds(
+                tables["platform"].get("heartbeat_interval", HEARTBEAT_DEFAULT)
+            ),
             forwarding_vms_min=int(own.get("forwarding_vms_min", owners.FORWARDING_VMS_MIN)),
             cores=float(limits["cpu_share"]) * float(limits["cpu_cores"]),
             link_mbps=float(limits["link_mbps"]),
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -119,6 +119,8 @@
         Bandwidth of this VM's link in Mbit/s.
     is_small : bool
         Whether this VM leaves the leadership to larger VMs.
+    heartbeat_s : float
+        Interval in seconds at which servers renew their entries.
     now : callable
         Clock in seconds that also advances while the VM is suspended.
     """
@@ -140,6 +142,7 @@
         avoids_cold: Callable[[ids.ServiceName], bool],
         link_mbps: float,
         is_small: bool,
+        heartbeat_s: float,
         now: Callable[[], float],
     ) -> None:
         self._reactor = reactor
@@ -162,6 +165,7 @@
             maps=self.range_maps,
             directory=directory,
             port=port,
+            heartbeat_s=heartbeat_s,
             now=now,
         )
         self.leadership = leadership.Leadership(
--- a/src/celerystack/ranges/lessor.py
+++ b/src/celerystack/ranges/lessor.py
@@ -19,6 +19,10 @@
 """Number of entry VMs that grant to a server."""
 RETRY_S = 0.3
 """Time in seconds after a failed grant until it is sent again."""
+REMOVAL_HEARTBEATS = 3
+"""Heartbeat intervals of silence after which the platform removes a server's entry."""
+REMOVAL_MARGIN_S = 0.5
+"""Time in seconds that is allowed for the removal beyond these intervals."""
 FAILURES_TO_UNREACHABLE = 2
 """Number of failed grants in a row after which a server is reported in `Report.unreachable`."""
 RANKS_PER_OWNER_MAX = 4
@@ -72,6 +76,8 @@
 
     Parameters
     ----------
+    heartbeat_s : float
+        Interval in seconds at which servers renew their entries.
     now : callable
         Clock in seconds that also counts the time for which the VM was suspended.
     """
@@ -84,8 +90,10 @@
         maps: range_maps.RangeMaps,
         directory: servers.Directory,
         port: orders.OrderPort,
+        heartbeat_s: float,
         now: Callable[[], float],
     ) -> None:
+        self._removal_s = REMOVAL_HEARTBEATS * heartbeat_s + REMOVAL_MARGIN_S
         self._vm = vm
         self._zone = zone
         self._range_maps = maps
@@ -245,8 +253,10 @@
         """Return whether a grant would reach this incarnation and not a successor.
 
         After a broken connection another incarnation may listen at the address, even under the same
-        id. The incarnation is confirmed once its entry was renewed after the failure. While the
-        store is unavailable no entry can be renewed, so the incarnation is taken as confirmed.
+        id. The incarnation is confirmed once its entry was renewed after the failure, or has stayed
+        for longer than the platform keeps the entry of a silent server: an entry changes only if
+        more than its sequence number does. While the store is unavailable no entry can be renewed,
+        so the incarnation is taken as confirmed.
         """
         failed_at = self._failed_at_by_incarnation.get(incarnation)
         if failed_at is None:
@@ -254,6 +264,8 @@
         version = self._directory.version_after(failed_at)
         if version is not None and record.latest_version > version:
             return True
+        if self._directory.has_stayed(record, failed_at, self._removal_s):
+            return True
         return self._directory.is_store_unavailable(self._now())
 
     def _forget(self, owners: set[model.ServerIncarnation]) -> None:
--- a/tests/ranges/restart_world.py
+++ b/tests/ranges/restart_world.py
@@ -166,6 +166,7 @@
             maps=self.maps,
             directory=self.directory,
             port=self.port,
+            heartbeat_s=1.0,
             now=world.now,
         )
         self.lessor.vms = VMS
@@ -204,6 +205,8 @@
         leader = self.vm_by_id[PLANNER_VM]
         self._planner = planner.Planner(
             rate_limit=lambda _: None,
+            avoids_cold=lambda _: False,
+            owns_queue=lambda *_: False,
             leadership=self._leadership,
             store=self.store,
             maps=leader.maps,
--- a/tests/ranges/test_coordinator.py
+++ b/tests/ranges/test_coordinator.py
@@ -63,6 +63,7 @@
             avoids_cold=lambda _: False,
             link_mbps=100.0,
             is_small=self.is_small,
+            heartbeat_s=1.0,
             now=self.clock.seconds,
         )
         self.coordinator.start()
--- a/tests/ranges/test_lessor.py
+++ b/tests/ranges/test_lessor.py
@@ -29,6 +29,7 @@
             maps=self.range_maps,
             directory=self.directory,
             port=self.orders,
+            heartbeat_s=1.0,
             now=self.clock.seconds,
         )
         self.range_maps.adopt(fakes.whole(fakes.incarnation("a")), 7, self.clock.seconds())
@@ -104,6 +105,16 @@
             self.lessor.tick()
         self.assertEqual(2, len(self.orders.granted))
 
+    def test_entry_that_was_not_read_all_the_time_confirms_nothing(self):
+        """Guards against granting to another process at the address of a server that has ended."""
+        self.orders.failing = True
+        self.lessor.tick()
+        self.orders.failing = False
+        self.clock.advance(ENTRY_READS * READ_INTERVAL_S)
+        self.read_entry(20, 5)
+        self.lessor.tick()
+        self.assertEqual(1, len(self.orders.granted))
+
     def test_connection_that_ended_between_renewals_counts_as_broken(self):
         """Guards against renewing for another process that took over the id and address."""
         self.lessor.tick()
