Release no place for a call that is cancelled while others expire

Cause: expired calls leave the queue together, and the end of the first may cancel the second before it is told. wait_for_turn took a cancelled call that was not queued for one with a place and released that place. The limit then permitted more calls in flight than it states.

Ruled out: telling all expired calls in a later iteration. A call that has taken a place resumes within the same callback, so it is never cancelled in wait_for_turn.

Change: a cancelled call only leaves the queue.

--- a/src/celerystack/gateway/call_queue.py
+++ b/src/celerystack/gateway/call_queue.py
@@ -123,8 +123,8 @@
         try:
             return await turn
         except defer.CancelledError:
-            if not self._queue.remove(waiting):
-                self.release()
+            # Without a place: a call that has taken one is no longer cancelled here.
+            self._queue.remove(waiting)
             raise
 
     def release(self) -> None:
--- a/tests/gateway/test_call_queue.py
+++ b/tests/gateway/test_call_queue.py
@@ -122,6 +122,28 @@
         self.clock.advance(1.0)
         self.assertEqual(call_queue.WaitOutcome.SHED, self.result_of(second))
 
+    def test_end_of_one_expired_call_cancels_another(self):
+        """Guards against the release of a place that a call never had, which exceeds the limit.
+
+        Calls of one connection expire together, and the end of the first may close it.
+        """
+        self.fill()
+        first, second = self.wait(self.call(1.0)), self.wait(self.call(1.0))
+        second.addErrback(lambda failure: failure.trap(defer.CancelledError))
+        first.addCallback(lambda _: second.cancel())
+        self.clock.advance(1.0)
+        self.assertEqual((2, 2), (self.limit.in_flight, self.queue.load))
+
+    def test_cancelled_call_leaves_the_queue(self):
+        """Guards against a place that is taken for a caller that has disconnected."""
+        self.fill()
+        first, second = self.wait(), self.wait()
+        first.addErrback(lambda failure: failure.trap(defer.CancelledError))
+        first.cancel()
+        self.queue.release()
+        self.assertTrue(second.called)
+        self.assertEqual((2, 2), (self.limit.in_flight, self.queue.load))
+
     def test_empty_queue_has_no_timer(self):
         """Guards against a timer that keeps the queue in memory."""
         self.fill()
