Test that an ordering reaches the service and server queues

Cause: only the load tests use the new order, and they play CallQueue.

Ruled out: a look at the private queue of each class, which a rename would break without a change of behaviour.

Change: a late urgent call and a less urgent one in time wait at a ServiceQueue and at a ServerQueue, in the default and in the new order.

--- a/tests/gateway/test_server_queue.py
+++ b/tests/gateway/test_server_queue.py
@@ -10,6 +10,7 @@
 from celerystack.backend import http
 from celerystack.fleet import servers
 from celerystack.gateway import calls, server_queue
+from celerystack.limits import deadline_queue
 from tests.gateway import fakes as gateway_fakes
 from tests.ranges import fakes
 
@@ -201,3 +202,57 @@
         before = self.silent.calls
         self.send_for(30.0)
         self.assertGreaterEqual(self.silent.calls - before, 3)
+
+
+class OrderingTest(testtools.TestCase):
+    """An urgent call that is late and a less urgent one in time wait for the same server."""
+
+    def first_started(self, **options):
+        """Return the priority of the call that starts first."""
+        clock = task.Clock()
+        pool = TimedPool(clock, 1.0)
+        started = []
+
+        class Codec(RequestCodec):
+            def encode(self, call, server, remaining_s):
+                started.append(call.route.priority)
+                return super().encode(call, server, remaining_s)
+
+        queue = server_queue.ServerQueue(
+            clock,
+            servers.ServerRecord(entry=fakes.entry("a"), appeared_at=0.0, seen_at=0.0, warm_at=0.0),
+            pool=pool,
+            request_codec=Codec(),
+            entry_vms=20,
+            on_answer=lambda *_: None,
+            on_response=lambda queue, response: None,
+            now=clock.seconds,
+            **options,
+        )
+        running = []
+
+        def run(priority, target_latency_s):
+            route = dataclasses.replace(
+                gateway_fakes.ROUTE, priority=priority, target_latency_s=target_latency_s
+            )
+            call = dataclasses.replace(CALL, route=route, arrived_at=clock.seconds(), deadline=60.0)
+            running.append(defer.Deferred.fromCoroutine(queue.run(call)))
+
+        run(0, 5.0)
+        clock.advance(1.0)
+        while queue.has_room:
+            run(0, 5.0)
+        started.clear()
+        run(0, 0.5)
+        run(1, 30.0)
+        clock.advance(1.0)
+        return started[0]
+
+    def test_default(self):
+        """Guards against a change of the order where no other one is asked for."""
+        self.assertEqual(0, self.first_started())
+
+    def test_late_behind_all(self):
+        """Guards against an ordering that does not reach the queue."""
+        ordering = deadline_queue.Ordering(late_behind_all=True)
+        self.assertEqual(1, self.first_started(ordering=ordering))
--- /dev/null
+++ b/tests/gateway/test_service_queue.py
@@ -0,0 +1,48 @@
+"""Tests of the order in which the calls of a service start."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import testtools
+from twisted.internet import defer, task
+
+from celerystack.gateway import service_queue
+from celerystack.limits import deadline_queue
+from tests.gateway.test_call_queue import CALL
+
+
+class OrderingTest(testtools.TestCase):
+    def started_in_order(self, **options):
+        """Let an urgent call become late behind the calls in flight; return the order of starts."""
+        clock = task.Clock()
+        queue = service_queue.ServiceQueue(clock, now=clock.seconds, **options)
+        queue.observe(CALL, 1.0)
+        places, started = [], []
+
+        async def run(name, call):
+            places.append(await queue.take_place(call))
+            started.append(name)
+
+        def start(name, **route):
+            call = dataclasses.replace(
+                CALL, route=dataclasses.replace(CALL.route, **route), deadline=60.0
+            )
+            defer.Deferred.fromCoroutine(run(name, call))
+
+        for _ in range(service_queue.PLACES_MINIMUM):
+            start("first", target_latency_s=1.0)
+        start("late", priority=0, target_latency_s=0.5)
+        start("in time", priority=1, target_latency_s=20.0)
+        for place in list(places):
+            place.release()
+        return started[service_queue.PLACES_MINIMUM :]
+
+    def test_default(self):
+        """Guards against a change of the order where no other one is asked for."""
+        self.assertEqual(["late", "in time"], self.started_in_order())
+
+    def test_late_behind_all(self):
+        """Guards against an ordering that does not reach the queue."""
+        ordering = deadline_queue.Ordering(late_behind_all=True)
+        self.assertEqual(["in time", "late"], self.started_in_order(ordering=ordering))
