Make the test of hopeless items fail without the check it guards

Cause: test_hopeless_item_does_not_displace_others passed with the queue before as well, because it looked at items that are shed.

Ruled out: dropping the test; the fault it names is real.

Change: it now looks at an item that became late because of a hopeless one.

Measured: fails with the queue before and passes now.

--- a/tests/limits/test_deadline_queue.py
+++ b/tests/limits/test_deadline_queue.py
@@ -178,12 +178,13 @@
         )
 
     def test_hopeless_item_does_not_displace_others(self):
-        """Guards against items that are shed for one that is shed itself."""
+        """Guards against items that become late because of an item that is shed itself."""
         queue = self.queue(1.0)
         options = {"now": 0.0, "concurrency": 1}
-        self.assertEqual([], queue.push("kept", priority=1, deadline=2.5, **options))
+        self.assertEqual([], queue.push("in time", priority=1, due=2.5, deadline=9.0, **options))
         self.assertEqual(["hopeless"], queue.push("hopeless", deadline=0.5, **options))
-        self.assertEqual("kept", queue.pop())
+        self.assertEqual([], queue.push("other", priority=1, due=5.0, deadline=9.0, **options))
+        self.assertEqual("in time", queue.pop())
 
     def test_starved_kind_is_not_shed_for_others(self):
         """Guards against a full queue that holds no items of a starved kind."""
