--- a/src/celerystack/gateway/server_queues.py
+++ b/src/celerystack/gateway/server_queues.py
@@ -17,6 +17,8 @@
 """Fraction of a server's connections that all entry VMs together may use for requests."""
 CONNECTIONS_MINIMUM = 3
 """Connections to a server that an entry VM may use even if its share is smaller."""
+OWNED_CALLS_MAX = 2048
+"""Maximum number of calls in an owned queue, which waits for many servers."""
 IDLE_CONNECTION_S = 8.0
 """Idle time in seconds after which a connection to a server is closed."""
 CONNECT_TIMEOUT_S = 0.4
@@ -119,7 +121,11 @@
         if found is None:
             ordering = deadline_queue.IN_TIME_FIRST if owned else deadline_queue.BY_PRIORITY
             found = service_queue.ServiceQueue(
-                self._reactor, now=self._now, ordering=ordering, route_work=self._route_work
+                self._reactor,
+                now=self._now,
+                ordering=ordering,
+                route_work=self._route_work,
+                length_max=OWNED_CALLS_MAX if owned else deadline_queue.LENGTH_MAX,
             )
             by_service[service] = found
             self._size_service_queues()
--- a/tests/gateway/test_server_queue.py
+++ b/tests/gateway/test_server_queue.py
@@ -235,6 +235,7 @@
             pool=pool,
             request_codec=Codec(),
             entry_vms=20,
+            cold=gateway_fakes.no_cold_starts(),
             on_answer=lambda *_: None,
             on_response=lambda queue, response: None,
             now=clock.seconds,
