Mend what a review of the queue owners found, and place repeated requests behind new ones

Faults, by reading: a link to a VM that was lost was not watched any more, so its calls waited for their deadlines; a stream that opened after its link was closed stayed open; a large result counted as silence; a forwarded repetition could use a kept connection; a planner that restarted named itself the only owner, and a new one aged evacuations; calls stayed in a queue whose owner had changed; spared cold servers were hardly counted; frames with other types failed late. Change: the time that a caller still waits, compared with the longest of its route, shows how long ago it asked; in owned queues its answer is due earlier by that. Ruled out: an identity of the caller, which no header carries.

--- a/src/celerystack/fleet/evacuations.py
+++ b/src/celerystack/fleet/evacuations.py
@@ -128,8 +128,11 @@
         if announced.version < self.version:
             return
         now = self._now()
+        known = self._requested_at_by_zone
+        # Both times are lower bounds; one of a planner that has just started is infinitely old.
         requested_at = {
-            evacuation.zone: now - evacuation.age_s for evacuation in announced.evacuations
+            evacuation.zone: max(now - evacuation.age_s, known.get(evacuation.zone, float("-inf")))
+            for evacuation in announced.evacuations
         }
         self._replace(requested_at, announced.version, now - announced.age_s)
 
--- a/src/celerystack/forwarding/links.py
+++ b/src/celerystack/forwarding/links.py
@@ -129,7 +129,7 @@
 
     def _close_if_done(self) -> None:
         if self._is_closed and not self._pending_by_number and self._stream is not None:
-            self._stream.transport.loseConnection()
+            self._stream.abort()
 
     def _connect(self) -> None:
         self._is_connecting = True
@@ -139,6 +139,9 @@
     def connected(self, opened: stream.Stream) -> None:
         """Take the stream that was opened."""
         self._is_connecting = False
+        if self._is_closed:
+            opened.abort()
+            return
         self._is_draining = False
         self._stream = opened
         self._received_at = self._now()
@@ -148,9 +151,12 @@
         self._is_connecting = False
         self._connect_at = self._now() + RECONNECT_S
 
+    def note_bytes(self) -> None:
+        """Record that bytes of the owner have arrived, also of a message that is not complete."""
+        self._received_at = self._now()
+
     def received(self, _stream: stream.Stream, message: messages.Message) -> None:
         """Take a message of the owner."""
-        self._received_at = self._now()
         match message:
             case messages.Result(number=number):
                 self._finish(number, message)
@@ -212,6 +218,10 @@
         super().connectionMade()
         self._link.connected(self)
 
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self._link.note_bytes()
+        super().dataReceived(data)
+
 
 class OwnerLinks:
     """One link to each queue owner, except to this VM."""
@@ -224,6 +234,7 @@
         self._own_vm = own_vm
         self._now = now
         self._by_owner: dict[owners.Owner, OwnerLink] = {}
+        self._closing: list[OwnerLink] = []
 
     def start(self) -> None:
         """Keep the streams open until the process ends."""
@@ -238,11 +249,15 @@
         self._reactor.callLater(WATCH_S, self._watch)
         wanted = self._queue_owners.owners if self._queue_owners.is_forwarding else ()
         for owner in [known for known in self._by_owner if known not in wanted]:
-            self._by_owner.pop(owner).close()
+            closing = self._by_owner.pop(owner)
+            closing.close()
+            self._closing.append(closing)
         for owner in wanted:
             if owner.vm != self._own_vm and owner not in self._by_owner:
                 self._by_owner[owner] = OwnerLink(self._reactor, owner, now=self._now)
-        for link in self._by_owner.values():
+        # Calls on a link to a VM that was lost end only because the link is watched.
+        self._closing = [link for link in self._closing if link.pending_count]
+        for link in (*self._by_owner.values(), *self._closing):
             link.watch()
 
 
--- a/src/celerystack/forwarding/messages.py
+++ b/src/celerystack/forwarding/messages.py
@@ -34,6 +34,8 @@
         Rules of the call's route.
     age_s, remaining_s : float
         Time in seconds since the arrival of the call, and until its deadline.
+    repeats_for_s : float
+        Time in seconds before the arrival at which the caller first asked.
     tried : tuple of ServerIncarnation
         Servers that must not be chosen again.
     """
@@ -53,13 +55,14 @@
     body: bytes
     key: int | None
     age_s: float
+    repeats_for_s: float
     remaining_s: float
     tried: tuple[model.ServerIncarnation, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CancelledCall:
-    """The caller has left; the attempt with this number should end."""
+    """The caller has left or its deadline has passed; the attempt with this number should end."""
 
     number: int
 
@@ -181,6 +184,17 @@
     call = ForwardedCall(**dict(zip(names, fields, strict=True)))
     return dataclasses.replace(
         call,
+        number=int(call.number),
+        priority=int(call.priority),
+        target_latency_s=float(call.target_latency_s),
+        timeout_s=float(call.timeout_s),
+        method=bytes(call.method),
+        target=bytes(call.target),
+        body=bytes(call.body),
+        key=None if call.key is None else int(call.key),
+        age_s=float(call.age_s),
+        repeats_for_s=float(call.repeats_for_s),
+        remaining_s=float(call.remaining_s),
         headers=_decode_headers(call.headers),
         tried=tuple(codec.decode_incarnation(tried) for tried in call.tried),
     )
--- a/src/celerystack/forwarding/owners.py
+++ b/src/celerystack/forwarding/owners.py
@@ -23,6 +23,8 @@
 LIST_VALID_S = 10.0
 """Time in seconds after the planner's last heartbeat for which calls are forwarded to the owners
 that it named."""
+SERVERS_REMEMBERED_MAX = 20_000
+"""Number of servers whose owners are remembered, so that servers that left do not add up."""
 EXCLUSIVE_S = 1.2
 """Time in seconds after the planner's last heartbeat for which an owner relies on being the only
 one of a server."""
@@ -104,15 +106,10 @@
         self._announced_at = float("-inf")
         self._entry_vms = 0
         self._waits_by_vm: Mapping[ids.EntryVmId, Mapping[ids.ServiceName, float]] = _NO_WAITS
-        self._owner_by_server: dict[ids.ServerId, Owner] = {}
-        self._listeners: list[Callable[[], None]] = []
+        self._owner_by_server: dict[tuple[ids.ServerId, ids.ZoneName], Owner] = {}
         self.owners: tuple[Owner, ...] = ()
         self.version = 0
 
-    def on_change(self, listener: Callable[[], None]) -> None:
-        """Call ``listener`` after each change of the owners."""
-        self._listeners.append(listener)
-
     def announce(
         self,
         named: tuple[Owner, ...],
@@ -140,8 +137,6 @@
         self.owners = named
         self._owner_by_server.clear()
         self.version += 1
-        for listener in self._listeners:
-            listener()
 
     @property
     def is_forwarding(self) -> bool:
@@ -153,11 +148,13 @@
         """Return the owner of a server's queue; None if there are no owners."""
         if not self.owners:
             return None
-        found = self._owner_by_server.get(server)
+        found = self._owner_by_server.get((server, zone))
         if found is None:
+            if len(self._owner_by_server) >= SERVERS_REMEMBERED_MAX:
+                self._owner_by_server.clear()
             in_zone = [owner for owner in self.owners if owner.zone == zone]
             found = max(in_zone or self.owners, key=lambda owner: _score(owner, server))
-            self._owner_by_server[server] = found
+            self._owner_by_server[server, zone] = found
         return found
 
     def owns(self, server: ids.ServerId, zone: ids.ZoneName) -> bool:
--- a/src/celerystack/gateway/attempts.py
+++ b/src/celerystack/gateway/attempts.py
@@ -10,7 +10,15 @@
 
 from celerystack import ids
 from celerystack.fleet import servers
-from celerystack.gateway import calls, config, refusals, server_queue, server_queues
+from celerystack.gateway import (
+    call_queue,
+    calls,
+    config,
+    refusals,
+    server_queue,
+    server_queues,
+    service_queue,
+)
 from celerystack.limits import crash_suspects, rate_limits
 from celerystack.ranges import model
 
@@ -141,7 +149,9 @@
             return Tried(None, NO_OWNED_SERVER)
         waiting = self._queues.service_queue(call.service, owned=owned)
         place = await waiting.take_place(call)
-        if place is None:
+        if place is call_queue.WaitOutcome.NOT_OWNED:
+            return Tried(None, NO_OWNED_SERVER)
+        if not isinstance(place, service_queue.Place):
             # An owned queue knows when its slots become free, a shared one only its own calls.
             estimate_s = waiting.retry_after_s if owned else waiting.wait_estimate_s
             return refusals.refuse("the service's queue is too long", estimate_s(call))
--- a/src/celerystack/gateway/call_queue.py
+++ b/src/celerystack/gateway/call_queue.py
@@ -25,6 +25,7 @@
     SHED = "shed"
     KEY_MOVED = "key moved"
     SERVER_LEFT = "server left"
+    NOT_OWNED = "queue not owned"
     SERVER_PAUSED = "server paused"
 
 
@@ -127,6 +128,15 @@
             known = self._route_work.expected_s(route)
         return self._queue.service_time_s if known is None else known
 
+    def _due(self, call: calls.Call) -> float:
+        """Return by when an answer is wanted.
+
+        In a queue that sees all requests for its servers a repeated request is due earlier than a
+        new one. Otherwise repetitions would take the places of those that can still be in time.
+        """
+        due = call.arrived_at + TARGET_SHARE * call.route.target_latency_s
+        return due - call.repeats_for_s if self._queue.ordering.late_behind_all else due
+
     async def wait_for_turn(self, call: calls.Call) -> WaitOutcome:
         """Wait until the call may start; if it was taken, `release` must be called at its end."""
         if not self._queue and self.limit.try_start():
@@ -137,7 +147,7 @@
         shed = self._queue.push(
             waiting,
             priority=call.route.priority,
-            due=call.arrived_at + TARGET_SHARE * call.route.target_latency_s,
+            due=self._due(call),
             deadline=call.deadline,
             service_time_s=self.service_time_s(call),
             kind=call.route.name,
--- a/src/celerystack/gateway/calls.py
+++ b/src/celerystack/gateway/calls.py
@@ -52,6 +52,9 @@
     deadline : float
         Clock time in seconds at which this VM gives up: the earlier of the caller's deadline and
         the route's timeout.
+    repeats_for_s : float
+        Time in seconds before the arrival at which the caller first asked, as far as its deadline
+        shows; 0 for a new request.
     steps : list of Step
         Attempts and decisions so far, for the log line.
     """
@@ -66,6 +69,7 @@
     key: int | None
     arrived_at: float
     deadline: float
+    repeats_for_s: float = 0.0
     steps: list[Step] = dataclasses.field(default_factory=list)
 
 
--- a/src/celerystack/gateway/dispatch.py
+++ b/src/celerystack/gateway/dispatch.py
@@ -62,7 +62,7 @@
         return self._policies.get(service)
 
     async def dispatch(self, call: calls.Call) -> calls.Reply:
-        """Forward a call and return the reply, at the latest at the deadline of the call."""
+        """Forward a call and return the reply, at the latest shortly after the call's deadline."""
         policy = self._policies.get(call.service)
         if policy is None:
             return refusals.refuse("the service is not configured", refusals.RETRY_AFTER_UNREADY_S)
--- a/src/celerystack/gateway/forwarded.py
+++ b/src/celerystack/gateway/forwarded.py
@@ -85,7 +85,7 @@
             self._on_forwarded(result.kind)
             outcome = _tried(result)
         if isinstance(outcome, attempts.Tried) and outcome.incarnation is None:
-            self._avoided_until[owner, call.service] = self._now() + AVOID_S
+            self._avoid(owner, call.service)
         return outcome
 
     def _choose_owner(self, call: calls.Call, policy: config.ServicePolicy) -> owners.Owner | None:
@@ -102,6 +102,12 @@
             return None
         return self._queue_owners.choose_by_slots(usable, call.service)
 
+    def _avoid(self, owner: owners.Owner, service: ids.ServiceName) -> None:
+        """Forward no further calls of a service to an owner for a while."""
+        now = self._now()
+        self._avoided_until = {key: at for key, at in self._avoided_until.items() if at > now}
+        self._avoided_until[owner, service] = now + AVOID_S
+
     def _is_usable(self, owner: owners.Owner, service: ids.ServiceName) -> bool:
         if self._now() < self._avoided_until.get((owner, service), float("-inf")):
             return False
@@ -160,6 +166,7 @@
             body=call.body,
             key=call.key,
             age_s=now - call.arrived_at,
+            repeats_for_s=call.repeats_for_s,
             remaining_s=call.deadline - now,
             tried=tuple(tried),
         )
@@ -220,6 +227,12 @@
             key=message.key,
             arrived_at=now - message.age_s,
             deadline=now + message.remaining_s,
+            repeats_for_s=message.repeats_for_s,
+            # Servers that were tried get a repetition on a new connection.
+            steps=[
+                calls.Step(at=now, outcome="tried before", server=incarnation)
+                for incarnation in message.tried
+            ],
         )
 
 
--- a/src/celerystack/gateway/frontend.py
+++ b/src/celerystack/gateway/frontend.py
@@ -14,7 +14,7 @@
 
 from celerystack.backend import http
 from celerystack.gateway import calls, config, dispatch
-from celerystack.limits import body_account
+from celerystack.limits import body_account, usual_deadlines
 from celerystack.requests import caller_limits, callerhttp, listening
 
 _log = logging.getLogger(__name__)
@@ -68,6 +68,7 @@
         self._now = now
         self._routes: config.RouteTable | None = None
         self._splitter = config.Splitter()
+        self._deadlines = usual_deadlines.UsualDeadlines()
         self._factory = callerhttp.CallerFactory(
             reactor,
             self._on_request,
@@ -84,6 +85,7 @@
         """Apply a new configuration."""
         self._routes = config.RouteTable(routing.routes)
         self._splitter.retain(routing.routes)
+        self._deadlines.retain({route.name for route in routing.routes})
         self._factory.limits = dataclasses.replace(
             self._factory.limits,
             body_bytes_max=routing.limits.body_bytes_max,
@@ -209,6 +211,9 @@
         route = self._find_route(request, parsed, self._routes)
         arrived = request.received_at
         remaining_s = DEADLINE_DEFAULT_S if parsed.remaining_s is None else parsed.remaining_s
+        repeats_for_s = 0.0
+        if parsed.remaining_s is not None:
+            repeats_for_s = self._deadlines.age_s(route.name, parsed.remaining_s, arrived)
         return calls.Call(
             request_id=parsed.request_id,
             route=route,
@@ -220,6 +225,7 @@
             key=parsed.key,
             arrived_at=arrived,
             deadline=arrived + min(remaining_s, route.timeout_s),
+            repeats_for_s=repeats_for_s,
         )
 
     def _on_reply(
--- a/src/celerystack/gateway/metrics.py
+++ b/src/celerystack/gateway/metrics.py
@@ -71,7 +71,11 @@
             ("queue_owners", "Queue owners that the planner named.", owners),
             ("owned_servers", "Servers whose queues this VM owns.", owned_servers),
             ("owned_calls", "Calls in flight or queued at these servers.", owned_calls),
-            ("cold_rejections", "Requests that cold servers were spared.", cold_rejections),
+            (
+                "cold_rejections",
+                "How often a cold server was not available for a request.",
+                cold_rejections,
+            ),
         ):
             gauge = prometheus_client.Gauge(f"celerystack_{name}", text, registry=self._registry)
             gauge.set_function(read)
--- a/src/celerystack/gateway/server_queue.py
+++ b/src/celerystack/gateway/server_queue.py
@@ -13,7 +13,7 @@
 from celerystack.limits import cold_starts, concurrency, deadline_queue, route_work
 
 IN_FLIGHT_MAX = 4
-"""Largest number of requests in flight from this VM to one server."""
+"""Largest number of requests in flight from this VM to a server whose queue it does not own."""
 RESPONSE_BYTES_MAX = 16 * 1024 * 1024
 """Largest response of a server in bytes."""
 SILENT_FACTOR = 5.0
--- a/src/celerystack/gateway/service_queue.py
+++ b/src/celerystack/gateway/service_queue.py
@@ -86,15 +86,22 @@
     def set_owned_slots(self, slots: int) -> None:
         """Set the number of slots of the servers whose queues this VM owns.
 
-        No other VM sends to these servers, so there are as many places as slots.
+        Other VMs hardly send to these servers, so there are as many places as slots. Without any
+        slots the calls in the queue go to other owners.
         """
+        if slots <= 0:
+            self._calls.remove_where(lambda _: True, call_queue.WaitOutcome.NOT_OWNED)
         self._limit.limit = max(1, slots)
         self._calls.start_waiting_calls()
 
-    async def take_place(self, call: calls.Call) -> Place | None:
-        """Wait for a place; return None if the call cannot be answered before its deadline."""
-        if await self._calls.wait_for_turn(call) is not call_queue.WaitOutcome.TAKEN:
-            return None
+    async def take_place(self, call: calls.Call) -> Place | call_queue.WaitOutcome:
+        """Wait for a place; return why there is none if the call gets none.
+
+        `WaitOutcome.SHED` means that the call cannot be answered before its deadline.
+        """
+        outcome = await self._calls.wait_for_turn(call)
+        if outcome is not call_queue.WaitOutcome.TAKEN:
+            return outcome
         place = Place(self._calls.release)
         hold_s = max(HOLD_MINIMUM_S, HOLD_FACTOR * self._calls.service_time_s(call))
         place.timer = self._reactor.callLater(hold_s, place.release)
--- a/src/celerystack/limits/cold_starts.py
+++ b/src/celerystack/limits/cold_starts.py
@@ -62,7 +62,7 @@
     Attributes
     ----------
     rejections : int
-        Number of requests that were not sent because of the bound.
+        How often a server was not available for a request because of the bound.
     """
 
     def __init__(
@@ -102,10 +102,12 @@
         """Return whether one more request of this VM may reach a server now."""
         if not self.is_bound(service, cold_until):
             return True
-        if not self._is_sender(incarnation.server, zone):
-            return False
         allowed = self._tolerance.requests_per_window(self.policy(service).per_s)
-        return len(self._recent(incarnation)) < allowed
+        is_permitted = (
+            self._is_sender(incarnation.server, zone) and len(self._recent(incarnation)) < allowed
+        )
+        self.rejections += not is_permitted
+        return is_permitted
 
     def try_send(
         self,
@@ -119,7 +121,6 @@
         if not self.is_bound(service, cold_until):
             return True
         if not self.may_send(incarnation, service=service, zone=zone, cold_until=cold_until):
-            self.rejections += 1
             return False
         self._recent(incarnation).append(self._now())
         return True
--- a/src/celerystack/limits/deadline_queue.py
+++ b/src/celerystack/limits/deadline_queue.py
@@ -1,4 +1,4 @@
-"""Queue of the requests for one server, in the order of priority and deadline."""
+"""Queue of the requests for one or more servers, in the order of priority and deadline."""
 
 from __future__ import annotations
 
@@ -138,6 +138,11 @@
     def __len__(self) -> int:
         return len(self._entries)
 
+    @property
+    def ordering(self) -> Ordering:
+        """Order of the items that are added."""
+        return self._ordering
+
     def count_up_to(self, priority: int) -> int:
         """Return the number of items that are at least as urgent as a priority."""
         return sum(entry.priority <= priority for entry in self._entries)
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -506,7 +506,7 @@
 
     def _choose_queue_owners(self, now: float) -> tuple[owners.Owner, ...]:
         """Return the owners of queues; a new planner keeps them until the others have reported."""
-        if now - self._term_began_at < OWNERS_KEPT_S and self._queue_owners.owners:
+        if now - self._term_began_at < OWNERS_KEPT_S:
             return self._queue_owners.owners
         live = self._map_distributor.live_owners(now)
         if self._queue_weight > 0 and not self._stopping:
@@ -594,11 +594,13 @@
         self._note_address_reused(heartbeat.incarnations_with_reused_address)
         self._note_leaving(heartbeat.leaving)
         self._rate_limits.note_announced(heartbeat.rate_limits)
-        self._queue_owners.announce(
-            heartbeat.queue_owners,
-            entry_vms=heartbeat.entry_vms,
-            waits_by_vm=heartbeat.queue_waits_by_vm,
-        )
+        if heartbeat.queue_owners:
+            # A new planner that has heard of no owners yet names none.
+            self._queue_owners.announce(
+                heartbeat.queue_owners,
+                entry_vms=heartbeat.entry_vms,
+                waits_by_vm=heartbeat.queue_waits_by_vm,
+            )
         if heartbeat.evacuations is not None:
             self._evacuations.apply_announced(heartbeat.evacuations)
         if heartbeat.update is not None:
--- a/src/celerystack/requests/turns.py
+++ b/src/celerystack/requests/turns.py
@@ -34,8 +34,11 @@
 
     def _run(self) -> None:
         self._timer = None
-        for _ in range(min(TASKS_PER_TURN, len(self._tasks))):
-            task = self._tasks.popleft()
-            if task():
-                self._tasks.append(task)
-        self._schedule()
+        try:
+            for _ in range(min(TASKS_PER_TURN, len(self._tasks))):
+                task = self._tasks.popleft()
+                if task():
+                    self._tasks.append(task)
+        finally:
+            # An error of one task must not hold up the tasks of other connections.
+            self._schedule()
--- a/tests/fleet/test_evacuations.py
+++ b/tests/fleet/test_evacuations.py
@@ -63,6 +63,16 @@
         self.clock.advance(0.2)
         self.assertEqual({ZONE}, follower.closed_zones())
 
+    def test_planner_that_has_just_started_closes_no_zone_early(self):
+        """Guards against unserved keys because a new planner does not know an evacuation's age."""
+        self.scan()
+        self.clock.advance(0.4)
+        self.change(6, z1=True)
+        planner = self.start()
+        self.scan("z1", version=7, known=planner)
+        self.evacuations.apply_announced(planner.list_all())
+        self.assertEqual(frozenset(), self.evacuations.closed_zones())
+
     def test_older_lists_change_nothing(self):
         """Guards against a late heartbeat or read that ends an evacuation."""
         self.scan(version=5)
--- a/tests/forwarding/test_hop.py
+++ b/tests/forwarding/test_hop.py
@@ -4,7 +4,7 @@
 from twisted.internet import defer, task
 from twisted.internet.testing import StringTransportWithDisconnection
 
-from celerystack.forwarding import links, listener, messages
+from celerystack.forwarding import links, listener, messages, owners
 from tests.forwarding import test_messages, test_owners
 
 DEADLINE_S = 1.5
@@ -181,3 +181,39 @@
         self.running[1].errback(ValueError("unexpected"))
         self.reactor.carry()
         self.assertEqual([messages.ResultKind.UNKNOWN], [r.kind for r in self.results])
+
+    def test_closed_link_to_a_silent_owner_ends_its_calls(self):
+        """Guards against calls that wait until their deadlines for a VM that was lost."""
+        owner = test_owners.vm("b")
+        queue_owners = owners.QueueOwners(vm="a", now=self.reactor.seconds)
+        owner_links = links.OwnerLinks(
+            self.reactor, queue_owners, own_vm="a", now=self.reactor.seconds
+        )
+        queue_owners.announce((owner,), entry_vms=owners.FORWARDING_VMS_MIN)
+        owner_links.start()
+        self.reactor.advance(links.WATCH_S)
+        self.link = owner_links.find(owner)
+        self.forward()
+        self.reactor.transports[0].cut = True
+        queue_owners.announce((test_owners.vm("c"),), entry_vms=owners.FORWARDING_VMS_MIN)
+        self.reactor.accepts = False
+        self.reactor.pump([links.WATCH_S] * 9)
+        self.assertEqual([messages.ResultKind.UNKNOWN], [r.kind for r in self.results])
+        self.assertLess(self.reactor.seconds(), DEADLINE_S + 1.0)
+
+    def test_link_that_was_closed_while_it_connected_stays_closed(self):
+        """Guards against a stream to a former owner that is never closed."""
+        link = links.OwnerLink(self.reactor, test_owners.vm("b"), now=self.reactor.seconds)
+        link.close()
+        link.connected(self.reactor.transports[0].protocol)
+        self.assertFalse(self.reactor.transports[0].connected)
+        self.assertFalse(link.is_usable)
+
+    def test_part_of_a_large_result_shows_that_the_owner_lives(self):
+        """Guards against giving up an owner while a large result is on its way."""
+        self.forward()
+        for _ in range(12):
+            self.reactor.advance(links.WATCH_S)
+            self.reactor.transports[0].protocol.dataReceived(b"")
+            self.link.watch()
+        self.assertTrue(self.link.is_usable)
--- a/tests/forwarding/test_messages.py
+++ b/tests/forwarding/test_messages.py
@@ -23,6 +23,7 @@
     body=b"\x00body",
     key=7,
     age_s=0.1,
+    repeats_for_s=0.7,
     remaining_s=1.5,
     tried=(fakes.incarnation("a"),),
 )
--- a/tests/gateway/test_overload_patterns.py
+++ b/tests/gateway/test_overload_patterns.py
@@ -78,7 +78,7 @@
         )
         tally = self.tally_by_route[route.name]
         place = await self.queue.take_place(call)
-        if place is None:
+        if not isinstance(place, service_queue.Place):
             tally.refused += 1
             return
         self.running += 1
