--- a/src/celerystack/fleet/messages.py
+++ b/src/celerystack/fleet/messages.py
@@ -294,77 +294,86 @@
     )
 
 
+def _report_fields(report: Report) -> list[Any]:
+    return [
+        report.vm,
+        report.zone,
+        report.vm_incarnation,
+        report.stamp,
+        report.versions_by_service,
+        [
+            [*_encode_incarnation(incarnation), remaining_s]
+            for incarnation, remaining_s in report.remaining_by_incarnation.items()
+        ],
+        [_encode_incarnation(incarnation) for incarnation in report.unreachable],
+        report.keys_by_service,
+        report.service_time_by_server,
+        [
+            [suspect, *_encode_incarnation(incarnation)]
+            for suspect, incarnation in report.crash_suspects
+        ],
+        report.position,
+        [
+            _encode_incarnation(incarnation)
+            for incarnation in report.incarnations_with_reused_address
+        ],
+        list(report.completed_suspects),
+        report.config_row,
+        [_encode_rate_limit(limit) for limit in report.rate_limits],
+        [_encode_incarnation(incarnation) for incarnation in report.leaving],
+        report.queue_weight,
+        report.queue_wait_by_service,
+    ]
+
+
+def _heartbeat_fields(heartbeat: PlannerHeartbeat) -> list[Any]:
+    return [
+        heartbeat.vm,
+        heartbeat.term,
+        heartbeat.echo_vm_incarnation,
+        heartbeat.echo_stamp,
+        heartbeat.confirm_age_s,
+        heartbeat.versions_by_service,
+        heartbeat.zone_vms,
+        heartbeat.entry_vms,
+        [_encode_incarnation(incarnation) for incarnation in heartbeat.pending],
+        heartbeat.admitted_fraction_by_server,
+        list(heartbeat.quarantined),
+        None if heartbeat.update is None else _encode_update(heartbeat.update),
+        [
+            _encode_incarnation(incarnation)
+            for incarnation in heartbeat.incarnations_with_reused_address
+        ],
+        [_encode_rate_limit(limit) for limit in heartbeat.rate_limits],
+        [_encode_incarnation(incarnation) for incarnation in heartbeat.leaving],
+        None if heartbeat.evacuations is None else _encode_evacuations(heartbeat.evacuations),
+        [_encode_owner(owner) for owner in heartbeat.queue_owners],
+        heartbeat.queue_waits_by_vm,
+    ]
+
+
+def _ranges_fields(part: RangesPart) -> list[Any]:
+    return [
+        part.term,
+        part.service,
+        part.base,
+        part.version,
+        part.next_token,
+        part.part,
+        part.parts,
+        [codec.encode_segment(segment) for segment in part.segments],
+    ]
+
+
 def encode(message: Message) -> bytes:
     """Return a message as a msgpack array of its kind and its fields in order."""
     match message:
         case Report():
-            fields = [
-                message.vm,
-                message.zone,
-                message.vm_incarnation,
-                message.stamp,
-                message.versions_by_service,
-                [
-                    [*_encode_incarnation(incarnation), remaining_s]
-                    for incarnation, remaining_s in message.remaining_by_incarnation.items()
-                ],
-                [_encode_incarnation(incarnation) for incarnation in message.unreachable],
-                message.keys_by_service,
-                message.service_time_by_server,
-                [
-                    [suspect, *_encode_incarnation(incarnation)]
-                    for suspect, incarnation in message.crash_suspects
-                ],
-                message.position,
-                [
-                    _encode_incarnation(incarnation)
-                    for incarnation in message.incarnations_with_reused_address
-                ],
-                list(message.completed_suspects),
-                message.config_row,
-                [_encode_rate_limit(limit) for limit in message.rate_limits],
-                [_encode_incarnation(incarnation) for incarnation in message.leaving],
-                message.queue_weight,
-                message.queue_wait_by_service,
-            ]
-            return msgpack.packb(["report", *fields])
+            return msgpack.packb(["report", *_report_fields(message)])
         case PlannerHeartbeat():
-            fields = [
-                message.vm,
-                message.term,
-                message.echo_vm_incarnation,
-                message.echo_stamp,
-                message.confirm_age_s,
-                message.versions_by_service,
-                message.zone_vms,
-                message.entry_vms,
-                [_encode_incarnation(incarnation) for incarnation in message.pending],
-                message.admitted_fraction_by_server,
-                list(message.quarantined),
-                None if message.update is None else _encode_update(message.update),
-                [
-                    _encode_incarnation(incarnation)
-                    for incarnation in message.incarnations_with_reused_address
-                ],
-                [_encode_rate_limit(limit) for limit in message.rate_limits],
-                [_encode_incarnation(incarnation) for incarnation in message.leaving],
-                None if message.evacuations is None else _encode_evacuations(message.evacuations),
-                [_encode_owner(owner) for owner in message.queue_owners],
-                message.queue_waits_by_vm,
-            ]
-            return msgpack.packb(["beacon", *fields])
+            return msgpack.packb(["beacon", *_heartbeat_fields(message)])
         case RangesPart():
-            fields = [
-                message.term,
-                message.service,
-                message.base,
-                message.version,
-                message.next_token,
-                message.part,
-                message.parts,
-                [codec.encode_segment(segment) for segment in message.segments],
-            ]
-            return msgpack.packb(["ranges", *fields])
+            return msgpack.packb(["ranges", *_ranges_fields(message)])
         case ConfigPart():
             return msgpack.packb(["config", message.row, message.part, message.parts, message.data])
 
--- a/src/celerystack/gateway/attempts.py
+++ b/src/celerystack/gateway/attempts.py
@@ -169,7 +169,7 @@
         owned: bool,
     ) -> Tried | calls.Refused:
         if policy.sharded:
-            chosen = await self._choose_owner(call, tried)
+            chosen = await self._choose_key_server(call, tried)
         else:
             self._queues.refresh()
             if owned:
@@ -194,7 +194,7 @@
             case calls.NotRunReason.OTHER_SERVER:
                 self._directory.note_address_reused(chosen.incarnation)
 
-    async def _choose_owner(
+    async def _choose_key_server(
         self, call: calls.Call, tried: frozenset[model.ServerIncarnation]
     ) -> server_queue.ServerQueue | calls.Refused:
         """Return the queue of the key's server; wait for it while the key is being moved."""
@@ -202,7 +202,7 @@
         while True:
             self._queues.refresh()
             segment = self._key_routing.find(call.service, call.key or 0)
-            owner = self._owner_queue(segment)
+            owner = self._key_server_queue(segment)
             if owner is not None and owner.is_paused:
                 return self._refuse_paused_owner(owner)
             if owner is not None and owner.incarnation not in tried and not owner.is_unreachable:
@@ -295,13 +295,13 @@
     def _release_moved_calls(self, service: ids.ServiceName) -> None:
         """End the wait of calls whose keys have moved, so that they go to the new owner."""
         for queue in self._queues.of_service(service):
-            queue.release_moved_calls(lambda call, queue=queue: self._is_owned(call, queue))
+            queue.release_moved_calls(lambda call, queue=queue: self._has_key(call, queue))
 
-    def _is_owned(self, call: calls.Call, candidate: server_queue.ServerQueue) -> bool:
+    def _has_key(self, call: calls.Call, candidate: server_queue.ServerQueue) -> bool:
         segment = self._key_routing.find(call.service, call.key or 0)
         return segment is not None and segment.owner == candidate.incarnation
 
-    def _owner_queue(self, segment: model.Segment | None) -> server_queue.ServerQueue | None:
+    def _key_server_queue(self, segment: model.Segment | None) -> server_queue.ServerQueue | None:
         if segment is None or segment.owner is None or not segment.is_settled:
             return None
         found = self._queues.by_incarnation.get(segment.owner)
--- a/src/celerystack/gateway/forwarded.py
+++ b/src/celerystack/gateway/forwarded.py
@@ -70,7 +70,7 @@
         tried: frozenset[model.ServerIncarnation],
     ) -> attempts.Tried | calls.Refused:
         """Make an attempt at the owner of the queue, or without one."""
-        owner = self._choose_owner(call, policy)
+        owner = self._choose_queue_owner(call, policy)
         if owner is None:
             return await self._local.run(call, policy, tried)
         if owner.vm == self._vm:
@@ -88,11 +88,13 @@
             self._avoid(owner, call.service)
         return outcome
 
-    def _choose_owner(self, call: calls.Call, policy: config.ServicePolicy) -> owners.Owner | None:
+    def _choose_queue_owner(
+        self, call: calls.Call, policy: config.ServicePolicy
+    ) -> owners.Owner | None:
         if not self._queue_owners.is_forwarding or len(call.body) > BODY_BYTES_MAX:
             return None
         if policy.sharded:
-            return self._owner_of_key(call)
+            return self._queue_owner_of_key(call)
         usable = {
             owner: slots
             for owner, slots in self._slots_by_owner(call.service).items()
@@ -113,7 +115,7 @@
             return False
         return owner.vm == self._vm or self._links.find(owner) is not None
 
-    def _owner_of_key(self, call: calls.Call) -> owners.Owner | None:
+    def _queue_owner_of_key(self, call: calls.Call) -> owners.Owner | None:
         """Return the owner of the queue of the key's server; None while the key is moving."""
         segment = self._key_routing.find(call.service, call.key or 0)
         if segment is None or segment.owner is None or not segment.is_settled:
