--- a/tests/forwarding/test_hop.py
+++ b/tests/forwarding/test_hop.py
@@ -1,8 +1,7 @@
 """Calls between an entry VM and a queue owner, over a connection in memory."""
 
 import testtools
-from twisted.internet import defer, task
-from twisted.internet.testing import StringTransportWithDisconnection
+from twisted.internet import defer, task, testing
 
 from celerystack.forwarding import links, listener, messages, owners
 from tests.forwarding import test_messages, test_owners
@@ -10,7 +9,7 @@
 DEADLINE_S = 1.5
 
 
-class Transport(StringTransportWithDisconnection):
+class Transport(testing.StringTransportWithDisconnection):
     """Transport whose bytes the test carries to the other side; nothing arrives while ``cut``."""
 
     cut = False
--- a/tests/gateway/test_service_queue.py
+++ b/tests/gateway/test_service_queue.py
@@ -9,7 +9,9 @@
 
 from celerystack.gateway import call_queue, service_queue
 from celerystack.limits import deadline_queue
-from tests.gateway.test_call_queue import CALL
+from tests.gateway import test_call_queue
+
+CALL = test_call_queue.CALL
 
 
 class OrderingTest(testtools.TestCase):
