--- a/review/6/case.py
+++ b/review/6/case.py
@@ -14,6 +14,9 @@
 AWAY_S = 1.0
 RESTART_S = 1.0
 OBSERVED_S = 20.0
+SERVERS = tuple(f"i-{letter}" for letter in "abcdefgh")
+LEAVING = ("i-a", "i-b")
+"""A quarter of the servers."""
 
 
 async def send_lookups(rig: rig_2.Rig) -> None:
@@ -33,7 +36,7 @@
     """Move keys by planned work, then let the store forget it, and restart the planner."""
     services = [rig_2.service("rota", sharded=True, warm_up="3s")]
     rig.write_config(1, [rig_2.route("view", "rota", "safe")], services)
-    for name in ("i-a", "i-b", "i-c", "i-d"):
+    for name in SERVERS:
         await rig.add_server(name, "rota")
     for vm in ("front-1", "front-2", "front-3"):
         rig.add_vm(vm)
@@ -43,12 +46,14 @@
 
     copy = rig.store.copy()
     rig.record.note("the copy of the store is made")
-    leaving = rig.servers["i-a"]
-    leaving.state = "draining"
-    leaving.write_entry()
-    rig.record.tell("planned work: i-a drains")
+    leaving = [rig.servers[name] for name in LEAVING]
+    for server in leaving:
+        server.state = "draining"
+        server.write_entry()
+    rig.record.tell(f"planned work: {', '.join(LEAVING)} drain")
     await asyncio.sleep(2.2)
-    await leaving.end()
+    for server in leaving:
+        await server.end()
     await asyncio.sleep(COPY_AGE_S - 2.2)
 
     planner = rig.planner()
--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -696,7 +696,7 @@
             "services": services,
             "limits": {
                 "max_header_bytes": 16384,
-                "max_body_bytes": 1048576,
+                "max_body_bytes": 67108864,
                 "header_timeout": "3000ms",
                 "idle_timeout": "15000ms",
             },
