--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -14,6 +14,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -756,6 +757,7 @@
         for server in self.servers.values():
             await server.close()
         await self.store.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def route(name: str, service: str, kind: str) -> dict:
