--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -716,7 +716,7 @@
                 if answer.status == 200:
                     break
                 if CLOCK() > end:
-                    raise CannotRunError(f"{vm.vm} is not ready: {vm.log_lines()[-3:]}")
+                    raise CannotRunError(f"{vm.vm} is not ready; was the deploy file built?")
                 await asyncio.sleep(0.1)
 
     async def request(
@@ -790,7 +790,9 @@
             is_broken = await asyncio.wait_for(case(rig), 110)
         except Exception as error:
             # Whatever else goes wrong must not look like a broken rule.
-            rig.record.tell(f"could not run: {error!r}")
+            # Only its own texts are recorded; others may hold paths of the machine.
+            reason = error if isinstance(error, CannotRunError) else type(error).__name__
+            rig.record.tell(f"could not run: {reason}")
             return 2
         finally:
             await rig.close()
