Order versions across a return of the store from an earlier copy

Cause: row versions were compared as bare numbers. The new row had version 98, the lost one 124, so the planner kept announcing the lost one and everyone took the new one for old. Ruled out: followers that do not read (the planner did not announce the row) and a feed that skips it (the planner itself served the configuration).

Change: a RowVersion holds the store's era above its number; the adapter translates. Positions of an earlier era need a whole read, conditions of an earlier era conflict, a write during which the era changes has no known outcome. Missing servers and evacuations stay for 2 s after the return, and removed servers that the copy lists are not used.

--- a/src/celerystack/fleet/evacuations.py
+++ b/src/celerystack/fleet/evacuations.py
@@ -37,7 +37,9 @@
     """Tracks the evacuated zones, from own reads of the store or from the planner's heartbeats.
 
     Each entry VM keeps its list while the store is unavailable. Lists are compared by the store
-    version up to which the operators' rows were read, so an older one changes nothing.
+    version up to which the operators' rows were read, so an older one changes nothing. After the
+    store came back from an earlier copy, evacuations that the copy lacks stay for a moment, until
+    the operators have written them again.
 
     Parameters
     ----------
@@ -57,6 +59,7 @@
         self._now = now
         self._requested_at_by_zone: dict[ids.ZoneName, float] = {}
         self._read_at = float("-inf")
+        self._kept_until = float("-inf")
         self._listeners: list[Callable[[], None]] = []
         self.version = directory_sync.UNKNOWN
 
@@ -97,9 +100,15 @@
     ) -> None:
         """Apply a read of all operators' rows that began at ``started_at``."""
         if version >= self.version:
+            if self._now() < self._kept_until:
+                zones = self._requested_at_by_zone.keys() | set(zones)
             requested_at = dict.fromkeys(zones, self._read_at)
             self._replace(requested_at | self._known(zones), version, started_at)
 
+    def keep_until(self, deadline: float) -> None:
+        """Keep evacuations that a read of all rows lacks until a time of the clock in seconds."""
+        self._kept_until = deadline
+
     def apply_changes(
         self,
         present_by_zone: Mapping[ids.ZoneName, bool],
--- a/src/celerystack/fleet/rows.py
+++ b/src/celerystack/fleet/rows.py
@@ -1,4 +1,10 @@
-"""Interface of the platform's row store."""
+"""Interface of the platform's row store.
+
+The store may come back from an earlier copy of itself. What was written since the copy is lost
+then, its version numbers go back and are given out again, and the store's era rises. A
+`ids.RowVersion` therefore contains the era in its high bits and the store's number in the low ones,
+so that a version of a later era is always the newer one.
+"""
 
 from __future__ import annotations
 
@@ -12,6 +18,23 @@
 
 ABSENT = ids.RowVersion(0)
 """Version of a row that does not exist."""
+NUMBER_BITS = 44
+"""Number of low bits of a version that contain the store's own number."""
+
+
+def version_in(era: ids.StoreEra, number: int) -> ids.RowVersion:
+    """Return the version with a number that the store gave out in an era."""
+    return ids.RowVersion(era << NUMBER_BITS | number)
+
+
+def era_of(version: ids.RowVersion) -> ids.StoreEra:
+    """Return the era of a version; 0 for one below all versions."""
+    return ids.StoreEra(max(0, version) >> NUMBER_BITS)
+
+
+def number_of(version: ids.RowVersion) -> int:
+    """Return the number that the store gave out for a version."""
+    return version & ((1 << NUMBER_BITS) - 1)
 
 
 class HistoryLostError(errors.PlatformError):
@@ -56,6 +79,8 @@
 class RowStore(Protocol):
     """Calls to the store, which fail with `errors.PlatformError`.
 
+    A condition or a position from an earlier era never holds, even if its number fits.
+
     `errors.PlatformUnavailableError` means that nothing was applied, `errors.AnswerLostError` that
     the call may have been applied or may still be applied.
     """
@@ -69,7 +94,7 @@
         Raises
         ------
         HistoryLostError
-            The store no longer has the changes.
+            The store no longer has the changes, or ``after`` is from an earlier era.
         """
 
     def transact(
@@ -83,4 +108,7 @@
         ------
         errors.TransactionConflictError
             A condition does not hold; nothing was written.
+        errors.AnswerLostError
+            Also if the store came back from an earlier copy meanwhile, and has perhaps applied the
+            changes there.
         """
--- a/src/celerystack/fleet/servers.py
+++ b/src/celerystack/fleet/servers.py
@@ -129,6 +129,7 @@
         self._entries_read_at = float("-inf")
         self._entries_read_since = float("-inf")
         self._grace_ends_at = 0.0
+        self._returns_ignored_until = float("-inf")
         self._failed_at = float("-inf")
         self._next_expiry_at = 0.0
         self._changed_ids: set[ids.ServerId] = set()
@@ -327,6 +328,15 @@
             self._grace_ends_at = now + RETURN_GRACE_S
         self._read_at = now
 
+    def note_store_restored(self, now: float) -> None:
+        """Record that the store came back from an earlier copy.
+
+        Entries written since the copy are missing until the servers write them again, and entries
+        removed since are there again until they are removed once more.
+        """
+        self._grace_ends_at = now + RETURN_GRACE_S
+        self._returns_ignored_until = now + RETURN_GRACE_S
+
     def _update(self, entry: ServerEntry, now: float) -> None:
         record = self.by_id.get(entry.server)
         if record is not None and entry.started_ms < record.entry.started_ms:
@@ -344,6 +354,8 @@
                 entry=entry, appeared_at=now, seen_at=now, warm_at=now + entry.cold_s
             )
             return
+        if record.removed and now < self._returns_ignored_until:
+            return
         if record.entry.state is ServerState.DRAINING and entry.state is ServerState.READY:
             # A delayed entry from before the drain; an incarnation never becomes ready again.
             entry = dataclasses.replace(entry, state=ServerState.DRAINING)
--- a/src/celerystack/gateway/store_watcher.py
+++ b/src/celerystack/gateway/store_watcher.py
@@ -35,6 +35,11 @@
 FLEET_RETRY_MAX_S = 2.0
 """Upper bound of this longer backoff in seconds. The planner, which tells the other entry VMs when
 the store is back, does not use it."""
+RESTORED_S = 2.0
+"""Time in seconds after the return of the store from an earlier copy within which operators and
+running servers write again what the copy lacks."""
+RESCAN_JITTER_S = 0.5
+"""Largest random delay of the read of all rows after it, so that not all VMs read at once."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -98,6 +103,9 @@
         self._config_version = ids.ConfigVersion(-1)
         self._store_is_up = True
         self._failures = 0
+        self._era: ids.StoreEra | None = None
+        self._config_rescan_at = float("inf")
+        self._servers_rescan_at = float("inf")
         self.servers_known = False
         self._unreadable: dict[ids.RowKey, str] = {}
         self._update_waits: list[defer.Deferred[None]] = []
@@ -156,6 +164,8 @@
     async def _follow_config(self) -> None:
         version: ids.RowVersion | None = None
         while True:
+            if self._now() >= self._config_rescan_at:
+                version, self._config_rescan_at = None, float("inf")
             valid_s = self._updates.config_valid_s()
             if version is not None and valid_s:
                 await self._wait_for_update(valid_s)
@@ -193,6 +203,9 @@
 
     async def _follow_servers(self) -> None:
         while True:
+            if self._now() >= self._servers_rescan_at:
+                self._updates.note_history_lost()
+                self._servers_rescan_at = float("inf")
             valid_s = self._updates.valid_s()
             if valid_s and not self._needs_confirmation():
                 await self._wait_for_update(valid_s)
@@ -241,8 +254,23 @@
             return None
         self._note_store_result(None)
         self._directory.note_answer(self._now())
+        self._note_era(rows.era_of(answer.version))
         return answer
 
+    def _note_era(self, era: ids.StoreEra) -> None:
+        """Read all rows again soon after the store came back from an earlier copy."""
+        if self._era is not None and era > self._era:
+            restored_until = self._now() + RESTORED_S
+            self._directory.note_store_restored(self._now())
+            self._evacuations.keep_until(restored_until)
+            rescan_at = restored_until + random.uniform(0.0, RESCAN_JITTER_S)
+            self._config_rescan_at = self._servers_rescan_at = rescan_at
+            _log.warning(
+                "the store came back from an earlier copy; reading all rows",
+                extra={"step": "feeds"},
+            )
+        self._era = era
+
     def _retry_delay_s(self) -> float:
         """Return the backoff delay, with jitter so that the VMs do not retry at the same time."""
         bound_s = RETRY_MAX_S
--- a/src/celerystack/ids.py
+++ b/src/celerystack/ids.py
@@ -20,4 +20,7 @@
 ShardId = NewType("ShardId", int)
 KeyHash = NewType("KeyHash", int)
 RowVersion = NewType("RowVersion", int)
+"""Version of a row or of the whole store; see `celerystack.fleet.rows` for its parts."""
+StoreEra = NewType("StoreEra", int)
+"""Number that rises each time the store comes back from an earlier copy of itself."""
 ConfigVersion = NewType("ConfigVersion", int)
--- a/src/celerystack/platform/store.py
+++ b/src/celerystack/platform/store.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import base64
+import dataclasses
 import json
+import logging
 import urllib.parse
 from collections.abc import Callable, Sequence
 from typing import Any
@@ -14,6 +16,8 @@
 from celerystack.backend import client, exchange, http
 from celerystack.fleet import rows
 
+_log = logging.getLogger(__name__)
+
 CALL_TIMEOUT_S = 1.5
 TIMEOUT_AFTER_NO_RESPONSE_S = 0.6
 """Timeout of a call after one without a response, so that the store's recovery is noticed soon."""
@@ -29,14 +33,31 @@
 CONNECT_TIMEOUT_S = 0.4
 _PAGE_ROWS = 500
 _STEP = "store"
+_ERA_HEADER = b"store-era"
+_ERA_DIGITS_MAX = 5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """Fields of a successful response, and the store's era in which it was given."""
+
+    fields: dict[str, Any]
+    era: ids.StoreEra
 
 
 class HttpRowStore:
-    """Implements `rows.RowStore`; all rows have the empty string as ``part``."""
+    """Implements `rows.RowStore`; all rows have the empty string as ``part``.
+
+    Attributes
+    ----------
+    era : StoreEra
+        Newest era of the store that a response has named; 0 if none has.
+    """
 
     def __init__(self, reactor: Any, address: tuple[str, int], *, now: Callable[[], float]) -> None:
         self._now = now
         self._unanswered_calls = 0
+        self.era = ids.StoreEra(0)
         self._peer = f"{address[0]}:{address[1]}"
         self._pool = client.ServerPool(
             reactor,
@@ -57,12 +78,14 @@
         start_key = ""
         while True:
             query = {"table_name": table, "part": "", "start_key": start_key, "limit": _PAGE_ROWS}
-            body_fields = await self._call("GET", "/rows-get", query=query)
-            page = _decode_rows(body_fields, table)
+            answer = await self._call("GET", "/rows-get", query=query)
+            page = _decode_rows(answer, table)
+            if first_version is not None and rows.era_of(first_version) != answer.era:
+                raise self._copy_error()
             found.extend(page.rows)
             # The change feed from the version of the first page includes changes during the scan.
             first_version = page.version if first_version is None else first_version
-            if not body_fields.get("has_more") or not page.rows:
+            if not answer.fields.get("has_more") or not page.rows:
                 return rows.Rows(rows=tuple(found), version=first_version)
             start_key = f"{page.rows[-1].key}\x00"
 
@@ -73,9 +96,21 @@
         return defer.Deferred.fromCoroutine(self._changes(table, after, wait_s))
 
     async def _changes(self, table: str, after: ids.RowVersion, wait_s: float) -> rows.Rows:
-        query = {"table_name": table, "after": after, "wait_ms": round(wait_s * 1000)}
-        body_fields = await self._call("GET", "/rows-feed", query=query, extra_timeout_s=wait_s)
-        return _decode_rows(body_fields, table)
+        self._check_position(after, self.era)
+        number = rows.number_of(after)
+        query = {"table_name": table, "after": number, "wait_ms": round(wait_s * 1000)}
+        answer = await self._call("GET", "/rows-feed", query=query, extra_timeout_s=wait_s)
+        self._check_position(after, answer.era)
+        return _decode_rows(answer, table)
+
+    def _check_position(self, position: ids.RowVersion, era: ids.StoreEra) -> None:
+        """Raise an error if a position in the changes is not from an era."""
+        if rows.era_of(position) != era:
+            raise rows.HistoryLostError(
+                "the position is from before the store came back from an earlier copy",
+                step=_STEP,
+                peer=self._peer,
+            )
 
     def transact(
         self,
@@ -92,10 +127,21 @@
         puts: Sequence[rows.Put],
         removes: Sequence[rows.Condition],
     ) -> ids.RowVersion:
+        conditions = (*conditions, *removes)
+        era = self.era
+        if any(c.version != rows.ABSENT and rows.era_of(c.version) != era for c in conditions):
+            raise errors.TransactionConflictError(
+                "a condition is from before the store came back from an earlier copy",
+                step=_STEP,
+                peer=self._peer,
+            )
         body = {
             "precondition": [
-                {**_row_address(condition.table, condition.key), "row_version": condition.version}
-                for condition in (*conditions, *removes)
+                {
+                    **_row_address(condition.table, condition.key),
+                    "row_version": rows.number_of(condition.version),
+                }
+                for condition in conditions
             ],
             "put": [
                 {**_row_address(put.table, put.key), "value": base64.b64encode(put.value).decode()}
@@ -103,8 +149,15 @@
             ],
             "remove": [_row_address(remove.table, remove.key) for remove in removes],
         }
-        body_fields = await self._call("POST", "/rows-tx", body=json.dumps(body).encode())
-        return _decode_version(body_fields)
+        answer = await self._call("POST", "/rows-tx", body=json.dumps(body).encode())
+        if conditions and answer.era != era:
+            raise self._copy_error()
+        return _decode_version(answer)
+
+    def _copy_error(self) -> errors.AnswerLostError:
+        return errors.AnswerLostError(
+            "the store came back from an earlier copy during the call", step=_STEP, peer=self._peer
+        )
 
     async def _call(
         self,
@@ -114,7 +167,7 @@
         query: dict[str, object] | None = None,
         body: bytes = b"",
         extra_timeout_s: float = 0.0,
-    ) -> dict[str, Any]:
+    ) -> _Answer:
         target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
         headers = [(b"Host", self._peer.encode())]
         if body:
@@ -140,7 +193,30 @@
             self._unanswered_calls += 1
             raise errors.AnswerLostError(error.reason, step=step, peer=self._peer) from error
         self._unanswered_calls = 0
-        return self._decode_response(response, step)
+        era = self._note_era(response)
+        return _Answer(self._decode_response(response, step), era)
+
+    def _note_era(self, response: http.HttpResponse) -> ids.StoreEra:
+        """Return the store's era in which a response was given; that of before if it has none.
+
+        Raises
+        ------
+        errors.AnswerLostError
+            A response of a later era has arrived before, so what this one says may be lost.
+        """
+        era = _decode_era(response, default=self.era)
+        if era < self.era:
+            raise self._copy_error()
+        if era > self.era:
+            if self.era:
+                _log.warning(
+                    "the store came back from an earlier copy; its era is %d after %d",
+                    era,
+                    self.era,
+                    extra={"step": _STEP},
+                )
+            self.era = era
+        return era
 
     def _timeout_s(self) -> float:
         return (
@@ -190,16 +266,23 @@
     return {"table_name": table, "part": "", "key": key}
 
 
-def _decode_version(body_fields: dict[str, Any]) -> ids.RowVersion:
-    version = body_fields.get("row_version")
+def _decode_era(response: http.HttpResponse, *, default: ids.StoreEra) -> ids.StoreEra:
+    for name, value in response.headers:
+        if name.lower() == _ERA_HEADER and value.isdigit() and len(value) <= _ERA_DIGITS_MAX:
+            return ids.StoreEra(int(value))
+    return default
+
+
+def _decode_version(answer: _Answer) -> ids.RowVersion:
+    version = answer.fields.get("row_version")
     if not isinstance(version, int):
         raise errors.AnswerLostError(
             f"malformed row_version in the response: {version!r}", step=_STEP
         )
-    return ids.RowVersion(version)
+    return rows.version_in(answer.era, version)
 
 
-def _decode_rows(body_fields: dict[str, Any], table: str) -> rows.Rows:
+def _decode_rows(answer: _Answer, table: str) -> rows.Rows:
     """Decode the rows of a response; a value that is not base64 becomes empty.
 
     Raises
@@ -209,22 +292,22 @@
     """
     try:
         found = tuple(
-            _decode_row(fields)
-            for fields in body_fields.get("rows", ())
+            _decode_row(fields, answer.era)
+            for fields in answer.fields.get("rows", ())
             if fields.get("table_name", table) == table and not fields.get("part", "")
         )
     except (KeyError, ValueError, TypeError, AttributeError) as error:
         raise errors.AnswerLostError(
             f"malformed row in the response: {error!r}", step=_STEP
         ) from error
-    return rows.Rows(rows=found, version=_decode_version(body_fields))
+    return rows.Rows(rows=found, version=_decode_version(answer))
 
 
-def _decode_row(fields: dict[str, Any]) -> rows.Row:
+def _decode_row(fields: dict[str, Any], era: ids.StoreEra) -> rows.Row:
     return rows.Row(
         key=ids.RowKey(str(fields["key"])),
         value=None if fields.get("deleted") else _decode_value(fields),
-        version=ids.RowVersion(int(fields.get("row_version", 0))),
+        version=rows.version_in(era, int(fields.get("row_version", 0))),
     )
 
 
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -2,12 +2,14 @@
 
 Faults are injected by attributes and methods: ``refusing`` answers 503 to every call,
 ``lose_answers`` drops the answers to that many writes after they took effect, ``late_writes`` holds
-that many writes back until `apply_late`, and `compact` discards the history.
+that many writes back until `apply_late`, `compact` discards the history, and `come_back` restores
+an earlier `copy`.
 """
 
 from __future__ import annotations
 
 import base64
+import dataclasses
 import json
 import urllib.parse
 from typing import Any
@@ -19,6 +21,18 @@
 _STATUS_LINES = {200: b"200 OK", 410: b"410 Gone", 412: b"412 Precondition Failed"}
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Copy:
+    """Whole content of the store at one moment."""
+
+    version: int
+    rows: dict[tuple[str, str], tuple[bytes, int]]
+    history: tuple[tuple[int, str, str], ...]
+
+
+_REWRITTEN_TABLES = ("op", "servers")
+
+
 class RowStore:
     """Versioned rows and their change history, served on a loopback port."""
 
@@ -27,6 +41,7 @@
         self.http.handler = self._handle
         self.address = self.http.address
         self.version = 0
+        self.era = 1
         self.rows: dict[tuple[str, str], tuple[bytes, int]] = {}
         self.history: list[tuple[int, str, str]] = []
         self.compacted_version = 0
@@ -62,6 +77,25 @@
         self.history.clear()
         self.compacted_version = self.version
 
+    def copy(self) -> Copy:
+        """Return a copy of the whole content."""
+        return Copy(self.version, dict(self.rows), tuple(self.history))
+
+    def come_back(self, copy: Copy) -> None:
+        """Lose everything since a copy; operators and servers write their rows again at once."""
+        before = self.rows
+        self.version, self.rows, self.history = copy.version, dict(copy.rows), list(copy.history)
+        self.era += 1
+        self.refusing = False
+        for table, key in sorted(before.keys() | copy.rows.keys()):
+            value = before.get((table, key), (None, 0))[0]
+            if table not in _REWRITTEN_TABLES or value == copy.rows.get((table, key), (None, 0))[0]:
+                continue
+            if value is None:
+                self.remove(table, key)
+            else:
+                self.put(table, key, value)
+
     def apply_late(self) -> list[int]:
         """Apply the writes that were held back; returns a status each, 412 for a conflict."""
         delayed, self._delayed_writes = self._delayed_writes, []
@@ -127,7 +161,7 @@
     ) -> None:
         if not request.connection.transport.connected:
             return
-        if after < self.compacted_version:
+        if after < self.compacted_version or after > self.version:
             self._answer(request, 410, {})
             return
         keys = {
@@ -159,4 +193,6 @@
     ) -> None:
         line = _STATUS_LINES.get(status, b"%d Status" % status)
         body = json.dumps(fields).encode()
-        request.connection.transport.write(scripted_backend.answer(body, status=line))
+        era = b"Store-Era: %d\r\n" % self.era
+        answer = scripted_backend.answer(body, status=line, headers=era)
+        request.connection.transport.write(answer)
--- a/tests/fleet/test_evacuations.py
+++ b/tests/fleet/test_evacuations.py
@@ -4,7 +4,7 @@
 from twisted.internet import task
 
 from celerystack import ids
-from celerystack.fleet import evacuations, servers
+from celerystack.fleet import evacuations, rows, servers
 from tests.ranges import fakes
 
 BINDING_AFTER_S = 5.0
@@ -83,6 +83,17 @@
         self.change(7, z1=False)
         self.assertEqual({ZONE}, self.evacuations.zones)
 
+    def test_evacuation_stays_until_a_restored_store_has_it_again(self):
+        """Guards against requests to a zone whose evacuation the store's earlier copy lacks."""
+        self.scan("z1")
+        restored = rows.version_in(ids.StoreEra(1), 3)
+        self.evacuations.keep_until(self.clock.seconds() + 2.0)
+        self.scan(version=restored)
+        self.assertEqual({"z1"}, self.evacuations.zones)
+        self.clock.advance(2.0)
+        self.scan(version=restored)
+        self.assertEqual(frozenset(), self.evacuations.zones)
+
     def test_nothing_is_announced_before_the_first_read(self):
         """Guards against a new planner that ends evacuations which it has not read yet."""
         self.assertIsNone(self.evacuations.list_all())
--- a/tests/fleet/test_servers.py
+++ b/tests/fleet/test_servers.py
@@ -65,6 +65,24 @@
         self.directory.expire(20.0 + servers.RETURN_GRACE_S)
         self.assertEqual(["b"], self.usable())
 
+    def test_server_that_a_restored_store_lacks_stays_for_a_moment(self):
+        """Guards against servers that count as removed because their entries were lost."""
+        self.directory.note_store_restored(10.5)
+        self.directory.apply_all([fakes.entry("b")], 10.5)
+        self.assertEqual(["a", "b"], self.usable())
+        self.directory.expire(10.5 + servers.RETURN_GRACE_S)
+        self.assertEqual(["b"], self.usable())
+
+    def test_removed_server_that_a_restored_store_lists_gets_no_requests(self):
+        """Guards against requests to a server that had left before the store came back."""
+        self.directory.apply_changes([], ["a"], 10.2)
+        self.directory.note_store_restored(10.5)
+        both = [fakes.entry("a"), fakes.entry("b")]
+        self.directory.apply_all(both, 10.5)
+        self.assertEqual(["b"], self.usable())
+        self.directory.apply_all(both, 10.5 + servers.RETURN_GRACE_S)
+        self.assertEqual(["a", "b"], self.usable())
+
     def test_draining_counts_during_the_grace(self):
         """Guards against ignoring a drain that a server announces during the grace period."""
         leaving = fakes.entry("a", state=servers.ServerState.DRAINING)
--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -48,6 +48,8 @@
     def _answer(self, table, after):
         if self.error is not None:
             return defer.fail(self.error)
+        if after >= 0 and rows.era_of(after) != rows.era_of(self.position):
+            return defer.fail(rows.HistoryLostError("another era", step="test"))
         found = []
         if table == "op" and self.config_row > after:
             row = rows.Row(
@@ -145,6 +147,23 @@
         self.clock.pump([0.1] * 30)
         self.assertEqual(frozenset(), self.evacuations.zones)
 
+    def come_back(self, position, config_row):
+        """Restore the store from a copy, with lower numbers, in its next era."""
+        era = ids.StoreEra(rows.era_of(self.store.position) + 1)
+        self.store.position = rows.version_in(era, position)
+        self.store.config_row = rows.version_in(era, config_row)
+
+    def test_evacuation_is_kept_until_the_operators_have_had_time_to_write_again(self):
+        """Guards against requests to a zone whose evacuation was lost with the store's rows."""
+        self.store.evacuated = "z1"
+        self.clock.pump([0.1] * 30)
+        self.store.evacuated = None
+        self.come_back(position=8, config_row=2)
+        self.clock.pump([0.1] * 15)
+        self.assertEqual({"z1"}, self.evacuations.zones)
+        self.clock.pump([0.1] * 40)
+        self.assertEqual(frozenset(), self.evacuations.zones)
+
     def test_nothing_is_read_while_updates_arrive(self):
         """Guards against reads of the store by every entry VM while the planner sends updates."""
         self.run_with_updates(2.0)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,6 +10,7 @@
 
 from celerystack import errors
 from celerystack.backend import http
+from celerystack.fleet import rows
 from celerystack.platform import store
 from standins import scripted_backend
 
@@ -59,6 +60,114 @@
                 self.assertIsInstance(failure.value, errors.PlatformError)
 
 
+class EraPool:
+    """Answers every call with no rows, in the store's era and at its version of the moment."""
+
+    def __init__(self):
+        self.era, self.version = 1, 50
+        self.targets, self.bodies = [], []
+
+    def exchange(self, request, *, deadline, slow_transfer):
+        self.targets.append(request.target.decode())
+        self.bodies.append(request.body)
+        response = http.HttpResponse(
+            status=200,
+            reason=b"OK",
+            headers=((b"Store-Era", b"%d" % self.era),),
+            body=json.dumps({"rows": [], "row_version": self.version}).encode(),
+        )
+        return defer.succeed(response)
+
+
+class EraTest(testtools.TestCase):
+    """The store comes back from an earlier copy, and gives version numbers out again."""
+
+    def setUp(self):
+        super().setUp()
+        self.pool = EraPool()
+        self.adapter = store.HttpRowStore(None, ("127.0.0.1", 1), now=lambda: 100.0)
+        self.adapter._pool = self.pool
+
+    def result(self, deferred):
+        results = []
+        deferred.addBoth(results.append)
+        return results[0]
+
+    def assert_fails(self, error_type, deferred):
+        self.assertIsInstance(self.result(deferred).value, error_type)
+
+    def come_back(self, version):
+        self.pool.era, self.pool.version = self.pool.era + 1, version
+
+    def read_version(self):
+        return self.result(self.adapter.scan("op")).version
+
+    def transact(self, version):
+        condition = rows.Condition(table="planner", key="seat", version=version)
+        return self.adapter.transact([condition], [], [])
+
+    def test_version_of_a_later_era_is_newer(self):
+        """Guards against rows that are ignored as old because their number is lower."""
+        before = self.read_version()
+        self.come_back(20)
+        self.assertGreater(self.read_version(), before)
+
+    def test_store_gets_its_own_numbers(self):
+        """Guards against an era in the positions and conditions that are sent to the store."""
+        position = self.read_version()
+        self.result(self.adapter.changes("op", position, wait_s=0.0))
+        self.result(self.transact(position))
+        self.assertIn("after=50&", self.pool.targets[1])
+        self.assertEqual(50, json.loads(self.pool.bodies[2])["precondition"][0]["row_version"])
+
+    def test_changes_since_a_lost_position_are_not_complete(self):
+        """Guards against rows that are never read because their versions are given out again."""
+        position = self.read_version()
+        self.come_back(60)
+        self.assert_fails(rows.HistoryLostError, self.adapter.changes("op", position, wait_s=0.0))
+        self.assert_fails(rows.HistoryLostError, self.adapter.changes("op", position, wait_s=0.0))
+        self.assertEqual(2, len(self.pool.targets))
+
+    def test_condition_of_an_earlier_era_never_holds(self):
+        """Guards against a write over a row that has the number of another one that was lost."""
+        version = self.read_version()
+        self.come_back(50)
+        self.read_version()
+        self.assert_fails(errors.TransactionConflictError, self.transact(version))
+        self.assertEqual(2, len(self.pool.targets))
+
+    def test_write_during_which_the_store_came_back_has_no_known_outcome(self):
+        """Guards against a leader that takes a condition that held by chance for its success."""
+        version = self.read_version()
+        self.come_back(50)
+        self.assert_fails(errors.AnswerLostError, self.transact(version))
+
+    def test_late_answer_of_an_earlier_era_is_not_used(self):
+        """Guards against rows of the lost time that replace those of the store."""
+        self.come_back(60)
+        self.read_version()
+        self.pool.era = 1
+        self.assert_fails(errors.AnswerLostError, self.adapter.scan("op"))
+
+    def test_pages_of_two_eras_are_not_joined(self):
+        """Guards against a table that is read partly before and partly after the return."""
+        page = [ROW | {"table_name": "op"}]
+
+        def exchange(request, *, deadline, slow_transfer):
+            fields = {"rows": page, "row_version": 50, "has_more": True}
+            era = b"%d" % (1 + len(self.pool.targets))
+            self.pool.targets.append(request.target)
+            body = json.dumps(fields).encode()
+            headers = ((b"store-era", era),)
+            return defer.succeed(
+                http.HttpResponse(status=200, reason=b"OK", headers=headers, body=body)
+            )
+
+        self.pool.exchange = exchange
+        self.assert_fails(errors.AnswerLostError, self.adapter.scan("op"))
+        self.assertEqual(2, len(self.pool.targets))
+
+
 class SlowAnswerTest(unittest.TestCase):
     timeout = 20
 
--- a/tests/ranges/fakes.py
+++ b/tests/ranges/fakes.py
@@ -97,13 +97,32 @@
 
 
 class MemoryRows:
-    """A row store in memory; ``lose_next_answer`` applies the next write but fails its answer."""
+    """A row store in memory; ``lose_next_answer`` applies the next write but fails its answer.
+
+    `come_back` restores the content of an earlier `copy` in a new era.
+    """
 
     def __init__(self) -> None:
         self.version = 0
         self.rows: dict[tuple[str, str], tuple[bytes, int]] = {}
         self.lose_next_answer = False
 
+    @property
+    def era(self):
+        return rows.era_of(self.version)
+
+    def copy(self):
+        return rows.number_of(self.version), dict(self.rows)
+
+    def come_back(self, copy):
+        era = ids.StoreEra(self.era + 1)
+        number, found = copy
+        self.version = rows.version_in(era, number)
+        self.rows = {
+            row_id: (value, rows.version_in(era, rows.number_of(version)))
+            for row_id, (value, version) in found.items()
+        }
+
     def scan(self, table):
         found = tuple(
             rows.Row(key=key, value=value, version=version)
