Close callers' connections in order, so that unread answers arrive

Cause: after the last answer the socket was closed while the caller could still send. Unread bytes at the close, or bytes that arrive later, reset the connection and discard what is left in the send buffer. Ruled out: the end of the process (the resets came seconds before it) and abandoned requests (those were not passed on).

Change: the sending side is closed first, input is discarded until the caller closes or falls silent, and the rest is closed when the send buffer is empty.

--- a/src/celerystack/requests/bounded_channel.py
+++ b/src/celerystack/requests/bounded_channel.py
@@ -30,8 +30,8 @@
     _requests_in_turn = 0
 
     @property
-    def is_rejected(self) -> bool:
-        """Whether a request of the connection was rejected, and no more are read."""
+    def is_input_closed(self) -> bool:
+        """Whether no more requests are read, because one was rejected or the connection closes."""
         raise NotImplementedError
 
     def count_input(self) -> None:
@@ -80,7 +80,7 @@
 
     def continue_requests(self) -> bool:
         """Parse further requests in a later turn; return False, because that is all."""
-        if self._awaits_parsing and not self.is_rejected and not self._is_lost:
+        if self._awaits_parsing and not self.is_input_closed and not self._is_lost:
             self.paused = self._awaits_parsing = False
             self.begin_turn()
             if not self._waitingForTransport:
@@ -124,13 +124,13 @@
 
     def _continue_body(self) -> bool:
         """Decode a further part in a later turn; return whether more can be decoded now."""
-        if isinstance(self._transferDecoder, chunked.Decoder) and not self.is_rejected:
+        if isinstance(self._transferDecoder, chunked.Decoder) and not self.is_input_closed:
             self.resetTimeout()
             has_more = self._decode_body()
             self.count_input()
             if has_more:
                 return True
-            if not self.is_rejected and not self._waitingForTransport:
+            if not self.is_input_closed and not self._waitingForTransport:
                 self._networkProducer.resumeProducing()
         self._awaits_turn = False
         return False
--- a/src/celerystack/requests/caller_request.py
+++ b/src/celerystack/requests/caller_request.py
@@ -26,7 +26,7 @@
         super().__init__(channel)
         self.factory = channel.factory
         self.received_at = channel.received_at
-        self._closes_connection = False
+        self._closes_connection = self._is_last_of_caller = False
         self._abandoned = False
         self.header_bytes = 0
         self._is_complete = False
@@ -53,7 +53,7 @@
 
     def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:  # noqa: N802
         """Pass on the complete request; query and form data are not parsed."""
-        if self.channel.is_rejected:
+        if self.channel.is_input_closed:
             return
         self._is_complete = True
         self.body_intake.complete()
@@ -91,9 +91,14 @@
         """Whether the connection is closed after the response."""
         return self._closes_connection
 
+    @property
+    def is_last_of_caller(self) -> bool:
+        """Whether the caller has announced that it sends no request after this one."""
+        return self._is_last_of_caller
+
     def note_last(self) -> None:
         """Record that the caller sends no request after this one."""
-        self._closes_connection = True
+        self._closes_connection = self._is_last_of_caller = True
 
     def close_after_answer(self) -> None:
         """Close the connection after this response and add ``Connection: close`` to it."""
--- a/src/celerystack/requests/callerhttp.py
+++ b/src/celerystack/requests/callerhttp.py
@@ -18,6 +18,7 @@
     caller_limits,
     caller_request,
     connection_checks,
+    lingering,
     pipeline,
     rejection,
     transports,
@@ -58,7 +59,7 @@
     requestFactory = CallerRequest  # noqa: N815
     factory: CallerFactory
     _rejection: rejection.Rejection | None = None
-    _linger: rejection.Linger | None = None
+    _linger: lingering.Linger | None = None
     _head_until: float | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -109,9 +110,9 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Record when the bytes were received, from which the deadlines of requests count."""
         self.received_at = self.factory.now()
-        if self._rejection is not None:
-            if self._linger is not None and not self.factory.draining:
-                self._linger.extend()
+        if self._linger is not None:
+            self._linger.extend()
+        if self.is_input_closed:
             return
         super().dataReceived(data)
         self._note_head()
@@ -131,9 +132,9 @@
         return self._receivedHeaderSize
 
     @property
-    def is_rejected(self) -> bool:
-        """Whether a request of the connection was rejected, and no more are read."""
-        return self._rejection is not None
+    def is_input_closed(self) -> bool:
+        """Whether no more requests are read, because one was rejected or the connection closes."""
+        return self._rejection is not None or self._linger is not None
 
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
         """Read on while earlier requests are not answered, as far as the pipeline permits."""
@@ -165,7 +166,7 @@
             self.factory.checks.make_room_for_input()
 
     def _may_read_on(self) -> bool:
-        if not self.persistent or self._rejection is not None:
+        if not self.persistent or self.is_input_closed:
             return False
         if not self._pipeline:
             return True
@@ -186,7 +187,7 @@
 
     def is_idle(self) -> bool:
         """Return whether no request is being received, answered or about to be read."""
-        if self.requests or self._buffer or self._dataBuffer:
+        if self.requests or self._buffer or self._dataBuffer or self._linger is not None:
             return False
         return self._has_waited_for_first_request() and not transports.has_unread_bytes(
             self.transport
@@ -290,7 +291,7 @@
         if now - self.unread_since > self.factory.limits.idle_s:
             reason = "the caller does not read its responses"
             self.abort_excessive(caller_limits.Limit.UNREAD_RESPONSES, reason)
-        if self._rejection is not None:
+        if self.is_input_closed:
             return
         if self._head_until is not None and now >= self._head_until:
             self.reject(_LATE_HEAD)
@@ -307,7 +308,10 @@
         self.requests.remove(request)
         if request.closes_connection:
             self._abandon_requests()
-            self.loseConnection()
+            if request.is_last_of_caller:
+                self.loseConnection()
+            else:
+                self.close_orderly(quiet_s=lingering.ANSWERED_QUIET_S)
             return
         held = self._pipeline.first_held()
         if held is not None:
@@ -341,7 +345,7 @@
 
     def reject(self, rejected: rejection.Rejection) -> None:
         """Reject a request that cannot be read, once those before it are answered."""
-        if self._rejection is not None:
+        if self.is_input_closed:
             return
         self._rejection = rejected
         self.factory.exceeded.note(rejected.limit, rejected.reason.decode())
@@ -351,8 +355,9 @@
             self._send_rejection()
 
     def _discard_input(self) -> None:
-        """Discard what has arrived of the rejected request and behind it."""
+        """Discard what has arrived of an incomplete request and behind it."""
         self._buffer = b""
+        self._dataBuffer, self._unparsed_since = [], []
         self.stop_decoding()
         if self.requests:
             self.requests[-1].discard_incomplete()
@@ -360,15 +365,36 @@
     def _send_rejection(self) -> None:
         """Send the rejection, and close the connection when the caller has stopped sending."""
         self.transport.write(self._rejection.encode())
+        self.close_orderly(quiet_s=lingering.REJECTED_QUIET_S)
+
+    def close_orderly(self, *, quiet_s: float) -> None:
+        """Send no more, and close the connection when the caller has closed it or sends no more.
+
+        ``quiet_s`` is the time in seconds without further bytes that shows this; see `lingering`.
+        """
+        if self._linger is not None:
+            return
+        self.paused = True
+        self._discard_input()
         self.persistent = False
         self.setTimeout(None)
         self._networkProducer.resumeProducing()
         self._networkProducer.unregisterProducer()
         self.transport.loseWriteConnection()
-        self._linger = rejection.Linger(
-            self.callLater, self.transport.abortConnection, now=self.factory.now
+        self._linger = lingering.Linger(
+            self.callLater,
+            close=self.transport.loseConnection,
+            unsent_bytes=lambda: transports.unacknowledged_bytes(self.transport),
+            quiet_s=quiet_s,
+            reading_max_s=max(quiet_s, lingering.REJECTED_MAX_S),
+            stall_s=self.factory.limits.idle_s,
+            now=self.factory.now,
         )
 
+    def timeoutConnection(self) -> None:  # noqa: N802
+        """Close a connection that has been idle for too long."""
+        self.close_orderly(quiet_s=lingering.REJECTED_QUIET_S)
+
     def checkPersistence(self, request: CallerRequest, version: bytes) -> bool:  # noqa: N802
         """Return whether the connection stays open after this request.
 
@@ -491,7 +517,7 @@
         """Close connections on which no request is being received or answered."""
         for channel in list(self.channels):
             if channel.is_idle():
-                channel.loseConnection()
+                channel.close_orderly(quiet_s=lingering.REJECTED_QUIET_S)
 
     def drained(self) -> defer.Deferred[None]:
         """Return a Deferred that fires when no request is being received or answered."""
--- a/src/celerystack/requests/transports.py
+++ b/src/celerystack/requests/transports.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import fcntl
 import socket
+import struct
+import termios
 from typing import Any
 
 from twisted.internet import tcp
@@ -46,6 +49,24 @@
     return held - transport.offset if held else 0
 
 
+def unacknowledged_bytes(transport: Any) -> int:
+    """Return the number of bytes that the peer of a TCP transport has not acknowledged yet.
+
+    Where the system does not tell what its send buffer holds, only the transport's own count.
+    """
+    if not isinstance(transport, tcp.Connection) or not transport.connected:
+        return 0
+    return unsent_bytes(transport) + _bytes_in_send_buffer(transport)
+
+
+def _bytes_in_send_buffer(transport: tcp.Connection) -> int:
+    try:
+        found = fcntl.ioctl(transport.getHandle(), termios.TIOCOUTQ, struct.pack("i", 0))
+    except OSError:
+        return 0
+    return max(0, struct.unpack("i", found)[0])
+
+
 def discard_unsent(transport: Any) -> None:
     """Free the buffers of a closed TCP transport, which keeps them as long as it exists."""
     if isinstance(transport, tcp.Connection):
