Take entries of unconfigured services for no evidence about servers

Cause: Directory took the entry for a later start at the address, so has_ended was true of the live server, and the planner dropped it from the possible holders. Ruled out: the adapter (the entry is well-formed, so it decodes) and the release order (none was sent). Found by reading on the path by id: such an entry in a live server's row replaced it and made its own later entries count as old.

Change: the directory knows the services that configurations have named. Entries of others are kept, but prove no end and replace no server; a later configuration that names the service makes them count.

--- a/src/celerystack/fleet/servers.py
+++ b/src/celerystack/fleet/servers.py
@@ -119,11 +119,18 @@
 
 
 class Directory:
-    """All known servers, according to their entries."""
+    """All known servers, according to their entries.
+
+    Another writer may have written an entry of a service that no configuration names. Such an entry
+    is kept, because a later configuration may name the service, but proves nothing about other
+    servers and does not replace the entry of a server of a configured service.
+    """
 
     def __init__(self) -> None:
         self.by_id: dict[ids.ServerId, ServerRecord] = {}
         self.version = 0
+        self._configured_services: frozenset[ids.ServiceName] | None = None
+        self._ignored_service_by_id: dict[ids.ServerId, ids.ServiceName] = {}
         self._newest_incarnation_by_address: dict[str, model.ServerIncarnation] = {}
         self._read_at: float | None = None
         self._entries_read_at = float("-inf")
@@ -141,6 +148,31 @@
         self._evacuated_zones: frozenset[ids.ZoneName] = frozenset()
         self._closed_zones: frozenset[ids.ZoneName] = frozenset()
 
+    def add_services(self, services: Iterable[ids.ServiceName]) -> None:
+        """Record that a configuration names these services; earlier ones stay known.
+
+        Until the first call, all services count as configured.
+        """
+        known = self._configured_services or frozenset()
+        configured = known.union(services)
+        if configured == self._configured_services:
+            return
+        self._configured_services = configured
+        self._newest_incarnation_by_address.clear()
+        for record in self.by_id.values():
+            if self._is_configured(record.entry):
+                self._note_address(record.entry)
+        self.version += 1
+
+    def _is_configured(self, entry: ServerEntry) -> bool:
+        services = self._configured_services
+        return services is None or entry.service in services
+
+    def _note_address(self, entry: ServerEntry) -> None:
+        newest = self._newest_incarnation_by_address.get(entry.address)
+        if newest is None or entry.started_ms > newest.started_ms:
+            self._newest_incarnation_by_address[entry.address] = entry.incarnation
+
     def apply_changes(
         self, entries: Iterable[ServerEntry], removed: Iterable[ids.ServerId], now: float
     ) -> None:
@@ -223,7 +255,7 @@
         or if another server answered at its address.
         """
         record = self.by_id.get(incarnation.server)
-        if record is None:
+        if record is None or not self._is_configured(record.entry):
             return False
         if record.entry.started_ms > incarnation.started_ms:
             return True
@@ -242,7 +274,9 @@
         It may be at work although its entry is missing.
         """
         record = self.by_id.get(incarnation.server)
-        if record is None or record.entry.started_ms <= incarnation.started_ms:
+        if record is None or not self._is_configured(record.entry):
+            return None
+        if record.entry.started_ms <= incarnation.started_ms:
             return None
         later = record.entry.incarnation
         return None if self.has_ended(later) else later
@@ -328,6 +362,17 @@
             self._grace_ends_at = now + RETURN_GRACE_S
         self._read_at = now
 
+    def _note_ignored(self, entry: ServerEntry) -> None:
+        """Log once that the entry of another writer stands in the place of a server's own."""
+        if self._ignored_service_by_id.get(entry.server) == entry.service:
+            return
+        self._ignored_service_by_id[entry.server] = entry.service
+        _log.warning(
+            "ignored an entry of the service %s, which no configuration names",
+            entry.service,
+            extra={"step": "servers", "peer": entry.server},
+        )
+
     def note_store_restored(self, now: float) -> None:
         """Record that the store came back from an earlier copy.
 
@@ -339,15 +384,19 @@
 
     def _update(self, entry: ServerEntry, now: float) -> None:
         record = self.by_id.get(entry.server)
+        if record is not None and self._is_configured(record.entry) != self._is_configured(entry):
+            if self._is_configured(record.entry):
+                self._note_ignored(entry)
+                return
+            record = None
         if record is not None and entry.started_ms < record.entry.started_ms:
             _log.info(
                 "ignored the entry of an earlier incarnation of the server",
                 extra={"step": "servers", "peer": entry.server},
             )
             return
-        newest = self._newest_incarnation_by_address.get(entry.address)
-        if newest is None or entry.started_ms > newest.started_ms:
-            self._newest_incarnation_by_address[entry.address] = entry.incarnation
+        if self._is_configured(entry):
+            self._note_address(entry)
         if record is None or record.entry.incarnation != entry.incarnation:
             self._record_change("server appeared", entry)
             self.by_id[entry.server] = ServerRecord(
@@ -404,6 +453,7 @@
 
     def _forget(self, server: ids.ServerId) -> None:
         entry = self.by_id.pop(server).entry
+        self._ignored_service_by_id.pop(server, None)
         if self._newest_incarnation_by_address.get(entry.address) == entry.incarnation:
             del self._newest_incarnation_by_address[entry.address]
 
--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -262,6 +262,7 @@
 
     def _apply(self, routing: config.RoutingConfig) -> None:
         self._config = routing
+        self.directory.add_services(routing.services_by_name)
         self.account.set_limits(self.settings.account_limits(routing.limits.body_bytes_max))
         self.request_path.apply(routing.services_by_name)
         self.frontend.apply(routing)
--- a/tests/fleet/test_servers.py
+++ b/tests/fleet/test_servers.py
@@ -126,6 +126,51 @@
         self.directory.apply_changes([fakes.entry("c", 9, address=address)], [], 11.0)
         self.assertTrue(self.directory.has_ended(fakes.incarnation("a")))
 
+    def test_entry_of_no_configured_service_proves_nothing_at_an_address(self):
+        """Guards against a live server that counts as ended, so that its keys get a second owner,
+        because another writer's entry names its address (review case 7)."""
+        self.directory.add_services([fakes.SERVICE])
+        address = self.directory.by_id["a"].entry.address
+        foreign = fakes.entry("exporter", 2, address=address, service="metrics")
+        self.directory.apply_changes([foreign], [], 10.5)
+        self.assertFalse(self.directory.has_ended(fakes.incarnation("a")))
+        self.directory.add_services(["metrics"])
+        self.assertTrue(self.directory.has_ended(fakes.incarnation("a")))
+
+    def test_entry_that_was_read_before_the_configuration_proves_nothing(self):
+        """Guards against the same entry at the start of an entry VM."""
+        address = self.directory.by_id["a"].entry.address
+        foreign = fakes.entry("exporter", 2, address=address, service="metrics")
+        self.directory.apply_changes([foreign], [], 10.5)
+        self.directory.add_services([fakes.SERVICE])
+        self.assertFalse(self.directory.has_ended(fakes.incarnation("a")))
+
+    def test_entry_of_no_configured_service_replaces_no_server(self):
+        """Guards against a server that counts as ended, and whose own later entries are ignored,
+        because another writer wrote under its id."""
+        self.directory.add_services([fakes.SERVICE])
+        self.directory.apply_all([fakes.entry("a", 2, service="metrics"), fakes.entry("b")], 10.5)
+        self.assertEqual(["a", "b"], self.usable())
+        self.assertFalse(self.directory.has_ended(fakes.incarnation("a")))
+
+    def test_own_entry_replaces_that_of_another_writer(self):
+        """Guards against a server that is never used because another writer's entry, which was
+        read before the configuration, names a later start."""
+        self.directory.apply_changes([fakes.entry("c", 9, service="metrics")], [], 10.2)
+        self.directory.add_services([fakes.SERVICE])
+        self.assertFalse(self.directory.has_ended(fakes.incarnation("c")))
+        self.assertIsNone(self.directory.successor(fakes.incarnation("c")))
+        self.directory.apply_changes([fakes.entry("c")], [], 10.5)
+        self.assertEqual(["a", "b", "c"], self.usable())
+
+    def test_server_of_a_service_that_is_no_longer_configured_stays_known(self):
+        """Guards against proof of an end that is lost with a service's configuration."""
+        self.directory.add_services([fakes.SERVICE])
+        self.directory.add_services(["other"])
+        address = self.directory.by_id["a"].entry.address
+        self.directory.apply_changes([fakes.entry("c", 2, address=address)], [], 10.5)
+        self.assertTrue(self.directory.has_ended(fakes.incarnation("a")))
+
     def test_missing_entry_proves_nothing(self):
         """Guards against a second owner while a server without access to the store still serves."""
         self.directory.apply_changes([], ["a"], 10.5)
