Recover range maps after a return of the store from an earlier copy

Without the kill no key could be moved any more: a server that drained left its keys without an owner.

Cause: the planner took next_token, and the holders, from the map of the copy; one that lived on kept a map whose version the store did not have, so each write conflicted. Ruled out: late grants (the tokens came from the new planner's own commits) and two planners at a time (the old process was dead).

Change: rows of maps name their era. A planner that finds an older map recovers it: tokens above all lost ones, first reserved in the store; releases at every server of what the newest known map does not give it; silent servers are waited for until all leases by lost maps have ended; then one new token for all keys. Terms contain the era, and entry VMs register again. This works because a server that has answered a release accepts no older grant, whoever sends it.

--- a/src/celerystack/fleet/nodes.py
+++ b/src/celerystack/fleet/nodes.py
@@ -33,11 +33,17 @@
     version: ids.RowVersion = dataclasses.field(default=ids.RowVersion(0), compare=False)
 
 
-async def register(store: rows.RowStore, node: Node) -> None:
-    """Write the row of an entry VM, which is required before it grants any keys."""
+async def register(store: rows.RowStore, node: Node) -> ids.RowVersion:
+    """Write the row of an entry VM, which is required before it grants any keys.
+
+    Returns
+    -------
+    RowVersion
+        Version of the row.
+    """
     value = msgpack.packb([node.zone, *node.address])
     put = rows.Put(table=NODES_TABLE, key=ids.RowKey(node.vm), value=value)
-    await store.transact((), [put], ())
+    return await store.transact((), [put], ())
 
 
 async def read_all(store: rows.RowStore) -> dict[ids.EntryVmId, Node]:
--- a/src/celerystack/ranges/codec.py
+++ b/src/celerystack/ranges/codec.py
@@ -15,6 +15,10 @@
 _PHASES = (model.Phase.OWNED, model.Phase.MOVING, model.Phase.RECOVERING)
 
 
+NO_ERA = ids.StoreEra(0)
+"""Era of a store that names none; rows without an era count as written in it."""
+
+
 def encode_segment(segment: model.Segment) -> list[Any]:
     """Return the msgpack fields of a segment."""
     owner = segment.owner
@@ -49,8 +53,8 @@
     return model.ServerIncarnation(ids.ServerId(str(server)), int(started_ms))
 
 
-def encode(ranges: model.RangeMap) -> bytes:
-    """Return the row value of a range map.
+def encode(ranges: model.RangeMap, era: ids.StoreEra = NO_ERA) -> bytes:
+    """Return the row value of a range map that is written in an era of the store.
 
     Each incarnation is written once and referred to by its index, which keeps the row small.
     """
@@ -74,7 +78,8 @@
     incarnations = [
         [incarnation.server, incarnation.started_ms] for incarnation in index_by_incarnation
     ]
-    return msgpack.packb([ranges.next_token, incarnations, segments])
+    fields = [ranges.next_token, incarnations, segments]
+    return msgpack.packb(fields if era == NO_ERA else [*fields, era])
 
 
 def _decode_row_segment(
@@ -101,7 +106,7 @@
         The row cannot be decoded, or its segments do not cover all keys exactly once, in order.
     """
     try:
-        next_token, incarnation_fields, segment_fields = msgpack.unpackb(data)
+        next_token, incarnation_fields, segment_fields, *_ = msgpack.unpackb(data)
         incarnations = [decode_incarnation(fields) for fields in incarnation_fields]
         ranges = model.RangeMap(
             service=service,
@@ -126,3 +131,20 @@
             "the segments do not cover all keys exactly once", step="ranges.decode", peer=service
         )
     return ranges
+
+
+def decode_era(service: ids.ServiceName, data: bytes) -> ids.StoreEra:
+    """Return the era in which the range map of a row value was written.
+
+    Raises
+    ------
+    errors.CorruptRowError
+        The row cannot be decoded.
+    """
+    try:
+        fields = msgpack.unpackb(data)
+        return ids.StoreEra(int(fields[3])) if len(fields) > 3 else NO_ERA
+    except Exception as error:
+        raise errors.CorruptRowError(
+            f"malformed range map: {error!r}", step="ranges.decode", peer=service
+        ) from error
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -6,7 +6,7 @@
 import functools
 import logging
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import Any
 
 from twisted.internet import defer, protocol
@@ -215,7 +215,7 @@
         self._pending_incarnations: tuple[model.ServerIncarnation, ...] = ()
         self._keys_by_service: dict[ids.ServiceName, list[int]] = {}
         self._service_time_by_server: dict[ids.ServerId, tuple[int, float]] = {}
-        self._registered = False
+        self._registered_at_version = directory_sync.UNKNOWN
         self._entry_vm_count = ENTRY_VMS_ASSUMED
         self._busy = False
         self._next_plan_at = 0.0
@@ -326,12 +326,13 @@
 
     async def _work(self) -> None:
         try:
-            if not self._registered:
+            if self._registered_at_version == directory_sync.UNKNOWN:
                 registered_at = self._now()
-                await nodes.register(self._store, self._node)
-                self._registered = True
+                await self._register()
                 await self._reacquire_own_leadership()
                 await self._begin_following(registered_at)
+            elif self._may_have_lost_registration():
+                await self._register()
             elif self.leadership.held:
                 await self._lead()
             else:
@@ -350,14 +351,25 @@
         self._reactor.callLater(seconds, done.callback, None)
         return done
 
+    async def _register(self) -> None:
+        self._registered_at_version = await nodes.register(self._store, self._node)
+
+    def _may_have_lost_registration(self) -> bool:
+        """Return whether the store came back from an earlier copy since this VM registered."""
+        known_era = max(rows.era_of(self._updates.position), self.leadership.era)
+        return known_era > rows.era_of(self._registered_at_version)
+
     async def _reacquire_own_leadership(self) -> None:
         """Become planner at start if an earlier process of this VM was, or if there is none.
 
-        A small VM leaves both to larger VMs, and does not read the leader's row.
+        A small VM leaves both to larger VMs, and does not read the leader's row. After a return of
+        the store from an earlier copy, a VM that knows newer maps should become planner.
         """
         if self._is_small:
             return
         leader = await self.leadership.read()
+        if leader.is_of_earlier_era:
+            return
         if leader.vm in ("", self._node.vm) and await self.leadership.acquire(leader):
             await self._begin_term()
 
@@ -394,14 +406,15 @@
         if now - self._nodes_read_at >= NODES_READ_S:
             await self._read_nodes()
         await self.planner.tick()
-        self.range_maps.confirm(self.range_maps.versions(), self.leadership.confirmed_at)
+        versions = self.range_maps.versions_in(self.leadership.era)
+        self.range_maps.confirm(versions, self.leadership.confirmed_at)
 
     async def _read_nodes(self) -> None:
         started = self._now()
         by_vm = await nodes.read_all(self._store)
         self._nodes_read_at = self._now()
         if self._node.vm not in by_vm:
-            await nodes.register(self._store, self._node)
+            await self._register()
             by_vm[self._node.vm] = self._node
         self._map_distributor.update_nodes(by_vm)
         self.planner.update_vms(by_vm, started)
@@ -432,21 +445,25 @@
         """
         started = self._now()
         if started - self._confirmed_at >= leases.REGISTRATION_VALID_S:
-            await nodes.register(self._store, self._node)
+            await self._register()
         self._adopt_all(await self._read_stored_maps(started))
 
     async def _read_stored_maps(self, registered_at: float) -> list[range_maps.KnownMap]:
-        """Read the range maps; none if the registration of this VM may be too old by now."""
+        """Read the range maps; none if the registration of this VM may be too old by now.
+
+        Maps from before the store came back from an earlier copy are left out.
+        """
         if self._now() - registered_at > leases.REGISTER_TO_READ_S:
             return []
         confirmed_at = leases.confirmation_by_read(self._now())
         answer = await self._store.scan(leadership.RANGES_TABLE)
+        era = rows.era_of(answer.version)
+        if era != rows.era_of(self._registered_at_version):
+            return []
         return [
-            range_maps.KnownMap(
-                codec.decode(ids.ServiceName(row.key), row.value), row.version, confirmed_at
-            )
-            for row in answer.rows
-            if row.value is not None
+            range_maps.KnownMap(codec.decode(service, value), version, confirmed_at)
+            for service, value, version in _values(answer)
+            if codec.decode_era(service, value) == era
         ]
 
     def _adopt_all(self, stored: list[range_maps.KnownMap]) -> None:
@@ -454,7 +471,7 @@
             self.range_maps.adopt(known.ranges, known.version, known.confirmed_at)
 
     def _send_heartbeats(self, now: float) -> None:
-        versions = self.range_maps.versions()
+        versions = self.range_maps.versions_in(self.leadership.era)
         vms_by_zone = self._map_distributor.live_by_zone(now)
         pending = self.planner.pending_incarnations()
         admitted = self.planner.admitted_fraction_by_server()
@@ -655,6 +672,13 @@
         return float("-inf") if known is None else known.confirmed_at
 
 
+def _values(answer: rows.Rows) -> Iterator[tuple[ids.ServiceName, bytes, ids.RowVersion]]:
+    """Yield service, value and version of the rows of range maps."""
+    for row in answer.rows:
+        if row.value is not None:
+            yield ids.ServiceName(row.key), row.value, row.version
+
+
 def _send_config(
     sender: paced_sender.PacedSender, address: tuple[str, int], datagrams: Sequence[bytes]
 ) -> None:
--- a/src/celerystack/ranges/leadership.py
+++ b/src/celerystack/ranges/leadership.py
@@ -28,16 +28,36 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Leader:
-    """Content of the leader's row: the entry VM, its process and its term."""
+    """Content of the leader's row: the entry VM, its process and its term.
+
+    Attributes
+    ----------
+    era : StoreEra
+        Era of the store in which the row was read.
+    """
 
     vm: ids.EntryVmId
     vm_incarnation: int
     term: int
     version: ids.RowVersion
+    era: ids.StoreEra = ids.StoreEra(0)
+
+    @property
+    def is_of_earlier_era(self) -> bool:
+        """Whether nobody has become leader since the store came back from an earlier copy."""
+        return self.version != rows.ABSENT and self.term < _first_term(self.era)
 
 
 NO_LEADER = Leader(vm=ids.EntryVmId(""), vm_incarnation=0, term=0, version=rows.ABSENT)
 """Stands for the leader if the row is absent, or with its version if it cannot be decoded."""
+ERA_TERM_BITS = 32
+"""Number of low bits of a term that count the terms of one era of the store; the era is above them.
+Terms of a later era are therefore higher than those that were lost with the rows of an earlier one.
+"""
+
+
+def _first_term(era: ids.StoreEra) -> int:
+    return (era << ERA_TERM_BITS) + 1
 
 
 class Leadership:
@@ -72,6 +92,11 @@
         """Whether this VM is the planner, as far as it knows."""
         return self.term > 0
 
+    @property
+    def era(self) -> ids.StoreEra:
+        """Era of the store in which this VM last wrote the leader's row."""
+        return rows.era_of(self._version)
+
     def step_down(self, reason: str) -> None:
         """Stop being the planner."""
         if self.held:
@@ -84,14 +109,15 @@
         After a release ``vm`` is empty, and ``term`` and ``version`` are those of the row.
         """
         answer = await self._store.scan(LEADER_TABLE)
+        era = rows.era_of(answer.version)
         for row in answer.rows:
             if row.key == LEADER_KEY and row.value is not None:
-                return _leader(row)
-        return NO_LEADER
+                return dataclasses.replace(_leader(row), era=era)
+        return dataclasses.replace(NO_LEADER, era=era)
 
     async def acquire(self, leader: Leader) -> bool:
         """Become leader after ``leader``; return False if the row has changed since it was read."""
-        term = leader.term + 1
+        term = max(leader.term + 1, _first_term(leader.era))
         started = self._now()
         try:
             version = await self._transact(leader.version, term, ())
@@ -112,15 +138,25 @@
         self._version = await self._step_down_on_error(self._transact(self._version, self.term, ()))
         self.confirmed_at = started
 
-    async def commit(self, ranges: model.RangeMap, version: ids.RowVersion) -> ids.RowVersion:
-        """Write a range map in place of the one at ``version``; return the new version."""
+    async def commit(
+        self,
+        ranges: model.RangeMap,
+        version: ids.RowVersion,
+        *,
+        written_in: ids.StoreEra | None = None,
+    ) -> ids.RowVersion:
+        """Write a range map in place of the one at ``version``; return the new version.
+
+        ``written_in`` is the era to which the map belongs, by default the present one.
+        """
+        era = self.era if written_in is None else written_in
         started = self._now()
         row_key = ids.RowKey(ranges.service)
         conditions = [
             rows.Condition(table=LEADER_TABLE, key=LEADER_KEY, version=self._version),
             rows.Condition(table=RANGES_TABLE, key=row_key, version=version),
         ]
-        put = rows.Put(table=RANGES_TABLE, key=row_key, value=codec.encode(ranges))
+        put = rows.Put(table=RANGES_TABLE, key=row_key, value=codec.encode(ranges, era))
         written = await self._step_down_on_error(self._store.transact(conditions, [put], ()))
         self.confirmed_at = started
         return written
--- a/src/celerystack/ranges/lease_reports.py
+++ b/src/celerystack/ranges/lease_reports.py
@@ -61,6 +61,7 @@
         self._heard_at_by_vm: dict[ids.EntryVmId, float] = {}
         self._term_began_at = float("inf")
         self._vms_read_at = float("-inf")
+        self._unlisted_until = float("-inf")
         self._report_by_key: dict[
             tuple[ids.EntryVmId, model.ServerIncarnation, ids.ServiceName], LeaseReport
         ] = {}
@@ -75,6 +76,13 @@
         self._row_by_vm.clear()
         self._vms_in_removal.clear()
 
+    def note_lost_registrations(self, now: float) -> None:
+        """Record that rows of entry VMs may be lost, because the store came back from a copy.
+
+        A VM that is missing from the list may use a map of before until its confirmation expires.
+        """
+        self._unlisted_until = now + leases.MAP_VALID_S
+
     def note_heard(self, vm: ids.EntryVmId, zone: ids.ZoneName, now: float) -> None:
         """Record that a report of an entry VM arrived."""
         self._zone_by_vm[vm] = zone
@@ -188,7 +196,7 @@
         committed_at : float
             Clock time in seconds at which that map was certainly committed.
         """
-        latest = 0.0
+        latest = self._unlisted_until
         bound = committed_at + leases.MAP_VALID_S
         if self._vms_read_at < committed_at:
             return bound
--- a/src/celerystack/ranges/model.py
+++ b/src/celerystack/ranges/model.py
@@ -11,6 +11,9 @@
 
 KEY_MAX = 65_535
 """Largest key; keys are integers from 0."""
+LOST_TOKENS_MAX = 1 << 24
+"""More tokens than a service gives out in the time that the store loses when it comes back from an
+earlier copy."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
@@ -114,12 +117,22 @@
         return found
 
 
-def unassigned(service: ids.ServiceName) -> RangeMap:
-    """Return the initial map of a service: one segment without an owner."""
+def token_after_eras(token: ids.Token, eras: int) -> ids.Token:
+    """Return a token above all that were given out after ``token``.
+
+    ``eras`` is how often the store has come back from an earlier copy since; each time the tokens
+    of a few seconds were lost.
+    """
+    return ids.Token(token + eras * LOST_TOKENS_MAX)
+
+
+def unassigned(service: ids.ServiceName, era: ids.StoreEra) -> RangeMap:
+    """Return the initial map of a service in an era: one segment without an owner."""
+    first = token_after_eras(ids.Token(1), era)
     return RangeMap(
         service=service,
-        next_token=ids.Token(2),
-        segments=(Segment(start=0, end=KEY_MAX, token=ids.Token(1), owner=None),),
+        next_token=ids.Token(first + 1),
+        segments=(Segment(start=0, end=KEY_MAX, token=first, owner=None),),
     )
 
 
--- a/src/celerystack/ranges/planner.py
+++ b/src/celerystack/ranges/planner.py
@@ -19,6 +19,7 @@
     leadership,
     lease_reports,
     leases,
+    map_recovery,
     model,
     orders,
     plan,
@@ -147,20 +148,27 @@
         self._nodes_read_at = 0.0
         self._term_began_at = 0.0
         self._maps_loaded = False
+        self._recovery_by_service: dict[ids.ServiceName, map_recovery.MapRecovery] = {}
 
     async def tick(self) -> None:
         """Renew the leadership if due, and update the range map of every service."""
         if not self._maps_loaded:
             await self._load_maps()
+        if not self.leadership.held:
+            return
         if self._now() - self.leadership.confirmed_at >= CONFIRM_S:
             await self.leadership.renew()
         await self._refresh_nodes()
         for service in self._sharded_services():
-            await self._update_map(service)
+            if service in self._recovery_by_service:
+                await self._continue_recovery(service)
+            else:
+                await self._update_map(service)
 
     def begin_term(self) -> None:
         """Start a term without maps, releases and commits of an earlier one; they may be stale."""
         self._maps_loaded = False
+        self._recovery_by_service.clear()
         self._releases.clear()
         self._commit_by_token.clear()
         self._term_began_at = self._now()
@@ -228,16 +236,69 @@
         return admitted
 
     async def _load_maps(self) -> None:
-        """Read all range maps; from then on only this VM changes them."""
+        """Read all range maps; from then on only this VM changes them.
+
+        A map that is older than the store's return from an earlier copy has to be recovered.
+        """
         confirmed_at = leases.confirmation_by_read(self._now())
         answer = await self._store.scan(leadership.RANGES_TABLE)
-        for row in answer.rows:
-            if row.value is None:
-                continue
-            service = ids.ServiceName(row.key)
-            self._range_maps.adopt(codec.decode(service, row.value), row.version, confirmed_at)
+        if rows.era_of(answer.version) != self.leadership.era:
+            self.leadership.step_down("the store came back from an earlier copy")
+            return
+        stored = {ids.ServiceName(row.key): row for row in answer.rows if row.value is not None}
+        for service in sorted(stored.keys() | self._range_maps.by_service.keys()):
+            row = stored.get(service)
+            era = self.leadership.era
+            if row is not None and codec.decode_era(service, row.value) == era:
+                self._range_maps.adopt(codec.decode(service, row.value), row.version, confirmed_at)
+            else:
+                await self._begin_recovery(service, row)
         self._maps_loaded = True
 
+    async def _begin_recovery(self, service: ids.ServiceName, row: rows.Row | None) -> None:
+        """Reserve tokens for the recovery of a map, of which the store has an old row or none.
+
+        The tokens are reserved in the store, so that a planner that replaces this one uses higher
+        ones. The row keeps the era of the map until it is recovered.
+        """
+        found: list[map_recovery.Candidate] = []
+        known = self._range_maps.by_service.get(service)
+        if known is not None:
+            version = ids.RowVersion(known.version)
+            found.append(map_recovery.Candidate(known.ranges, version))
+        if row is not None:
+            era = codec.decode_era(service, row.value)
+            version = rows.version_in(era, rows.number_of(row.version))
+            found.append(map_recovery.Candidate(codec.decode(service, row.value), version))
+        newest = map_recovery.newest(found, self.leadership.era)
+        ranges = map_recovery.with_reserved_tokens(newest.ranges)
+        version = await self.leadership.commit(
+            ranges,
+            rows.ABSENT if row is None else row.version,
+            written_in=ids.StoreEra(min(newest.era, self.leadership.era - 1)),
+        )
+        self._lease_reports.note_lost_registrations(self._now())
+        _log.warning(
+            "the newest range map may be lost; releasing all keys that the known one of version %d "
+            "does not give their holders",
+            newest.version,
+            extra={"step": "planner.recover", "service": service, "token": ranges.next_token},
+        )
+        self._recovery_by_service[service] = map_recovery.MapRecovery(
+            ranges, version, directory=self._directory, port=self._port, now=self._now
+        )
+
+    async def _continue_recovery(self, service: ids.ServiceName) -> None:
+        recovery = self._recovery_by_service[service]
+        recovered = recovery.step()
+        if recovered is None:
+            return
+        before = range_maps.KnownMap(
+            model.unassigned(service, self.leadership.era), recovery.row_version, self._now()
+        )
+        await self._commit(recovered, before)
+        del self._recovery_by_service[service]
+
     async def _refresh_nodes(self) -> None:
         now = self._now()
         if now - self._nodes_read_at < NODES_REFRESH_S or not self._has_silent_pending():
@@ -276,7 +337,8 @@
         if known is None:
             if not self._are_servers_stable(service):
                 return
-            known = range_maps.KnownMap(model.unassigned(service), rows.ABSENT, self._now())
+            ranges = model.unassigned(service, self.leadership.era)
+            known = range_maps.KnownMap(ranges, rows.ABSENT, self._now())
         service_state = self._service_state(service)
         self._service_state_by_service[service] = service_state
         changed = plan.settle(known.ranges, self._handover_by_freed_segment(known))
--- a/src/celerystack/ranges/range_maps.py
+++ b/src/celerystack/ranges/range_maps.py
@@ -9,6 +9,7 @@
 from twisted.internet import defer
 
 from celerystack import ids
+from celerystack.fleet import rows
 from celerystack.ranges import model
 
 _log = logging.getLogger(__name__)
@@ -39,6 +40,14 @@
         """Return the row version of each service's map."""
         return {service: known.version for service, known in self.by_service.items()}
 
+    def versions_in(self, era: ids.StoreEra) -> dict[ids.ServiceName, int]:
+        """Return the row version of each service's map that was written in an era of the store."""
+        return {
+            service: version
+            for service, version in self.versions().items()
+            if rows.era_of(ids.RowVersion(version)) == era
+        }
+
     def find(self, service: ids.ServiceName, key: int) -> model.Segment | None:
         """Return the segment of a key; None if no map is known."""
         known = self.by_service.get(service)
--- a/tests/ranges/test_plan.py
+++ b/tests/ranges/test_plan.py
@@ -52,12 +52,14 @@
     def test_first_plan_gives_every_server_keys(self):
         """Guards against servers that get no keys at the first assignment."""
         found = candidates(a=16, b=16, c=16)
-        planned = plan.plan(model.unassigned(SERVICE), service_state(found))
+        planned = plan.plan(model.unassigned(SERVICE, ids.StoreEra(0)), service_state(found))
         self.assertEqual(set(found), {segment.owner for segment in planned.segments})
 
     def test_first_plan_has_no_pending_holders(self):
         """Guards against possible holders that cannot hold any keys."""
-        planned = plan.plan(model.unassigned(SERVICE), service_state(candidates(a=16, b=16)))
+        planned = plan.plan(
+            model.unassigned(SERVICE, ids.StoreEra(0)), service_state(candidates(a=16, b=16))
+        )
         self.assertTrue(all(segment.is_settled for segment in planned.segments))
 
     def test_keys_of_a_leaving_server_stay_pending_on_it(self):
--- a/tests/ranges/test_range_maps.py
+++ b/tests/ranges/test_range_maps.py
@@ -15,7 +15,7 @@
         self.maps = range_maps.RangeMaps()
 
     def adopt(self, version):
-        self.maps.adopt(model.unassigned(SERVICE), version, 0.0)
+        self.maps.adopt(model.unassigned(SERVICE, ids.StoreEra(0)), version, 0.0)
 
     def test_change_ends_all_waits(self):
         """Guards against calls that miss the change of their keys."""
--- a/tests/system/test_restored_store.py
+++ b/tests/system/test_restored_store.py
@@ -6,12 +6,13 @@
 from __future__ import annotations
 
 import pathlib
+import re
 import tempfile
 
 import pytest
 from twisted.trial import unittest
 
-from standins import layout, range_cluster, row_store, scripted_backend
+from standins import key_server, layout, range_cluster, row_store, scripted_backend
 
 pytestmark = pytest.mark.ranges
 
@@ -62,3 +63,78 @@
         await scripted_backend.sleep(CONFIG_APPLY_S)
         statuses = [(await cluster.request(vm, "/desk/a"))[0] for vm in cluster.processes]
         self.assertEqual([404] * 3, statuses)
+
+    def note_takeovers(self, cluster: range_cluster.RangeCluster) -> list[str]:
+        """Return a list to which keys are added that servers take with a token of another one."""
+        highest_by_server: dict[str, list[int]] = {}
+        repeated: list[str] = []
+
+        def on_grant(server, grant):
+            for name, highest in highest_by_server.items():
+                if (
+                    name != server.server
+                    and max(highest[grant.start : grant.end + 1]) >= grant.token
+                ):
+                    repeated.append(f"{server.server} takes {grant} that {name} had")
+            own = highest_by_server.setdefault(server.server, [0] * key_server.KEYS)
+            for key in range(grant.start, grant.end + 1):
+                own[key] = max(own[key], grant.token)
+
+        for server in cluster.servers.values():
+            server.on_grant = on_grant
+        return repeated
+
+    async def drain_one(self, cluster: range_cluster.RangeCluster) -> None:
+        """Let the server of a key drain, and wait until another server holds the key."""
+        _, _, owner = await cluster.request_until_served("vm-2", "/view/a", key=7)
+        leaving = cluster.servers[owner.decode()]
+        leaving.state = "draining"
+        others = [server for server in cluster.servers.values() if server is not leaving]
+        await scripted_backend.wait_until(
+            until=lambda: any(server.holds(7) for server in others), timeout_s=25
+        )
+
+    def planner(self, cluster: range_cluster.RangeCluster) -> str:
+        """Return the entry VM that became planner last."""
+        term_by_vm = {
+            vm: max(
+                map(int, re.findall(r"became planner .*term (\d+)", cluster.log(vm))), default=0
+            )
+            for vm in cluster.processes
+        }
+        return max(term_by_vm, key=term_by_vm.__getitem__)
+
+    async def play_returns(self, *, returns: int, kills: bool) -> None:
+        """Move keys, let the store lose the moves, and move keys again afterwards."""
+        cluster = await self.start_cluster(servers=2 + 2 * returns)
+        await cluster.request_until_served("vm-1", "/view/a", key=7)
+        repeated = self.note_takeovers(cluster)
+        # Grants are noted from here on, so every server has to be granted its keys once more.
+        await scripted_backend.sleep(2.0)
+        for _ in range(returns):
+            copy = cluster.store.copy()
+            await self.drain_one(cluster)
+            planner = self.planner(cluster)
+            if kills:
+                cluster.processes[planner].kill()
+                cluster.processes[planner].wait()
+            await self.restore(cluster, copy)
+            if kills:
+                cluster.start_vm(planner, cluster.ports[planner]["ip"])
+                await cluster.wait_ready(planner)
+            await self.drain_one(cluster)
+        self.assertEqual([], repeated)
+        status, _, _ = await cluster.request_until_served("vm-2", "/view/a", key=7)
+        self.assertEqual(200, status)
+
+    async def test_keys_move_again_under_new_tokens(self):
+        """Guards against keys that can never move again after the store's return."""
+        await self.play_returns(returns=1, kills=False)
+
+    async def test_keys_move_again_when_the_planner_was_lost(self):
+        """Guards against tokens that are given out a second time (review case 8)."""
+        await self.play_returns(returns=1, kills=True)
+
+    async def test_keys_move_again_after_two_returns(self):
+        """Guards against tokens that repeat, or keys that stay, after a second return."""
+        await self.play_returns(returns=2, kills=False)
