Play further returns of the store end to end

Adds plays of a second return, from before the first one and during the recovery, of the loss of all entry VMs, and of a server that restarts meanwhile; grants are checked for keys that another server still holds, too.

--- a/tests/system/test_restored_store.py
+++ b/tests/system/test_restored_store.py
@@ -8,6 +8,7 @@
 import pathlib
 import re
 import tempfile
+import time
 
 import pytest
 from twisted.trial import unittest
@@ -27,8 +28,17 @@
 """Longest time in which a configuration may take effect."""
 
 
+def holds_any(server: key_server.KeyServer, grant: key_server.Grant) -> bool:
+    """Return whether a server holds some of the keys of a grant now."""
+    now = time.monotonic()
+    return any(
+        held.start <= grant.end and grant.start <= held.end and held.expires_at > now
+        for held in server.grants
+    )
+
+
 class RestoredStoreTest(unittest.TestCase):
-    timeout = 90
+    timeout = 110
 
     async def start_cluster(self, *, servers: int = 3, vms: int = 3) -> range_cluster.RangeCluster:
         folder = tempfile.TemporaryDirectory()
@@ -64,25 +74,29 @@
         statuses = [(await cluster.request(vm, "/desk/a"))[0] for vm in cluster.processes]
         self.assertEqual([404] * 3, statuses)
 
-    def note_takeovers(self, cluster: range_cluster.RangeCluster) -> list[str]:
-        """Return a list to which keys are added that servers take with a token of another one."""
+    def note_faults(self, cluster: range_cluster.RangeCluster) -> list[str]:
+        """Return a list of the grants that break the ownership of keys, which grows from now on.
+
+        Such a grant has a token that is not above one with which another server had some of the
+        keys, or another server still holds some of them.
+        """
         highest_by_server: dict[str, list[int]] = {}
-        repeated: list[str] = []
+        faults: list[str] = []
 
         def on_grant(server, grant):
+            keys = slice(grant.start, grant.end + 1)
             for name, highest in highest_by_server.items():
-                if (
-                    name != server.server
-                    and max(highest[grant.start : grant.end + 1]) >= grant.token
-                ):
-                    repeated.append(f"{server.server} takes {grant} that {name} had")
+                if name != server.server and max(highest[keys]) >= grant.token:
+                    faults.append(f"{server.server} takes {grant} with a token of {name}")
+            for other in cluster.servers.values():
+                if other is not server and holds_any(other, grant):
+                    faults.append(f"{server.server} takes {grant} that {other.server} holds")
             own = highest_by_server.setdefault(server.server, [0] * key_server.KEYS)
-            for key in range(grant.start, grant.end + 1):
-                own[key] = max(own[key], grant.token)
+            own[keys] = [max(token, grant.token) for token in own[keys]]
 
         for server in cluster.servers.values():
             server.on_grant = on_grant
-        return repeated
+        return faults
 
     async def drain_one(self, cluster: range_cluster.RangeCluster) -> None:
         """Let the server of a key drain, and wait until another server holds the key."""
@@ -104,28 +118,48 @@
         }
         return max(term_by_vm, key=term_by_vm.__getitem__)
 
-    async def play_returns(self, *, returns: int, kills: bool) -> None:
-        """Move keys, let the store lose the moves, and move keys again afterwards."""
-        cluster = await self.start_cluster(servers=2 + 2 * returns)
+    async def begin(self, *, servers: int) -> tuple[range_cluster.RangeCluster, list[str]]:
+        """Start a cluster whose servers have keys; return it and the list of its faults."""
+        cluster = await self.start_cluster(servers=servers)
         await cluster.request_until_served("vm-1", "/view/a", key=7)
-        repeated = self.note_takeovers(cluster)
+        faults = self.note_faults(cluster)
         # Grants are noted from here on, so every server has to be granted its keys once more.
         await scripted_backend.sleep(2.0)
-        for _ in range(returns):
+        return cluster, faults
+
+    async def restart(self, cluster: range_cluster.RangeCluster, *vms: str) -> None:
+        for vm in vms:
+            cluster.start_vm(vm, cluster.ports[vm]["ip"])
+        await cluster.wait_ready(*vms, timeout_s=25)
+
+    def kill(self, cluster: range_cluster.RangeCluster, *vms: str) -> None:
+        for vm in vms:
+            cluster.processes[vm].kill()
+            cluster.processes[vm].wait()
+
+    async def check_end(self, cluster: range_cluster.RangeCluster, faults: list[str]) -> None:
+        """Check that keys move once more, that all keys are served, and that no fault occurred."""
+        await self.drain_one(cluster)
+        for key in range(0, key_server.KEYS, 4001):
+            status, _, _ = await cluster.request_until_served("vm-2", "/view/a", key=key)
+            self.assertEqual(200, status)
+        self.assertEqual([], faults)
+
+    async def play_returns(self, *, returns: int, kills: bool) -> None:
+        """Move keys, let the store lose the moves, and move keys again afterwards."""
+        cluster, faults = await self.begin(servers=2 + 2 * returns)
+        for number in range(returns):
             copy = cluster.store.copy()
             await self.drain_one(cluster)
             planner = self.planner(cluster)
             if kills:
-                cluster.processes[planner].kill()
-                cluster.processes[planner].wait()
+                self.kill(cluster, planner)
             await self.restore(cluster, copy)
             if kills:
-                cluster.start_vm(planner, cluster.ports[planner]["ip"])
-                await cluster.wait_ready(planner)
-            await self.drain_one(cluster)
-        self.assertEqual([], repeated)
-        status, _, _ = await cluster.request_until_served("vm-2", "/view/a", key=7)
-        self.assertEqual(200, status)
+                await self.restart(cluster, planner)
+            if number + 1 < returns:
+                await self.drain_one(cluster)
+        await self.check_end(cluster, faults)
 
     async def test_keys_move_again_under_new_tokens(self):
         """Guards against keys that can never move again after the store's return."""
@@ -138,3 +172,46 @@
     async def test_keys_move_again_after_two_returns(self):
         """Guards against tokens that repeat, or keys that stay, after a second return."""
         await self.play_returns(returns=2, kills=False)
+
+    async def test_second_return_from_before_the_first_one(self):
+        """Guards against tokens of the era between two returns that are given out again."""
+        cluster, faults = await self.begin(servers=5)
+        copy = cluster.store.copy()
+        await self.drain_one(cluster)
+        await self.restore(cluster, copy)
+        await self.drain_one(cluster)
+        await self.restore(cluster, copy)
+        await self.check_end(cluster, faults)
+
+    async def test_second_return_while_keys_are_recovered(self):
+        """Guards against a recovery that goes on with what the second return has lost."""
+        cluster, faults = await self.begin(servers=4)
+        copy = cluster.store.copy()
+        await self.drain_one(cluster)
+        await self.restore(cluster, copy)
+        await scripted_backend.sleep(1.0)
+        await self.restore(cluster, cluster.store.copy())
+        await self.check_end(cluster, faults)
+
+    async def test_all_entry_vms_are_lost_with_the_newest_maps(self):
+        """Guards against tokens that only lost processes knew."""
+        cluster, faults = await self.begin(servers=4)
+        copy = cluster.store.copy()
+        await self.drain_one(cluster)
+        vms = list(cluster.processes)
+        self.kill(cluster, *vms)
+        await self.restore(cluster, copy)
+        await self.restart(cluster, *vms)
+        await self.check_end(cluster, faults)
+
+    async def test_server_that_restarts_during_the_return(self):
+        """Guards against keys of a restarted server that are held by two, or by nobody."""
+        cluster, faults = await self.begin(servers=4)
+        copy = cluster.store.copy()
+        await self.drain_one(cluster)
+        cluster.store.refusing = True
+        _, _, owner = await cluster.request_until_served("vm-2", "/view/a", key=7)
+        restarted = await cluster.restart_server(owner.decode())
+        restarted.on_grant = next(iter(cluster.servers.values())).on_grant
+        await self.restore(cluster, copy)
+        await self.check_end(cluster, faults)
