Split the planning of ranges into modules by job

The map under change is in map_draft.py, balance in balancing.py and the joining of ranges in fragments.py; the choice of an owner and the utilization limit, which two of them use, are methods of the draft.

--- a/src/celerystack/ranges/planner.py
+++ b/src/celerystack/ranges/planner.py
@@ -19,6 +19,7 @@
     leadership,
     lease_reports,
     leases,
+    map_draft,
     map_recovery,
     model,
     orders,
@@ -140,7 +141,7 @@
         self._load_by_service: dict[ids.ServiceName, key_load.KeyLoad] = {}
         self.service_times = service_times.ServiceTimes()
         self._utilization_by_server: dict[ids.ServerId, float] = {}
-        self._service_state_by_service: dict[ids.ServiceName, plan.ServiceState] = {}
+        self._service_state_by_service: dict[ids.ServiceName, map_draft.ServiceState] = {}
         self._unreachable_by_vm: dict[
             ids.EntryVmId, tuple[float, tuple[model.ServerIncarnation, ...]]
         ] = {}
@@ -377,7 +378,7 @@
             extra={"step": "planner.assign", "service": service, "token": segment.token},
         )
 
-    def _service_state(self, service: ids.ServiceName) -> plan.ServiceState:
+    def _service_state(self, service: ids.ServiceName) -> map_draft.ServiceState:
         now = self._now()
         records = self._assignable(service)
         silent = self._silent_incarnations()
@@ -385,7 +386,7 @@
             [record.entry.server for record in records]
         )
         candidates = {
-            record.entry.incarnation: plan.Candidate(
+            record.entry.incarnation: map_draft.Candidate(
                 incarnation=record.entry.incarnation,
                 capacity=self._capacity(record, service_s_by_server[record.entry.server]),
                 reachable=record.entry.incarnation not in silent,
@@ -393,7 +394,7 @@
             for record in records
         }
         load = self._load_by_service.setdefault(service, key_load.KeyLoad())
-        return plan.ServiceState(
+        return map_draft.ServiceState(
             candidates_by_incarnation=candidates,
             has_ended=self._directory.has_ended,
             successor=self._directory.successor,
--- a/tests/ranges/test_hot_ranges.py
+++ b/tests/ranges/test_hot_ranges.py
@@ -6,7 +6,7 @@
 import testtools
 
 from celerystack import ids
-from celerystack.ranges import key_load, model, plan
+from celerystack.ranges import key_load, map_draft, model, plan
 
 KEYS = model.KEY_MAX + 1
 STEP_S = 0.05
@@ -32,7 +32,7 @@
             for number in range(SERVERS)
         }
         self.candidates = {
-            owner: plan.Candidate(incarnation=owner, capacity=capacity)
+            owner: map_draft.Candidate(incarnation=owner, capacity=capacity)
             for owner, capacity in self.capacity_by_owner.items()
         }
         self.load = key_load.KeyLoad()
@@ -81,7 +81,7 @@
             for segment, at in self._released_at_by_segment.items()
             if at <= self._step
         }
-        state = plan.ServiceState(
+        state = map_draft.ServiceState(
             candidates_by_incarnation=self.candidates,
             has_ended=lambda _: False,
             successor=lambda _: None,
--- a/tests/ranges/test_ownership_model.py
+++ b/tests/ranges/test_ownership_model.py
@@ -16,7 +16,7 @@
 import testtools
 
 from celerystack import ids
-from celerystack.ranges import key_load, lease_reports, leases, model, plan
+from celerystack.ranges import key_load, lease_reports, leases, map_draft, model, plan
 from tests.ranges import fakes
 
 STEP_S = 4.0
@@ -90,8 +90,8 @@
 
 @functools.cache
 def moved_to(number: int, to: model.ServerIncarnation) -> int:
-    service_state = plan.ServiceState(
-        candidates_by_incarnation={to: plan.Candidate(incarnation=to, capacity=20.0)},
+    service_state = map_draft.ServiceState(
+        candidates_by_incarnation={to: map_draft.Candidate(incarnation=to, capacity=20.0)},
         has_ended=lambda _: False,
         successor=lambda _: None,
         is_silent=lambda _: False,
--- a/tests/ranges/test_plan.py
+++ b/tests/ranges/test_plan.py
@@ -6,7 +6,7 @@
 import testtools
 
 from celerystack import ids
-from celerystack.ranges import codec, key_load, model, plan
+from celerystack.ranges import codec, key_load, map_draft, model, plan
 
 SERVICE = ids.ServiceName("rota")
 
@@ -17,13 +17,13 @@
 
 def candidates(**capacity_by_name):
     return {
-        incarnation(name): plan.Candidate(incarnation=incarnation(name), capacity=capacity)
+        incarnation(name): map_draft.Candidate(incarnation=incarnation(name), capacity=capacity)
         for name, capacity in capacity_by_name.items()
     }
 
 
 def service_state(found, *, rates=None, ended=(), silent=(), successors=None):
-    return plan.ServiceState(
+    return map_draft.ServiceState(
         candidates_by_incarnation=found,
         has_ended=ended.__contains__,
         successor=(successors or {}).get,
@@ -79,7 +79,7 @@
         """Guards against waiting for the lease of a process that has ended."""
         ranges = settled((HALF, incarnation("a")), (model.KEY_MAX, incarnation("b")))
         found = candidates(b=16) | {
-            incarnation("a", 2): plan.Candidate(incarnation=incarnation("a", 2), capacity=16)
+            incarnation("a", 2): map_draft.Candidate(incarnation=incarnation("a", 2), capacity=16)
         }
         planned = plan.plan(ranges, service_state(found, ended={incarnation("a")}))
         self.assertEqual((), planned.find(0).pending)
@@ -88,7 +88,7 @@
         """Guards against two owners: the new incarnation may have got a renewal for the old one."""
         ranges = settled((HALF, incarnation("a")), (model.KEY_MAX, incarnation("b")))
         found = candidates(b=16) | {
-            incarnation("a", 2): plan.Candidate(incarnation=incarnation("a", 2), capacity=0.01)
+            incarnation("a", 2): map_draft.Candidate(incarnation=incarnation("a", 2), capacity=0.01)
         }
         restarted = service_state(
             found, ended={incarnation("a")}, successors={incarnation("a"): incarnation("a", 2)}
@@ -101,7 +101,7 @@
         """Guards against an owner that is its own possible holder."""
         ranges = settled((HALF, incarnation("a")), (model.KEY_MAX, incarnation("b")))
         found = candidates(b=0.01) | {
-            incarnation("a", 2): plan.Candidate(incarnation=incarnation("a", 2), capacity=16)
+            incarnation("a", 2): map_draft.Candidate(incarnation=incarnation("a", 2), capacity=16)
         }
         restarted = service_state(
             found, ended={incarnation("a")}, successors={incarnation("a"): incarnation("a", 2)}
@@ -285,11 +285,13 @@
         """Guards against a map that is too large for its row, after which no key can move."""
         ranges = self.busy_fleet()
         self.assertLess(len(codec.encode(ranges)), 65_536)
-        self.assertLessEqual(len(ranges.segments), plan.FULL_SEGMENTS_PER_SERVER * self.SERVERS)
+        self.assertLessEqual(
+            len(ranges.segments), map_draft.FULL_SEGMENTS_PER_SERVER * self.SERVERS
+        )
 
     def test_largest_map_fits_its_row(self):
         """Guards against a value of `SEGMENTS_MAX` with which a map outgrows its row."""
-        width = model.KEY_MAX // plan.SEGMENTS_MAX
+        width = model.KEY_MAX // map_draft.SEGMENTS_MAX
         segments = tuple(
             model.Segment(
                 start=number * width,
@@ -305,7 +307,7 @@
                 ),
                 handover="0123456789abcdef",
             )
-            for number in range(plan.SEGMENTS_MAX)
+            for number in range(map_draft.SEGMENTS_MAX)
         )
         ranges = model.RangeMap(service=SERVICE, next_token=ids.Token(10**7), segments=segments)
         self.assertLess(len(codec.encode(ranges)), 65_536)
@@ -328,7 +330,7 @@
         """Guards against a map that is too large for its row, after which no key can move."""
         ranges = self.busy_fleet()
         self.assertLess(len(codec.encode(ranges)), 65_536)
-        self.assertLessEqual(len(ranges.segments), plan.SEGMENTS_MAX)
+        self.assertLessEqual(len(ranges.segments), map_draft.SEGMENTS_MAX)
 
 
 class OverloadedFleetTest(LargeFleetCase):
