--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -6,7 +6,7 @@
 import functools
 import logging
 import random
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
 from twisted.internet import defer, protocol
@@ -24,7 +24,6 @@
 from celerystack.forwarding import owners
 from celerystack.limits import admission, crash_suspects, rate_limits
 from celerystack.ranges import (
-    codec,
     leadership,
     leases,
     lessor,
@@ -35,6 +34,8 @@
     paced_sender,
     planner,
     range_maps,
+    registration,
+    request_counts,
 )
 
 _log = logging.getLogger(__name__)
@@ -69,8 +70,6 @@
 """Pause in seconds after a failed call to the store."""
 UNREADABLE_RETRY_S = 1.0
 """Pause in seconds after a row that cannot be decoded."""
-KEYS_PER_REPORT_MAX = 400
-"""Number of requests per service whose keys one report contains; further ones are not counted."""
 ENTRY_VMS_ASSUMED = 50
 """Number of entry VMs assumed before the first heartbeat; high, to stay within shared limits."""
 
@@ -213,9 +212,13 @@
         self._confirmed_at = float("-inf")
         self._planner_address: tuple[str, int] | None = None
         self._pending_incarnations: tuple[model.ServerIncarnation, ...] = ()
-        self._keys_by_service: dict[ids.ServiceName, list[int]] = {}
-        self._service_time_by_server: dict[ids.ServerId, tuple[int, float]] = {}
-        self._registered_at_version = directory_sync.UNKNOWN
+        self._request_counts = request_counts.RequestCounts()
+        self._registration = registration.Registration(
+            node,
+            store,
+            known_era=lambda: max(rows.era_of(updates.position), self.leadership.era),
+            now=now,
+        )
         self._entry_vm_count = ENTRY_VMS_ASSUMED
         self._busy = False
         self._next_plan_at = 0.0
@@ -249,13 +252,8 @@
         )
 
     def count_request(self, service: ids.ServiceName, key: int) -> None:
-        """Count a request to a key, for load balancing.
-
-        At most `KEYS_PER_REPORT_MAX` requests per service are counted between two reports.
-        """
-        keys = self._keys_by_service.setdefault(service, [])
-        if len(keys) < KEYS_PER_REPORT_MAX:
-            keys.append(key)
+        """Count a request to a key, for load balancing."""
+        self._request_counts.add_request(service, key)
 
     def set_unreachable_source(
         self, incarnations: Callable[[], Iterable[model.ServerIncarnation]]
@@ -273,11 +271,7 @@
 
     def record_service_time(self, server: ids.ServerId, service_s: float) -> None:
         """Record the latency of an answer as this VM sees it, to estimate the service time."""
-        count, mean_s = self._service_time_by_server.get(server, (0, 0.0))
-        self._service_time_by_server[server] = (
-            count + 1,
-            mean_s + (service_s - mean_s) / (count + 1),
-        )
+        self._request_counts.add_latency(server, service_s)
 
     def _tick(self) -> None:
         now = self._now()
@@ -326,13 +320,13 @@
 
     async def _work(self) -> None:
         try:
-            if self._registered_at_version == directory_sync.UNKNOWN:
+            if self._registration.is_first:
                 registered_at = self._now()
-                await self._register()
+                await self._registration.register()
                 await self._reacquire_own_leadership()
                 await self._begin_following(registered_at)
-            elif self._may_have_lost_registration():
-                await self._register()
+            elif self._registration.may_be_lost():
+                await self._registration.register()
             elif self.leadership.held:
                 await self._lead()
             else:
@@ -351,14 +345,6 @@
         self._reactor.callLater(seconds, done.callback, None)
         return done
 
-    async def _register(self) -> None:
-        self._registered_at_version = await nodes.register(self._store, self._node)
-
-    def _may_have_lost_registration(self) -> bool:
-        """Return whether the store came back from an earlier copy since this VM registered."""
-        known_era = max(rows.era_of(self._updates.position), self.leadership.era)
-        return known_era > rows.era_of(self._registered_at_version)
-
     async def _reacquire_own_leadership(self) -> None:
         """Become planner at start if an earlier process of this VM was, or if there is none.
 
@@ -382,7 +368,7 @@
         """
         if self.leadership.held:
             return
-        stored = await self._read_stored_maps(registered_at)
+        stored = await self._registration.read_maps(registered_at)
         if not stored:
             return
         by_vm = await nodes.read_all(self._store)
@@ -414,7 +400,7 @@
         by_vm = await nodes.read_all(self._store)
         self._nodes_read_at = self._now()
         if self._node.vm not in by_vm:
-            await self._register()
+            await self._registration.register()
             by_vm[self._node.vm] = self._node
         self._map_distributor.update_nodes(by_vm)
         self.planner.update_vms(by_vm, started)
@@ -445,26 +431,8 @@
         """
         started = self._now()
         if started - self._confirmed_at >= leases.REGISTRATION_VALID_S:
-            await self._register()
-        self._adopt_all(await self._read_stored_maps(started))
-
-    async def _read_stored_maps(self, registered_at: float) -> list[range_maps.KnownMap]:
-        """Read the range maps; none if the registration of this VM may be too old by now.
-
-        Maps from before the store came back from an earlier copy are left out.
-        """
-        if self._now() - registered_at > leases.REGISTER_TO_READ_S:
-            return []
-        confirmed_at = leases.confirmation_by_read(self._now())
-        answer = await self._store.scan(leadership.RANGES_TABLE)
-        era = rows.era_of(answer.version)
-        if era != rows.era_of(self._registered_at_version):
-            return []
-        return [
-            range_maps.KnownMap(codec.decode(service, value), version, confirmed_at)
-            for service, value, version in _values(answer)
-            if codec.decode_era(service, value) == era
-        ]
+            await self._registration.register()
+        self._adopt_all(await self._registration.read_maps(started))
 
     def _adopt_all(self, stored: list[range_maps.KnownMap]) -> None:
         for known in stored:
@@ -633,8 +601,6 @@
             self._directory.note_leaving(incarnation)
 
     def _own_report(self) -> messages.Report:
-        keys, self._keys_by_service = self._keys_by_service, {}
-        service_times, self._service_time_by_server = self._service_time_by_server, {}
         return messages.Report(
             vm=self._node.vm,
             zone=self._node.zone,
@@ -646,8 +612,8 @@
                 for incarnation in self._pending_incarnations
             },
             unreachable=(*self.lessor.unreachable, *self._unreachable_incarnations()),
-            keys_by_service=keys,
-            service_time_by_server=service_times,
+            keys_by_service=self._request_counts.take_keys(),
+            service_time_by_server=self._request_counts.take_latencies(),
             crash_suspects=tuple(self.quarantine.take_unreported()),
             position=self._updates.position,
             incarnations_with_reused_address=self._directory.incarnations_with_reused_address(),
@@ -672,13 +638,6 @@
         return float("-inf") if known is None else known.confirmed_at
 
 
-def _values(answer: rows.Rows) -> Iterator[tuple[ids.ServiceName, bytes, ids.RowVersion]]:
-    """Yield service, value and version of the rows of range maps."""
-    for row in answer.rows:
-        if row.value is not None:
-            yield ids.ServiceName(row.key), row.value, row.version
-
-
 def _send_config(
     sender: paced_sender.PacedSender, address: tuple[str, int], datagrams: Sequence[bytes]
 ) -> None:
