Play returns of the store, foreign entries and slow callers in the soak

New faults: the store comes back from an earlier copy, and another writer's entry at the address or under the id of a living server, of an unknown service or state. After the faults one more configuration and one more move of keys have to take effect within 5 s each, and each entry VM is stopped while callers send further requests and read slowly. docs/disruptions.md lists what may happen and where it is played.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import socket
 from collections.abc import Callable
 
 from twisted.internet import defer, protocol, reactor
@@ -130,3 +131,69 @@
     ]
     lines += ["Content-Length: 0"] if key is None else [f"Celerystack-Shard-Key: {key}"]
     return "\r\n".join([*lines, "", ""]).encode()
+
+
+class SlowCaller(protocol.Protocol):
+    """Sends further requests before the first is answered, and reads slowly.
+
+    It stops sending when it has read that the connection closes, and closes it then.
+
+    Attributes
+    ----------
+    unanswered : list of str
+        Ids of the requests without a complete answer, in order.
+    ended : Deferred
+        Fires when the connection has ended.
+    """
+
+    OUTSTANDING_MAX = 3
+    RECEIVE_BUFFER_BYTES = 4096
+    READ_INTERVAL_S = 0.02
+
+    def __init__(self, checker: invariants.InvariantChecker, key: int) -> None:
+        self._checker = checker
+        self._key = key
+        self._buffer = b""
+        self._is_closing = False
+        self._is_lost = False
+        self.unanswered: list[str] = []
+        self.ended: defer.Deferred[None] = defer.Deferred()
+
+    def connectionMade(self) -> None:  # noqa: N802
+        handle = self.transport.getHandle()
+        handle.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.RECEIVE_BUFFER_BYTES)
+        self.transport.pauseProducing()
+        self._step()
+
+    def _step(self) -> None:
+        """Send what is allowed and read once."""
+        if self._is_lost:
+            return
+        reactor.callLater(self.READ_INTERVAL_S, self._step)
+        while not self._is_closing and len(self.unanswered) < self.OUTSTANDING_MAX:
+            request_id = f"slow-{next(_request_numbers)}"
+            self._checker.record_request(request_id)
+            self.unanswered.append(request_id)
+            self.transport.write(_encode(request_id, "/view/a", self._key))
+        self.transport.resumeProducing()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self.transport.pauseProducing()
+        self._buffer += data
+        while True:
+            head, separator, body = self._buffer.partition(b"\r\n\r\n")
+            if not separator:
+                return
+            headers = head.lower()
+            self._is_closing |= b"connection: close" in headers
+            length = int(headers.partition(b"content-length: ")[2].split(b"\r\n")[0])
+            if len(body) < length:
+                return
+            self._buffer = body[length:]
+            self.unanswered.pop(0)
+            if self._is_closing and not self.unanswered:
+                self.transport.loseConnection()
+
+    def connectionLost(self, reason: object = protocol.connectionDone) -> None:  # noqa: N802
+        self._is_lost = True
+        self.ended.callback(None)
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import itertools
+import json
 import pathlib
 import signal
+import time
 
 from twisted.internet import defer, reactor
 
@@ -15,6 +17,9 @@
 LATE_ORDERS_S = 3.0
 DRAIN_S = 2.5
 RESTART_DELAY_S = 0.3
+STORE_AWAY_S = 0.4
+FOREIGN_SERVICE = "metrics"
+"""Service that no configuration names."""
 LINK_MODES = (proxy.Mode.DELAY, proxy.Mode.RESET, proxy.Mode.SILENT, proxy.Mode.ONE_WAY)
 KEYED_SERVICE, UNKEYED_SERVICE = "rota", "desk"
 
@@ -77,6 +82,43 @@
             await link.stop()
         await self._range_cluster.stop()
 
+    async def terminate(self, vm: str) -> None:
+        """Terminate an entry VM, start it again, and wait until it is ready."""
+        await self._terminate(vm)
+        await self._range_cluster.wait_ready(vm, timeout_s=30)
+
+    def set_answer_padding(self, size: int) -> None:
+        """Set the number of bytes by which the servers lengthen their answers."""
+        for server in self._range_cluster.servers.values():
+            server.padding_bytes = size
+
+    def has_run(self, request_id: str) -> bool:
+        """Return whether a server has run a request."""
+        return self._checker.has_run(request_id)
+
+    def add_route(self, path: str) -> None:
+        """Write a configuration with one more route, to the service without keys."""
+        self._config_version += 1
+        fields = json.loads(range_cluster.config_row_value(self._config_version))
+        added = fields["routes"][-1] | {"name": path, "prefix": f"/{path}/"}
+        fields["routes"].append(added)
+        self._range_cluster.store.put("op", "config", json.dumps(fields).encode())
+
+    async def move_keys(self, key: int, *, timeout_s: float) -> bool:
+        """Let the holder of a key drain; return whether another server holds the key in time."""
+        servers = self._range_cluster.servers.values()
+        holder = next((server for server in servers if server.holds(key)), None)
+        if holder is None:
+            return False
+        deadline = time.monotonic() + timeout_s
+        replaced = defer.Deferred.fromCoroutine(self._replace_server(holder))
+        while not any(server.holds(key) for server in servers if server is not holder):
+            if time.monotonic() > deadline:
+                return False
+            await scripted_backend.sleep(0.05)
+        await replaced
+        return True
+
     def check_processes(self) -> None:
         """Record and restart entry VMs that ended although no fault ended them."""
         for vm, process in self._range_cluster.processes.items():
@@ -123,6 +165,8 @@
                 await self._replace_server(self._select_server(event))
             case schedule.Fault.SERVER_ENTRY:
                 await self._expire_entry(self._select_server(event), duration_s)
+            case schedule.Fault.FOREIGN_ENTRY:
+                self._write_foreign_entry(self._select_server(event), event.selector)
             case schedule.Fault.ORDERS_LATE:
                 await self._delay_orders(self._select_server(event))
             case _:
@@ -146,6 +190,12 @@
                 store.apply_late()
             case schedule.Fault.STORE_COMPACTS:
                 store.compact()
+            case schedule.Fault.STORE_RETURNS:
+                copy = store.copy()
+                await scripted_backend.sleep(duration_s)
+                store.refusing = True
+                await scripted_backend.sleep(STORE_AWAY_S)
+                store.come_back(copy)
             case schedule.Fault.CONFIG:
                 self._config_version += 1 + event.selector % 3
                 store.put("op", "config", range_cluster.config_row_value(self._config_version))
@@ -247,6 +297,20 @@
             await self._stop_server(server)
             self._range_cluster.store.remove("servers", server.server)
 
+    def _write_foreign_entry(self, server: key_server.KeyServer, selector: int) -> None:
+        """Write, as another writer, an entry at the address or under the id of a server.
+
+        One at the address stays until the end of the run.
+        """
+        fields = json.loads(server.entry())
+        fields["born"] = int(time.time() * 1000)
+        if selector // 7 % 2:
+            fields["service"] = FOREIGN_SERVICE
+        else:
+            fields["state"] = "exporting"
+        key = server.server if selector // 14 % 2 else f"other-{selector}"
+        self._range_cluster.store.put("servers", key, json.dumps(fields).encode())
+
     async def _expire_entry(self, server: key_server.KeyServer, duration_s: float) -> None:
         if self._range_cluster.servers.pop(server.server, None) is None:
             return
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -53,6 +53,14 @@
         """Number of requests with a reply of status 200."""
         return sum(reply.status == 200 for reply in self._replies)
 
+    def has_run(self, request_id: str) -> bool:
+        """Return whether a server has run a request."""
+        return request_id in self._run_count_by_id
+
+    def record_lost(self, vm: str, request_ids: Iterable[str]) -> None:
+        """Record requests that ran and whose answers a planned stop of an entry VM cut off."""
+        self.violations += [f"lost: {vm} cut off the answer to {one}" for one in request_ids]
+
     def add_server(self, server: key_server.KeyServer) -> None:
         """Observe the runs and grants of a server that has started."""
         self._servers[server] = None
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,7 +8,7 @@
 import time
 from collections.abc import Callable
 
-from twisted.internet import defer
+from twisted.internet import defer, protocol, reactor
 
 from soak import callers, cluster, invariants, schedule
 from standins import scripted_backend
@@ -17,6 +17,12 @@
 RECOVERY_TIMEOUT_S = 15.0
 SESSIONS_PER_VM = 2
 POLL_S = 0.1
+CONFIG_TIMEOUT_S = 5.0
+MOVE_TIMEOUT_S = 5.0
+SLOW_CALLERS = 4
+SLOW_CALLERS_S = 0.7
+"""Time for which slow callers send before the entry VM is terminated."""
+PADDING_BYTES = 30_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -60,8 +66,11 @@
         ]
         await _inject_faults(running, events)
         await _check_recovery(running, checker)
+        await _check_progress(running, checker)
         stop_requested[0] = True
         await defer.gatherResults(callers_done, consumeErrors=True)
+        for vm in running.vms:
+            await _check_planned_stop(running, checker, vm)
     finally:
         await running.stop()
     return Result(
@@ -119,3 +128,39 @@
                     return
                 await scripted_backend.sleep(POLL_S)
         session.close()
+
+
+async def _check_progress(
+    running: cluster.SoakCluster, checker: invariants.InvariantChecker
+) -> None:
+    """Check that one more configuration and one more move of keys take effect."""
+    running.add_route("added")
+    deadline = time.monotonic() + CONFIG_TIMEOUT_S
+    for vm in running.vms:
+        session = callers.Session(running.address_of(vm), checker)
+        while await session.request("/added/a", None) in (None, 404):
+            if time.monotonic() > deadline:
+                checker.violations.append(f"recovery: {vm} does not use the newest configuration")
+                break
+            await scripted_backend.sleep(POLL_S)
+        session.close()
+    if not await running.move_keys(KEYS[0], timeout_s=MOVE_TIMEOUT_S):
+        checker.violations.append("recovery: the keys of a server that drains do not move")
+
+
+async def _check_planned_stop(
+    running: cluster.SoakCluster, checker: invariants.InvariantChecker, vm: str
+) -> None:
+    """Terminate an entry VM whose callers send further requests and read slowly."""
+    running.set_answer_padding(PADDING_BYTES)
+    host, port = running.address_of(vm)
+    opened = []
+    for key in KEYS[:SLOW_CALLERS]:
+        creator = protocol.ClientCreator(reactor, callers.SlowCaller, checker, key)
+        opened.append(await creator.connectTCP(host, port, timeout=1))
+    await scripted_backend.sleep(SLOW_CALLERS_S)
+    await running.terminate(vm)
+    for caller in opened:
+        await caller.ended
+        checker.record_lost(vm, filter(running.has_run, caller.unanswered))
+    running.set_answer_padding(0)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -20,10 +20,12 @@
     STORE_LOSES = "the store loses answers of writes"
     STORE_LATE = "the store carries writes out late"
     STORE_COMPACTS = "the store forgets its history"
+    STORE_RETURNS = "the store comes back from an earlier copy"
     SERVER_RESTART = "a server ends and comes back under its id"
     SERVER_LEAVES = "a server drains and leaves, another one joins"
     SERVER_LINK = "the link to a server fails"
     SERVER_ENTRY = "the entry of a living server lapses for a while"
+    FOREIGN_ENTRY = "another writer's entry names a living server"
     ORDERS_LATE = "a server carries orders out late"
     CONFIG = "the configuration changes"
 
--- a/standins/key_server.py
+++ b/standins/key_server.py
@@ -2,7 +2,7 @@
 
 It records the requests that it ran and the highest fencing token of each key. To inject a fault,
 set ``unanswered_orders_left``: that many orders get no answer and take no effect until
-`apply_late`.
+`apply_late`. Answers have ``padding_bytes`` bytes behind the name of the server.
 """
 
 from __future__ import annotations
@@ -51,6 +51,7 @@
         self.executed: list[tuple[str, int | None]] = []
         self.running: list[int | None] = []
         self.unanswered_orders_left = 0
+        self.padding_bytes = 0
         self.on_run: Callable[[KeyServer, str, int | None], None] = lambda *_: None
         self.on_grant: Callable[[KeyServer, Grant], None] = lambda *_: None
         self._unanswered_orders: list[tuple[float, str, dict[str, Any]]] = []
@@ -176,6 +177,7 @@
 
     def _answer(self, request: scripted_backend.Received, status: bytes, headers: bytes) -> None:
         if request.connection.transport.connected:
+            body = self.server.encode() + b"." * self.padding_bytes
             request.connection.transport.write(
-                scripted_backend.answer(self.server.encode(), status=status, headers=headers)
+                scripted_backend.answer(body, status=status, headers=headers)
             )
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -28,6 +28,7 @@
     version: int
     rows: dict[tuple[str, str], tuple[bytes, int]]
     history: tuple[tuple[int, str, str], ...]
+    compacted_version: int
 
 
 _REWRITTEN_TABLES = ("op", "servers")
@@ -79,12 +80,13 @@
 
     def copy(self) -> Copy:
         """Return a copy of the whole content."""
-        return Copy(self.version, dict(self.rows), tuple(self.history))
+        return Copy(self.version, dict(self.rows), tuple(self.history), self.compacted_version)
 
     def come_back(self, copy: Copy) -> None:
         """Lose everything since a copy; operators and servers write their rows again at once."""
         before = self.rows
         self.version, self.rows, self.history = copy.version, dict(copy.rows), list(copy.history)
+        self.compacted_version = copy.compacted_version
         self.era += 1
         self.refusing = False
         for table, key in sorted(before.keys() | copy.rows.keys()):
