Close idle connections at once again, unless an answer is still being read

Cause: since idle connections were closed in order, too. A request that crosses that close was read and discarded, where it had been left unread, which callers take for not run. Ruled out: the close after a last answer, which a caller that waits for its answers does not cross.

Change: idle connections are closed at once. A connection whose caller still reads its last answer is not idle; what it sends next is served, so the answer is not cut either.

--- a/src/celerystack/requests/callerhttp.py
+++ b/src/celerystack/requests/callerhttp.py
@@ -186,12 +186,16 @@
         self.setLineMode()
 
     def is_idle(self) -> bool:
-        """Return whether no request is being received, answered or about to be read."""
+        """Return whether no request is being received, answered or about to be read.
+
+        A connection on which the caller still reads its last response is not idle.
+        """
         if self.requests or self._buffer or self._dataBuffer or self._linger is not None:
             return False
-        return self._has_waited_for_first_request() and not transports.has_unread_bytes(
-            self.transport
-        )
+        if not self._has_waited_for_first_request():
+            return False
+        is_delivered = not transports.unacknowledged_bytes(self.transport)
+        return is_delivered and not transports.has_unread_bytes(self.transport)
 
     def _has_waited_for_first_request(self) -> bool:
         return self.factory.now() >= self._first_request_until
@@ -392,8 +396,15 @@
         )
 
     def timeoutConnection(self) -> None:  # noqa: N802
-        """Close a connection that has been idle for too long."""
-        self.close_orderly(quiet_s=lingering.REJECTED_QUIET_S)
+        """Close a connection that has been idle for too long.
+
+        A request that crosses the close must not be read, so the connection is closed at once
+        unless its caller still reads the last response.
+        """
+        if transports.unacknowledged_bytes(self.transport):
+            self.close_orderly(quiet_s=lingering.REJECTED_QUIET_S)
+        else:
+            super().timeoutConnection()
 
     def checkPersistence(self, request: CallerRequest, version: bytes) -> bool:  # noqa: N802
         """Return whether the connection stays open after this request.
@@ -517,7 +528,7 @@
         """Close connections on which no request is being received or answered."""
         for channel in list(self.channels):
             if channel.is_idle():
-                channel.close_orderly(quiet_s=lingering.REJECTED_QUIET_S)
+                channel.loseConnection()
 
     def drained(self) -> defer.Deferred[None]:
         """Return a Deferred that fires when no request is being received or answered."""
--- a/src/celerystack/requests/lingering.py
+++ b/src/celerystack/requests/lingering.py
@@ -12,7 +12,7 @@
 
 REJECTED_QUIET_S = 1.0
 """Time in seconds without further bytes after which the connection of a rejected request, or one
-that was idle, is closed."""
+that was idle while its caller still read, is closed."""
 REJECTED_MAX_S = 5.0
 """Longest time in seconds for which such a connection is read."""
 ANSWERED_QUIET_S = 5.0
--- a/tests/requests/test_caller_idle.py
+++ b/tests/requests/test_caller_idle.py
@@ -5,21 +5,12 @@
 import testtools
 from twisted.internet import task, testing
 
-from celerystack.requests import callerhttp, lingering
+from celerystack.requests import callerhttp
 
 IDLE_S = 60.0
 REQUEST = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
-class Transport(testing.StringTransport):
-    """A transport that can also be closed for writing only."""
-
-    is_write_closed = False
-
-    def loseWriteConnection(self):  # noqa: N802
-        self.is_write_closed = True
-
-
 class IdleTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
@@ -32,45 +23,38 @@
             now=self.clock.seconds,
         )
         self.channel = factory.buildProtocol(None)
-        self.transport = Transport()
+        self.transport = testing.StringTransport()
         self.channel.makeConnection(self.transport)
 
     def answer(self):
         self.received.pop().answer(200, b"OK", ((b"Content-Length", b"0"),), b"")
 
-    def assert_closes(self):
-        """Check that the sending side is closed, and the rest when the caller sends no more."""
-        self.assertTrue(self.transport.is_write_closed)
-        self.assertFalse(self.transport.disconnecting)
-        self.clock.advance(lingering.REJECTED_QUIET_S)
-        self.assertTrue(self.transport.disconnecting)
-
     def test_silent_connection_is_closed(self):
         """Guards against idle connections that are never closed."""
         self.clock.advance(IDLE_S - 1)
-        self.assertFalse(self.transport.is_write_closed)
+        self.assertFalse(self.transport.disconnecting)
         self.clock.advance(1)
-        self.assert_closes()
+        self.assertTrue(self.transport.disconnecting)
 
     def test_partial_request_is_closed(self):
         """Guards against callers that keep a connection open with a request that never ends."""
         self.clock.advance(30)
         self.channel.dataReceived(REQUEST[:-2])
         self.clock.advance(IDLE_S - 1)
-        self.assertFalse(self.transport.is_write_closed)
+        self.assertFalse(self.transport.disconnecting)
         self.clock.advance(1)
-        self.assert_closes()
+        self.assertTrue(self.transport.disconnecting)
 
     def test_slow_answer_is_not_cut_off(self):
         """Guards against an idle timeout that runs while a request is being answered."""
         self.channel.dataReceived(REQUEST)
         self.clock.advance(3 * IDLE_S)
-        self.assertFalse(self.transport.is_write_closed)
+        self.assertFalse(self.transport.disconnecting)
         self.answer()
         self.clock.advance(IDLE_S - 1)
-        self.assertFalse(self.transport.is_write_closed)
+        self.assertFalse(self.transport.disconnecting)
         self.clock.advance(1)
-        self.assert_closes()
+        self.assertTrue(self.transport.disconnecting)
 
     def test_each_request_starts_the_idle_time_again(self):
         """Guards against closing an active connection because requests do not restart the timer."""
@@ -78,9 +62,9 @@
             self.clock.advance(IDLE_S - 1)
             self.channel.dataReceived(REQUEST)
             self.answer()
-        self.assertFalse(self.transport.is_write_closed)
+        self.assertFalse(self.transport.disconnecting)
         self.clock.advance(IDLE_S)
-        self.assert_closes()
+        self.assertTrue(self.transport.disconnecting)
 
     def test_lost_connection_leaves_no_timer(self):
         """Guards against timers that keep closed connections in memory."""
@@ -93,4 +77,4 @@
         """Guards against a timer that still fires at the previous, longer timeout."""
         self.channel.setTimeout(1.0)
         self.clock.advance(1.0)
-        self.assert_closes()
+        self.assertTrue(self.transport.disconnecting)
--- a/tests/requests/test_slow_readers.py
+++ b/tests/requests/test_slow_readers.py
@@ -4,6 +4,7 @@
 the same; the caller then loses what it has not read of its responses.
 """
 
+import contextlib
 import socket
 
 from twisted.internet import reactor
@@ -74,7 +75,7 @@
         self.assertEqual(len(BODY), received.count(b"x"))
         self.assertIn(b"Connection: close", received)
 
-    async def test_idle_connection_is_closed_while_the_caller_sends(self):
+    async def test_connection_with_an_unread_answer_is_not_idle(self):
         """Guards against an answer that is cut because the next request crosses the close."""
         caller = await self.connect(REQUEST)
         await scripted_backend.sleep(callerhttp.FIRST_REQUEST_S)
@@ -82,7 +83,21 @@
         self.factory.close_idle()
         caller.send(REQUEST)
         await scripted_backend.sleep(PAUSE_S)
-        self.assertEqual(len(BODY), (await self.receive(caller)).count(b"x"))
+        received = await self.receive(caller)
+        self.assertEqual(2 * len(BODY), received.count(b"x"))
+        self.assertIn(b"Connection: close", received)
+
+    async def test_idle_connection_is_closed_at_once(self):
+        """Guards against a request that crosses the close and is read, but never answered."""
+        caller = await self.connect(REQUEST)
+        received = b""
+        while received.count(b"x") < len(BODY):
+            await scripted_backend.sleep(0.01)
+            with contextlib.suppress(BlockingIOError):
+                received += caller.recv(65_536)
+        await scripted_backend.sleep(callerhttp.FIRST_REQUEST_S)
+        self.factory.close_idle()
+        self.assertTrue(all(channel.transport.disconnecting for channel in self.factory.channels))
 
     async def test_rejection_behind_an_answer_that_is_read_late(self):
         """Guards against an answer that is cut because a later request was rejected."""
