--- a/tests/ranges/test_map_recovery.py
+++ b/tests/ranges/test_map_recovery.py
@@ -3,14 +3,12 @@
 from celerystack import ids
 from celerystack.fleet import nodes
 from celerystack.ranges import codec, leases, map_recovery, model, range_maps
-from tests.ranges import fakes
-from tests.ranges.test_leadership import result_of
-from tests.ranges.test_planner import VM, PlannerCase
+from tests.ranges import fakes, test_leadership, test_planner
 
 KEYS = (0, 30_000, 65_535)
 
 
-class MapRecoveryTest(PlannerCase):
+class MapRecoveryTest(test_planner.PlannerCase):
     def setUp(self):
         super().setUp()
         self.given_out = {segment.token for segment in self.ranges().segments}
@@ -24,8 +22,8 @@
 
     def come_back(self, copy=None, *, forget=False):
         self.store.come_back(self.copy if copy is None else copy)
-        node = nodes.Node(vm=VM, zone=fakes.ZONE, address=("10.0.0.1", 7000))
-        result_of(nodes.register(self.store, node))
+        node = nodes.Node(vm=test_planner.VM, zone=fakes.ZONE, address=("10.0.0.1", 7000))
+        test_leadership.result_of(nodes.register(self.store, node))
         self.orders.released.clear()
         self.lead_again(forget=forget)
 
@@ -183,7 +181,7 @@
         self.assertTrue(self.range_maps.find(fakes.SERVICE, key).is_settled)
 
 
-class EraOfMapsTest(PlannerCase):
+class EraOfMapsTest(test_planner.PlannerCase):
     def test_map_tells_the_era_in_which_it_was_written(self):
         """Guards against a map of the copy that is taken for one of the present era."""
         self.store.come_back(self.store.copy())
@@ -207,9 +205,11 @@
     def test_leader_of_an_earlier_era(self):
         """Guards against a restarted process that becomes planner at once although others know
         newer maps, and against a first planner that waits."""
-        leader = result_of(self.planner.leadership.read())
+        leader = test_leadership.result_of(self.planner.leadership.read())
         self.assertFalse(leader.is_of_earlier_era)
         self.store.come_back(self.store.copy())
-        self.assertTrue(result_of(self.planner.leadership.read()).is_of_earlier_era)
+        self.assertTrue(test_leadership.result_of(self.planner.leadership.read()).is_of_earlier_era)
         self.store.rows.clear()
-        self.assertFalse(result_of(self.planner.leadership.read()).is_of_earlier_era)
+        self.assertFalse(
+            test_leadership.result_of(self.planner.leadership.read()).is_of_earlier_era
+        )
--- a/tests/ranges/test_restored_store_model.py
+++ b/tests/ranges/test_restored_store_model.py
@@ -19,7 +19,6 @@
 from celerystack.fleet import rows, servers
 from celerystack.ranges import leases, map_recovery
 from tests.ranges import fakes, test_ownership_model
-from tests.ranges.test_ownership_model import INCARNATIONS, MAPS, STARTS
 
 ERA_BEFORE, ERA_AFTER = ids.StoreEra(1), ids.StoreEra(2)
 
@@ -43,7 +42,9 @@
 @functools.cache
 def recovery_of(base: int) -> map_recovery.MapRecovery:
     """Return the recovery of a map, with the tokens that the planner uses for it."""
-    candidate = map_recovery.Candidate(MAPS[base], rows.version_in(ERA_BEFORE, 1))
+    candidate = map_recovery.Candidate(
+        test_ownership_model.MAPS[base], rows.version_in(ERA_BEFORE, 1)
+    )
     ranges = map_recovery.with_reserved_tokens(map_recovery.newest([candidate], ERA_AFTER).ranges)
     return map_recovery.MapRecovery(
         ranges,
@@ -109,9 +110,9 @@
         """Let a server answer the releases of what the base does not give it."""
         system, recovery = state.system, state.recovery
         token = recovery_of(recovery.base)._release_token
-        for range_index, start in enumerate(STARTS):
+        for range_index, start in enumerate(test_ownership_model.STARTS):
             segment = test_ownership_model.segment_at(recovery.base, start)
-            if segment.owner != INCARNATIONS[server]:
+            if segment.owner != test_ownership_model.INCARNATIONS[server]:
                 lease = test_ownership_model.Lease(0.0, token)
                 system = self._with_lease(system, server, range_index, lease)
         answered = list(recovery.answered)
