--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -180,10 +180,30 @@
     writer.transport.abort()
 
 
+@dataclasses.dataclass(frozen=True)
+class Copy:
+    """Content of the store at one moment."""
+
+    rows: dict[tuple[str, str], tuple[bytes, int]]
+    history: tuple[tuple[int, str, str], ...]
+    version: int
+    taken_at: float
+
+
 class Store:
-    """The platform's row store: rows of one part, change feed and conditional transactions."""
+    """The platform's row store: rows of one part, change feed and conditional transactions.
+
+    Attributes
+    ----------
+    era : int
+        Value of the header ``Store-Era`` in all answers.
+    is_away : bool
+        Whether all calls are answered 503.
+    """
 
     def __init__(self) -> None:
+        self.era = 1
+        self.is_away = False
         self.rows: dict[tuple[str, str], tuple[bytes, int]] = {}
         self.history: list[tuple[int, str, str]] = []
         self.version = 0
@@ -217,6 +237,26 @@
             self.version += 1
             self.history.append((self.version, table, key))
 
+    def copy(self) -> Copy:
+        """Return a copy of the whole content."""
+        return Copy(dict(self.rows), tuple(self.history), self.version, time.monotonic())
+
+    def come_back(self, copy: Copy) -> None:
+        """Come back from a copy; the operator's and the servers' rows are written again."""
+        before = self.rows
+        self.rows, self.history = dict(copy.rows), list(copy.history)
+        self.version = copy.version
+        self.era += 1
+        self.is_away = False
+        for table, key in sorted(before.keys() | copy.rows.keys()):
+            value = before.get((table, key), (None, 0))[0]
+            if table not in ("op", "servers") or value == copy.rows.get((table, key), (None, 0))[0]:
+                continue
+            if value is None:
+                self.remove(table, key)
+            else:
+                self.put(table, key, value)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
@@ -228,17 +268,20 @@
                 status, answer = await self._answer(path, fields, request.body)
                 answer["current_time"] = round(time.monotonic() - self._started_at, 3)
                 body = json.dumps(answer).encode()
-                writer.write(encode(status, [("Content-Type", "application/json")], body))
+                headers = [("Content-Type", "application/json"), ("Store-Era", str(self.era))]
+                writer.write(encode(status, headers, body))
         writer.close()
 
     async def _answer(
         self, path: str, fields: dict[str, str], body: bytes
     ) -> tuple[int, dict[str, Any]]:
+        if self.is_away:
+            return 503, {}
         match path:
             case "/rows-get":
                 return 200, self._scan(fields)
             case "/rows-feed":
-                return 200, await self._feed(fields)
+                return await self._feed(fields)
             case "/rows-tx":
                 return self._transact(json.loads(body))
         return 404, {}
@@ -262,16 +305,20 @@
             "row_version": self.version,
         }
 
-    async def _feed(self, fields: dict[str, str]) -> dict[str, Any]:
+    async def _feed(self, fields: dict[str, str]) -> tuple[int, dict[str, Any]]:
         table, after = fields["table_name"], int(fields["after"])
         end = time.monotonic() + int(fields["wait_ms"]) / 1000
         while True:
+            if self.is_away:
+                return 503, {}
+            if after > self.version:
+                return 410, {}
             keys = sorted(
                 {key for version, name, key in self.history if name == table and version > after}
             )
             if keys or time.monotonic() >= end:
                 rows = [self._row(table, key) for key in keys]
-                return {"rows": rows, "row_version": self.version}
+                return 200, {"rows": rows, "row_version": self.version}
             await asyncio.sleep(0.01)
 
     def _transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
