--- a/review/11/case.py
+++ b/review/11/case.py
@@ -18,44 +18,6 @@
 LIFE_S = 1.0
 DOWN_S = 1.0
 DRAIN_S = 2.0
-TOGETHER_MAX_S = 0.5
-STEP_S = 0.02
-KEYS = range(0, rig_3.KEYS, 256)
-
-
-class HolderWatch:
-    """Measures for how long two servers that are up hold the same keys."""
-
-    def __init__(self, servers: list[rig_3.Server], record: rig_3.Record) -> None:
-        self._servers = servers
-        self._record = record
-        self._since: dict[tuple[str, str, int], float] = {}
-        self.longest_s: dict[tuple[str, str], float] = {}
-
-    async def watch(self) -> None:
-        """Look at all servers again and again."""
-        while True:
-            self._look(time.monotonic())
-            await asyncio.sleep(STEP_S)
-
-    def _look(self, now: float) -> None:
-        holders: dict[int, list[str]] = {}
-        for server in self._servers:
-            holds = server.held_keys(now)
-            for key in KEYS:
-                if any(hold.start <= key <= hold.end for hold in holds):
-                    holders.setdefault(key, []).append(server.name)
-        together = {(names[0], names[1], key) for key, names in holders.items() if len(names) > 1}
-        for pair in list(self._since):
-            if pair not in together:
-                del self._since[pair]
-        for pair in together:
-            started_at = self._since.setdefault(pair, now)
-            names = pair[:2]
-            before_s = self.longest_s.get(names, 0.0)
-            self.longest_s[names] = max(before_s, now - started_at)
-            if before_s <= TOGETHER_MAX_S < self.longest_s[names]:
-                self._record(f"{names[0]} and {names[1]} both hold key {pair[2]} for over 0.5 s")
 
 
 async def send_requests(
@@ -84,7 +46,7 @@
     vms = [
         rig_3.EntryVm(folder, f"front-{n}", f"127.31.7.{n}", store.address, record) for n in (1, 2)
     ]
-    watch = HolderWatch(servers, record)
+    watch = rig_3.HolderWatch(servers, record)
     client = rig_3.Client(record)
     pending: set[asyncio.Task] = set()
     tasks: list[asyncio.Task] = []
@@ -137,7 +99,7 @@
     return [
         f"{one} and {other} held the same keys for {longest_s:.2f} s"
         for (one, other), longest_s in watch.longest_s.items()
-        if longest_s > TOGETHER_MAX_S
+        if longest_s > rig_3.TOGETHER_MAX_S
     ]
 
 
--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -29,6 +29,10 @@
 HOST = "review.example"
 HEARTBEAT_S = 0.87
 KEYS = 65_536
+WATCHED_KEYS = range(0, KEYS, 256)
+WATCH_STEP_S = 0.02
+TOGETHER_MAX_S = 0.5
+"""Time in seconds for which the rules let two servers that are up hold the same keys."""
 GRACE_S = 6.0
 
 _SETTINGS = """
@@ -545,6 +549,41 @@
         return encode(200, [*echo, ("Celerystack-Server-Signature", f"{self.name}.1")], body)
 
 
+class HolderWatch:
+    """Measures for how long two servers that are up hold the same keys."""
+
+    def __init__(self, servers: list[Server], record: Record) -> None:
+        self._servers = servers
+        self._record = record
+        self._since: dict[tuple[str, str, int], float] = {}
+        self.longest_s: dict[tuple[str, str], float] = {}
+
+    async def watch(self) -> None:
+        """Look at all servers again and again."""
+        while True:
+            self._look(time.monotonic())
+            await asyncio.sleep(WATCH_STEP_S)
+
+    def _look(self, now: float) -> None:
+        holders: dict[int, list[str]] = {}
+        for server in self._servers:
+            holds = server.held_keys(now)
+            for key in WATCHED_KEYS:
+                if any(hold.start <= key <= hold.end for hold in holds):
+                    holders.setdefault(key, []).append(server.name)
+        together = {(names[0], names[1], key) for key, names in holders.items() if len(names) > 1}
+        for pair in list(self._since):
+            if pair not in together:
+                del self._since[pair]
+        for pair in together:
+            started_at = self._since.setdefault(pair, now)
+            names = pair[:2]
+            before_s = self.longest_s.get(names, 0.0)
+            self.longest_s[names] = max(before_s, now - started_at)
+            if before_s <= TOGETHER_MAX_S < self.longest_s[names]:
+                self._record(f"{names[0]} and {names[1]} both hold key {pair[2]} for over 0.5 s")
+
+
 def free_port(ip: str, kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
     """Return a port that is free at an address."""
     with socket.socket(socket.AF_INET, kind) as probe:
