--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -14,6 +14,7 @@
 import logging
 import os
 import pathlib
+import re
 import signal
 import socket
 import struct
@@ -615,6 +616,7 @@
             )
         )
         self.process: subprocess.Popen[bytes] | None = None
+        self.started_at = 0.0
 
     def start(self) -> None:
         """Start the process."""
@@ -631,8 +633,15 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
+        self.started_at = time.monotonic()
         self._record(f"{self.name} starts")
 
+    def touch_settings(self) -> None:
+        """Write the settings file with a new field, which the process need not know."""
+        text = self._file.read_text()
+        added = f"rollout_{len(text)} = true\n[identity]\n"
+        self._file.write_text(text.replace("[identity]\n", added, 1))
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         self._record(f"{self.name} gets {number.name}")
@@ -673,6 +682,15 @@
             await asyncio.sleep(0.05)
 
 
+def planner(vms: list[EntryVm]) -> EntryVm:
+    """Return the entry VM that became planner last, by its term."""
+    term_by_vm = {
+        vm: max(map(int, re.findall(r"became planner .*?term (\d+)", vm.log())), default=0)
+        for vm in vms
+    }
+    return max(term_by_vm, key=term_by_vm.__getitem__)
+
+
 async def exchange(
     ip: str, port: int, method: str, path: str, headers: list[tuple[str, str]], body: bytes = b""
 ) -> Message:
@@ -695,11 +713,21 @@
         self._record = record
         self._count = 0
         self.status_by_id: dict[str, int] = {}
+        self.vm_by_id: dict[str, EntryVm] = {}
 
     async def send(
-        self, vm: EntryVm, path: str, *, method: str = "GET", key: int | None = None
+        self,
+        vm: EntryVm,
+        path: str,
+        *,
+        method: str = "GET",
+        key: int | None = None,
+        sent_at: dict[str, float] | None = None,
     ) -> Message | None:
-        """Send a request and return the response; None if the connection closed without one."""
+        """Send a request and return the response; None if the connection closed without one.
+
+        ``sent_at`` gets the time (`time.monotonic`) of the request by its id.
+        """
         self._count += 1
         request_id = f"{self._count:016x}"
         headers = [
@@ -709,6 +737,9 @@
         ]
         if key is not None:
             headers.append(("Celerystack-Shard-Key", str(key)))
+        self.vm_by_id[request_id] = vm
+        if sent_at is not None:
+            sent_at[request_id] = time.monotonic()
         self._record(f"client sends {request_id} {method} {path}, key {key}, to {vm.name}")
         try:
             answer = await asyncio.wait_for(exchange(vm.ip, vm.front, method, path, headers), 2.0)
