--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -640,7 +640,9 @@
         """Write the settings file with a new field, which the process need not know."""
         text = self._file.read_text()
         added = f"rollout_{len(text)} = true\n[identity]\n"
-        self._file.write_text(text.replace("[identity]\n", added, 1))
+        changed = self._file.with_suffix(".new")
+        changed.write_text(text.replace("[identity]\n", added, 1))
+        changed.replace(self._file)
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
