--- a/review/11/case.py
+++ b/review/11/case.py
@@ -51,15 +51,12 @@
 async def case(record: rig_3.Record, folder: str) -> list[str]:
     """Run the case; return which servers held the same keys for too long."""
     store = rig_3.Store()
-    await store.start()
     routes = [rig_3.route("view", "rota", "safe")]
     store.put("op", "config", rig_3.configuration(1, routes, {"rota": True}))
     servers = [rig_3.Server(f"i-{n}", "rota", store, record) for n in range(3)]
     for server in servers:
         await server.start()
-    vms = [
-        rig_3.EntryVm(folder, f"front-{n}", f"127.33.7.{n}", store.address, record) for n in (1, 2)
-    ]
+    vms = await rig_3.entry_vms(folder, store, record, prefix="127.33.7", count=2)
     watch = rig_3.HolderWatch(servers, record)
     client = rig_3.Client(record)
     pending: set[asyncio.Task] = set()
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -63,15 +63,12 @@
 async def case(record: rig_3.Record, folder: str) -> list[str]:
     """Run the case; return the requests that reached the server too late."""
     store = rig_3.Store()
-    await store.start()
     routes = [rig_3.route("desk", "desk", "safe")]
     store.put("op", "config", rig_3.configuration(1, routes, {"desk": False}))
     servers = [rig_3.Server(f"i-{n}", "desk", store, record, sharded=False) for n in range(3)]
     for server in servers:
         await server.start()
-    vms = [
-        rig_3.EntryVm(folder, f"front-{n}", f"127.34.7.{n}", store.address, record) for n in (1, 2)
-    ]
+    vms = await rig_3.entry_vms(folder, store, record, prefix="127.34.7", count=2)
     client = rig_3.Client(record)
     sent_at: dict[str, float] = {}
     tasks: list[asyncio.Task] = []
@@ -88,7 +85,7 @@
             record(f"another writer has written {ENTRIES} entries")
         await asyncio.sleep(5.0)
         # Planned work: a server leaves.
-        leaving = most_used(servers, client, rig_3.planner(vms))
+        leaving = most_used(servers, client, rig_3.last_writer(store, vms))
         leaving.drain()
         acknowledged_at = time.monotonic()
         await asyncio.sleep(STAYS_S)
--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -14,7 +14,6 @@
 import logging
 import os
 import pathlib
-import re
 import signal
 import socket
 import struct
@@ -204,6 +203,8 @@
         Value of the header ``Store-Era`` in all answers.
     is_away : bool
         Whether all calls are answered 503.
+    last_writer : str
+        Name of the entry VM that last wrote under a condition; empty if none has.
     """
 
     def __init__(self) -> None:
@@ -212,15 +213,18 @@
         self.rows: dict[tuple[str, str], tuple[bytes, int]] = {}
         self.history: list[tuple[int, str, str]] = []
         self.version = 0
-        self.address = ""
-        self._server: asyncio.Server | None = None
+        self.last_writer = ""
+        self._servers: list[asyncio.Server] = []
         self._started_at = time.monotonic()
 
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
+    async def listen(self, vm: str) -> str:
+        """Listen on a free port for one entry VM; return the address."""
+        server = await asyncio.start_server(
+            lambda reader, writer: self._serve(vm, reader, writer), "127.0.0.1", 0
+        )
+        self._servers.append(server)
+        host, port = server.sockets[0].getsockname()
+        return f"{host}:{port}"
 
     def put(self, table: str, key: str, value: bytes) -> int:
         """Write a row as the operator or a server does; return its version."""
@@ -262,7 +266,9 @@
             else:
                 self.put(table, key, value)
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _serve(
+        self, vm: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
                 request = await read_message(reader)
@@ -270,7 +276,7 @@
                 target = request.start.split(" ")[1]
                 path, _, query = target.partition("?")
                 fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
-                status, answer = await self._answer(path, fields, request.body)
+                status, answer = await self._answer(vm, path, fields, request.body)
                 answer["current_time"] = round(time.monotonic() - self._started_at, 3)
                 body = json.dumps(answer).encode()
                 headers = [("Content-Type", "application/json"), ("Store-Era", str(self.era))]
@@ -278,7 +284,7 @@
         writer.close()
 
     async def _answer(
-        self, path: str, fields: dict[str, str], body: bytes
+        self, vm: str, path: str, fields: dict[str, str], body: bytes
     ) -> tuple[int, dict[str, Any]]:
         if self.is_away:
             return 503, {}
@@ -288,7 +294,7 @@
             case "/rows-feed":
                 return await self._feed(fields)
             case "/rows-tx":
-                return self._transact(json.loads(body))
+                return self._transact(vm, json.loads(body))
         return 404, {}
 
     def _row(self, table: str, key: str) -> dict[str, Any]:
@@ -326,7 +332,7 @@
                 return 200, {"rows": rows, "row_version": self.version}
             await asyncio.sleep(0.01)
 
-    def _transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+    def _transact(self, vm: str, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         conditions = [
             ((row["table_name"], row["key"]), row["row_version"])
             for row in body.get("precondition", ())
@@ -334,6 +340,8 @@
         if any(self.rows.get(row, (b"", 0))[1] != version for row, version in conditions):
             rows = [self._row(*row) for row, _ in conditions]
             return 412, {"rows": rows, "row_version": self.version}
+        if conditions:
+            self.last_writer = vm
         self.version += 1
         for row in body.get("put", ()):
             key = row["table_name"], row["key"]
@@ -389,6 +397,7 @@
         self.fence = [0] * KEYS
         self.running: list[int] = []
         self.ran: list[tuple[str, int]] = []
+        self.releases = 0
         self.on_run: Callable[[Server, Message], Awaitable[Message | bytes | None]] | None = None
         self._store, self._record = store, record
         self._sequence = 0
@@ -461,6 +470,10 @@
         """Return what the server holds now; nothing when its process has ended."""
         return [hold for hold in self.holds if hold.until > now] if self.is_up else []
 
+    def highest_token(self) -> int:
+        """Return the highest fencing token of the keys that the server holds now."""
+        return max((hold.token for hold in self.held_keys(time.monotonic())), default=0)
+
     def has_key(self, key: int) -> bool:
         """Return whether the server holds a key now."""
         return any(h.start <= key <= h.end for h in self.held_keys(time.monotonic()))
@@ -506,6 +519,7 @@
             if is_new:
                 self._record(f"server {self.name} takes keys {start}-{end}, token {token}")
             return encode(200, [])
+        self.releases += 1
         self._record(f"server {self.name} releases keys {start}-{end}, token {token}")
         self._drop(start, end)
         self._raise_fence(start, end, token)
@@ -684,13 +698,30 @@
             await asyncio.sleep(0.05)
 
 
-def planner(vms: list[EntryVm]) -> EntryVm:
-    """Return the entry VM that became planner last, by its term."""
-    term_by_vm = {
-        vm: max(map(int, re.findall(r"became planner .*?term (\d+)", vm.log())), default=0)
-        for vm in vms
-    }
-    return max(term_by_vm, key=term_by_vm.__getitem__)
+async def entry_vms(
+    folder: str, store: Store, record: Record, *, prefix: str, count: int
+) -> list[EntryVm]:
+    """Return entry VMs that are not started yet, each with an address of the store of its own.
+
+    Parameters
+    ----------
+    prefix : str
+        First three octets of their addresses.
+    """
+    vms: list[EntryVm] = []
+    for number in range(1, count + 1):
+        name = f"front-{number}"
+        address = await store.listen(name)
+        vms.append(EntryVm(folder, name, f"{prefix}.{number}", address, record))
+    return vms
+
+
+def last_writer(store: Store, vms: list[EntryVm]) -> EntryVm:
+    """Return the entry VM that last wrote to the store under a condition."""
+    for vm in vms:
+        if vm.name == store.last_writer:
+            return vm
+    raise CannotRunError("no entry VM has written to the store under a condition")
 
 
 async def exchange(
