--- a/review/11/case.py
+++ b/review/11/case.py
@@ -53,7 +53,7 @@
     store = rig_3.Store()
     routes = [rig_3.route("view", "rota", "safe")]
     store.put("op", "config", rig_3.configuration(1, routes, {"rota": True}))
-    servers = [rig_3.Server(f"i-{n}", "rota", store, record) for n in range(3)]
+    servers = [rig_3.Server(f"i-{n}", "rota", store, record) for n in range(4)]
     for server in servers:
         await server.start()
     vms = await rig_3.entry_vms(folder, store, record, prefix="127.33.7", count=2)
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -65,7 +65,7 @@
     store = rig_3.Store()
     routes = [rig_3.route("desk", "desk", "safe")]
     store.put("op", "config", rig_3.configuration(1, routes, {"desk": False}))
-    servers = [rig_3.Server(f"i-{n}", "desk", store, record, sharded=False) for n in range(3)]
+    servers = [rig_3.Server(f"i-{n}", "desk", store, record, sharded=False) for n in range(4)]
     for server in servers:
         await server.start()
     vms = await rig_3.entry_vms(folder, store, record, prefix="127.34.7", count=2)
