Take no start time for proof that a server has ended

Cause: Directory.has_ended took a later start time under an id or at an address for proof. Another writer's entry and a clock that was set back between two lives of a server state such start times, too. Evidence, on the untouched code: 0.3 s after i-0 drained the planner logged "assigned keys 0 to 5484 to i-3, phase owned, possible holders []" without a release.

Of the answers that came from comparing two start times these were wrong: an end at the address; an end under the id; the later start as the only possible holder; an entry with an earlier start as old for good (its server was never used, and after 3.1 s could be granted keys for its former life); an equal start at another address; a known id under another service. Right already: a later start under an id replaces the record; servers of services that are not divided by key are asked by id with each request, so that 421 excludes a wrong entry.

Change: no entry proves an end; another server's answer at the address does, to a grant as to a request. Replaced incarnations stay known, and their keys are released at the address at which they were granted: whoever answers there, nobody there holds the keys any more. Without an answer or an address the leases have to end. An entry with an earlier start is used when it has stayed for 2 s, and the server is not confirmed meanwhile. Entries that give an incarnation another address, or an id another service, are ignored.

Tests: the walks of tests/ranges/test_restarted_servers.py now step clocks, move restarted servers and write entries in all these forms. Replaced because they demanded the fault: "younger server at the address proves the end" (now: no start proves it), the last line of "entry of no configured service" (the entry proves nothing after the configuration either); two planner tests now expect the earlier incarnation as the possible holder, and that its address is asked.

--- a/src/celerystack/fleet/directory_sync.py
+++ b/src/celerystack/fleet/directory_sync.py
@@ -270,6 +270,7 @@
                 [change.entry for change in update.changes if change.present],
                 [change.entry.server for change in update.changes if not change.present],
                 read_at,
+                are_accepted=True,
             )
             self._advance(update.position)
             if update.digest == self._directory.digest():
--- a/src/celerystack/fleet/servers.py
+++ b/src/celerystack/fleet/servers.py
@@ -23,8 +23,14 @@
 """Grace period in seconds after an outage of the store, within which running servers write entries
 that expired during the outage again."""
 REMOVED_KEPT_S = 120.0
-"""Time in seconds for which the record of a removed server is kept, so that it is still known which
-of its incarnations have ended."""
+"""Time in seconds for which the record of a removed server is kept, so that it is still known where
+its incarnations listen and which of them have ended."""
+REPLACED_KEPT = 8
+"""Number of earlier incarnations of a server whose records are kept beside that of the current one.
+"""
+EARLIER_START_S = 2.0
+"""Time in seconds for which an entry with an earlier start must stay in the table to replace the
+known one; a running server writes its own entry again sooner."""
 COLD_AGAIN_S = 1.0
 """By how many seconds a server stays cold longer than was known, for it to have gone cold again;
 more than the time between two of its entries, which say how long it stays cold."""
@@ -94,6 +100,10 @@
         Whether another server answered at the address, so that this incarnation has ended.
     leaving : bool
         Whether the server has stated in an answer that it leaves, whatever its entry says.
+    contender : ServerEntry or None
+        Entry of an incarnation with an earlier start that the table has in place of this one's.
+    contended_at : float
+        Clock time in seconds from which the table has that entry.
     """
 
     entry: ServerEntry
@@ -105,6 +115,8 @@
     removed: bool = False
     address_reused: bool = False
     leaving: bool = False
+    contender: ServerEntry | None = None
+    contended_at: float = 0.0
 
     @property
     def usable(self) -> bool:
@@ -121,17 +133,21 @@
 class Directory:
     """All known servers, according to their entries.
 
+    An entry proves nothing about another incarnation, whatever start time it states: clocks are set
+    back, and other writers write entries, too. Only an answer from the address of an incarnation
+    proves that it has ended.
+
     Another writer may have written an entry of a service that no configuration names. Such an entry
-    is kept, because a later configuration may name the service, but proves nothing about other
-    servers and does not replace the entry of a server of a configured service.
+    is kept, because a later configuration may name the service, but does not replace the entry of a
+    server of a configured service.
     """
 
     def __init__(self) -> None:
         self.by_id: dict[ids.ServerId, ServerRecord] = {}
         self.version = 0
         self._configured_services: frozenset[ids.ServiceName] | None = None
-        self._ignored_service_by_id: dict[ids.ServerId, ids.ServiceName] = {}
-        self._newest_incarnation_by_address: dict[str, model.ServerIncarnation] = {}
+        self._ignored_by_id: dict[ids.ServerId, tuple[ids.ServiceName, str]] = {}
+        self._replaced_by_id: dict[ids.ServerId, collections.deque[ServerRecord]] = {}
         self._read_at: float | None = None
         self._entries_read_at = float("-inf")
         self._entries_read_since = float("-inf")
@@ -158,29 +174,31 @@
         if configured == self._configured_services:
             return
         self._configured_services = configured
-        self._newest_incarnation_by_address.clear()
-        for record in self.by_id.values():
-            if self._is_configured(record.entry):
-                self._note_address(record.entry)
         self.version += 1
 
     def _is_configured(self, entry: ServerEntry) -> bool:
         services = self._configured_services
         return services is None or entry.service in services
 
-    def _note_address(self, entry: ServerEntry) -> None:
-        newest = self._newest_incarnation_by_address.get(entry.address)
-        if newest is None or entry.started_ms > newest.started_ms:
-            self._newest_incarnation_by_address[entry.address] = entry.incarnation
-
     def apply_changes(
-        self, entries: Iterable[ServerEntry], removed: Iterable[ids.ServerId], now: float
+        self,
+        entries: Iterable[ServerEntry],
+        removed: Iterable[ids.ServerId],
+        now: float,
+        *,
+        are_accepted: bool = False,
     ) -> None:
-        """Apply changed entries and removed server ids that were read at the time ``now``."""
+        """Apply changed entries and removed server ids that were read at the time ``now``.
+
+        Parameters
+        ----------
+        are_accepted : bool
+            Whether another entry VM has accepted the entries, so that none waits as a contender.
+        """
         self.note_answer(now)
         self._note_entries_read(now)
         for entry in entries:
-            self._update(entry, now)
+            self._update(entry, now, is_accepted=are_accepted)
         for server in removed:
             self._remove(server, now)
         self.expire(now)
@@ -248,42 +266,55 @@
             return None
         return record
 
+    def find_entry(self, incarnation: model.ServerIncarnation) -> ServerEntry | None:
+        """Return the last entry of an incarnation, which another one may have replaced since."""
+        record = self._find_any_record(incarnation)
+        return None if record is None else record.entry
+
+    def _find_any_record(self, incarnation: model.ServerIncarnation) -> ServerRecord | None:
+        record = self.find_record(incarnation)
+        if record is not None:
+            return record
+        for replaced in self._replaced_by_id.get(incarnation.server, ()):
+            if replaced.entry.incarnation == incarnation:
+                return replaced
+        return None
+
     def has_ended(self, incarnation: model.ServerIncarnation) -> bool:
-        """Return whether an incarnation is known to have ended.
+        """Return whether an incarnation has ended, as another server answered at its address."""
+        record = self._find_any_record(incarnation)
+        return record is not None and record.address_reused
 
-        It has ended if there is a later incarnation with the same server id or at the same address,
-        or if another server answered at its address.
+    def is_replaced(self, incarnation: model.ServerIncarnation) -> bool:
+        """Return whether a configured server is registered in the place of an incarnation.
+
+        It has the same id or the same address. This is no proof that the incarnation has ended.
         """
-        record = self.by_id.get(incarnation.server)
-        if record is None or not self._is_configured(record.entry):
-            return False
-        if record.entry.started_ms > incarnation.started_ms:
+        if self.successor(incarnation) is not None:
             return True
-        if record.address_reused and record.entry.incarnation == incarnation:
-            return True
-        newest = self._newest_incarnation_by_address.get(record.entry.address)
-        return (
-            newest is not None
-            and newest != incarnation
-            and newest.started_ms > incarnation.started_ms
+        entry = self.find_entry(incarnation)
+        return entry is not None and any(
+            record.entry.address == entry.address
+            and record.entry.server != incarnation.server
+            and record.present
+            and self._is_configured(record.entry)
+            for record in self.by_id.values()
         )
 
     def successor(self, incarnation: model.ServerIncarnation) -> model.ServerIncarnation | None:
-        """Return the later incarnation of the same server, or None if there is none or it ended.
+        """Return the current incarnation under the same id, or None if there is none or it ended.
 
         It may be at work although its entry is missing.
         """
         record = self.by_id.get(incarnation.server)
-        if record is None or not self._is_configured(record.entry):
+        if record is None or not self._is_configured(record.entry) or record.address_reused:
             return None
-        if record.entry.started_ms <= incarnation.started_ms:
-            return None
-        later = record.entry.incarnation
-        return None if self.has_ended(later) else later
+        current = record.entry.incarnation
+        return None if current == incarnation else current
 
     def note_address_reused(self, incarnation: model.ServerIncarnation) -> None:
         """Record that another server answered at the address of an incarnation."""
-        record = self.find_record(incarnation)
+        record = self._find_any_record(incarnation)
         if record is not None and not record.address_reused:
             record.address_reused = True
             self._record_change(
@@ -325,7 +356,7 @@
 
         The entries must have been read without a gap from before ``since`` on.
         """
-        is_unbroken = self._entries_read_since <= since
+        is_unbroken = self._entries_read_since <= since and record.contender is None
         return record.present and is_unbroken and self._entries_read_at - since >= duration_s
 
     def _note_entries_read(self, now: float) -> None:
@@ -362,14 +393,17 @@
             self._grace_ends_at = now + RETURN_GRACE_S
         self._read_at = now
 
-    def _note_ignored(self, entry: ServerEntry) -> None:
+    def _note_ignored(self, entry: ServerEntry, reason: str) -> None:
         """Log once that the entry of another writer stands in the place of a server's own."""
-        if self._ignored_service_by_id.get(entry.server) == entry.service:
+        ignored = (entry.service, entry.address)
+        if self._ignored_by_id.get(entry.server) == ignored:
             return
-        self._ignored_service_by_id[entry.server] = entry.service
+        self._ignored_by_id[entry.server] = ignored
         _log.warning(
-            "ignored an entry of the service %s, which no configuration names",
+            "ignored an entry of the service %s at %s: %s",
             entry.service,
+            entry.address,
+            reason,
             extra={"step": "servers", "peer": entry.server},
         )
 
@@ -382,26 +416,27 @@
         self._grace_ends_at = now + RETURN_GRACE_S
         self._returns_ignored_until = now + RETURN_GRACE_S
 
-    def _update(self, entry: ServerEntry, now: float) -> None:
+    def _update(self, entry: ServerEntry, now: float, *, is_accepted: bool) -> None:
         record = self.by_id.get(entry.server)
-        if record is not None and self._is_configured(record.entry) != self._is_configured(entry):
+        is_known = record is not None and self._configured_services is not None
+        if is_known and record.entry.service != entry.service:
             if self._is_configured(record.entry):
-                self._note_ignored(entry)
+                self._note_ignored(entry, "the service differs from that of the server")
                 return
             record = None
-        if record is not None and entry.started_ms < record.entry.started_ms:
-            _log.info(
-                "ignored the entry of an earlier incarnation of the server",
-                extra={"step": "servers", "peer": entry.server},
-            )
-            return
-        if self._is_configured(entry):
-            self._note_address(entry)
-        if record is None or record.entry.incarnation != entry.incarnation:
+        if record is None:
             self._record_change("server appeared", entry)
-            self.by_id[entry.server] = ServerRecord(
-                entry=entry, appeared_at=now, seen_at=now, warm_at=now + entry.cold_s
-            )
+            self.by_id[entry.server] = _new_record(entry, now)
+            return
+        if record.entry.incarnation != entry.incarnation:
+            if is_accepted or entry.started_ms > record.entry.started_ms:
+                self._replace(record, entry, now)
+            else:
+                self._contend(record, entry, now)
+            return
+        record.contender = None
+        if record.entry.address != entry.address:
+            self._note_ignored(entry, "the address differs from that of the server")
             return
         if record.removed and now < self._returns_ignored_until:
             return
@@ -421,9 +456,36 @@
             record.warm_at = min(record.warm_at, warm_at)
         record.removed = record.expired = False
 
+    def _contend(self, record: ServerRecord, entry: ServerEntry, now: float) -> None:
+        """Note an entry with an earlier start than the known one.
+
+        It may be a delayed entry of an earlier incarnation, which a running server soon replaces,
+        or that of a later one whose clock was set back.
+        """
+        if record.contender is None or record.contender.incarnation != entry.incarnation:
+            record.contended_at = now
+            _log.info(
+                "the entry of the server has an earlier start than the known one",
+                extra={"step": "servers", "peer": entry.server},
+            )
+        record.contender = entry
+
+    def _replace(self, record: ServerRecord, entry: ServerEntry, now: float) -> None:
+        """Record another incarnation under the id of a known one."""
+        replaced = self._replaced_by_id.setdefault(
+            entry.server, collections.deque(maxlen=REPLACED_KEPT)
+        )
+        record.contender = None
+        replaced.append(record)
+        self._record_change("server appeared with another start", entry)
+        self.by_id[entry.server] = _new_record(entry, now)
+
     def _remove(self, server: ids.ServerId, now: float) -> None:
         record = self.by_id.get(server)
-        if record is None or record.removed or record.expired:
+        if record is None:
+            return
+        record.contender = None
+        if record.removed or record.expired:
             return
         record.seen_at = now
         if now < self._grace_ends_at and record.entry.state is ServerState.READY:
@@ -450,12 +512,15 @@
                 )
             elif record.removed and now - record.seen_at > REMOVED_KEPT_S:
                 self._forget(server)
+            elif record.contender is not None and (
+                self._entries_read_at >= record.contended_at + EARLIER_START_S
+            ):
+                self._replace(record, record.contender, now)
 
     def _forget(self, server: ids.ServerId) -> None:
-        entry = self.by_id.pop(server).entry
-        self._ignored_service_by_id.pop(server, None)
-        if self._newest_incarnation_by_address.get(entry.address) == entry.incarnation:
-            del self._newest_incarnation_by_address[entry.address]
+        del self.by_id[server]
+        self._ignored_by_id.pop(server, None)
+        self._replaced_by_id.pop(server, None)
 
     def _record_change(self, message: str, entry: ServerEntry) -> None:
         self.version += 1
@@ -463,3 +528,7 @@
         _log.info(
             "%s", message, extra={"step": "servers", "peer": entry.server, "service": entry.service}
         )
+
+
+def _new_record(entry: ServerEntry, now: float) -> ServerRecord:
+    return ServerRecord(entry=entry, appeared_at=now, seen_at=now, warm_at=now + entry.cold_s)
--- a/src/celerystack/ranges/lessor.py
+++ b/src/celerystack/ranges/lessor.py
@@ -338,6 +338,7 @@
             self.leases.grant_ended(incarnation.server, self._now(), was_sent=was_sent)
         if result is orders.GrantResult.OTHER_SERVER:
             self._failed_at_by_incarnation[incarnation] = self._now()
+            self._directory.note_address_reused(incarnation)
         else:
             self._failures_by_incarnation.pop(incarnation, None)
             self._failed_at_by_incarnation.pop(incarnation, None)
--- a/src/celerystack/ranges/map_draft.py
+++ b/src/celerystack/ranges/map_draft.py
@@ -58,8 +58,8 @@
     has_ended : callable
         Whether an incarnation has certainly ended.
     successor : callable
-        The later incarnation of the server of an ended incarnation; None if there is none. An entry
-        VM that did not know of the restart may have granted it the keys of the ended incarnation.
+        The registered incarnation under the id of an ended one; None if there is none. An entry VM
+        that did not know of the restart may have granted it the keys of the ended incarnation.
     is_silent : callable
         Whether an incarnation does not answer orders, so that its keys can be granted to another
         server only when its leases have ended.
--- a/src/celerystack/ranges/map_recovery.py
+++ b/src/celerystack/ranges/map_recovery.py
@@ -126,14 +126,12 @@
         }
 
     def _ask(self, incarnation: model.ServerIncarnation) -> None:
-        record = self._directory.find_record(incarnation)
-        if record is None:
+        entry = self._directory.find_entry(incarnation)
+        if entry is None:
             return
         self._asked.add(incarnation)
         self._in_flight.add(incarnation)
-        asking = defer.Deferred.fromCoroutine(
-            self._release_others(incarnation, record.entry.address)
-        )
+        asking = defer.Deferred.fromCoroutine(self._release_others(incarnation, entry.address))
         asking.addErrback(
             lambda failure: _log.error(
                 "unexpected error while releasing keys: %s",
--- a/src/celerystack/ranges/planner.py
+++ b/src/celerystack/ranges/planner.py
@@ -204,7 +204,9 @@
         return self.suspects.quarantined(
             now,
             is_down=lambda incarnation: (
-                incarnation in silent or self._directory.has_ended(incarnation)
+                incarnation in silent
+                or self._directory.has_ended(incarnation)
+                or self._directory.is_replaced(incarnation)
             ),
         )
 
@@ -429,10 +431,10 @@
         Its entry VMs may go on renewing leases by the present map, so the keys could not be granted
         to others sooner if they were taken away earlier.
         """
-        zone = self._zone_of(incarnation)
-        if zone is None or self._directory.has_ended(incarnation):
+        record = self._directory.find_record(incarnation)
+        if record is None or record.address_reused:
             return False
-        return self._lease_reports.is_zone_waited_for(zone, self._now())
+        return self._lease_reports.is_zone_waited_for(record.entry.zone, self._now())
 
     def _silent_incarnations(self) -> set[model.ServerIncarnation]:
         """Return the incarnations that count as silent.
@@ -457,8 +459,8 @@
         return silent
 
     def _zone_of(self, incarnation: model.ServerIncarnation) -> ids.ZoneName | None:
-        record = self._directory.by_id.get(incarnation.server)
-        return None if record is None else record.entry.zone
+        entry = self._directory.find_entry(incarnation)
+        return None if entry is None else entry.zone
 
     def _handover_by_freed_segment(self, known: range_maps.KnownMap) -> dict[model.Segment, str]:
         """Return the handovers of the segments whose possible holders have all lost the keys."""
@@ -523,17 +525,21 @@
             return
         wanted: set[_ReleaseKey] = set()
         due_by_incarnation: dict[model.ServerIncarnation, list[model.Segment]] = {}
+        address_by_incarnation: dict[model.ServerIncarnation, str] = {}
         for segment in known.ranges.segments:
             for incarnation in segment.pending:
                 key = _release_key(service, segment, incarnation)
                 wanted.add(key)
                 release = self._releases.setdefault(key, _Release())
-                record = self._directory.find_record(incarnation)
-                if not release.is_in_flight and release.handover is None and record is not None:
+                entry = self._directory.find_entry(incarnation)
+                if not release.is_in_flight and release.handover is None and entry is not None:
                     due_by_incarnation.setdefault(incarnation, []).append(segment)
+                    address_by_incarnation[incarnation] = entry.address
         for incarnation, segments in due_by_incarnation.items():
             for group in releases.group(segments):
-                self._start_release(service, group, incarnation)
+                self._start_release(
+                    service, group, incarnation, address_by_incarnation[incarnation]
+                )
         for key in [k for k in self._releases if k[0] == service and k not in wanted]:
             del self._releases[key]
 
@@ -542,14 +548,18 @@
         service: ids.ServiceName,
         group: tuple[model.Segment, ...],
         incarnation: model.ServerIncarnation,
+        address: str,
     ) -> None:
-        """Release the keys of adjacent segments with one order."""
+        """Release the keys of adjacent segments with one order.
+
+        Whoever answers at the address of the incarnation, nobody else there holds the keys: either
+        the incarnation still runs, or its process has ended and another one answers.
+        """
         group_releases = [
             self._releases[_release_key(service, segment, incarnation)] for segment in group
         ]
         for release in group_releases:
             release.is_in_flight = True
-        address = self._directory.by_id[incarnation.server].entry.address
         sending = defer.Deferred.fromCoroutine(
             self._release(address, releases.join(group), group_releases, incarnation)
         )
--- a/tests/fleet/test_servers.py
+++ b/tests/fleet/test_servers.py
@@ -105,14 +105,14 @@
         self.directory.apply_changes([fakes.entry("a")], [], 10.6)
         self.assertEqual((version, []), (self.directory.version, self.directory.take_changed()))
 
-    def test_forgotten_server_leaves_no_proof_of_an_end_at_its_address(self):
-        """Guards against memory of every address that was ever used."""
+    def test_forgotten_server_leaves_no_earlier_incarnations(self):
+        """Guards against memory of every incarnation and address that was ever used."""
+        self.directory.apply_changes([fakes.entry("a", 2)], [], 10.4)
         self.directory.apply_changes([], ["a"], 10.5)
         for later in (10.6 + servers.REMOVED_KEPT_S, 11.0 + servers.REMOVED_KEPT_S):
             self.directory.expire(later)
-        address = fakes.entry("a").address
         self.assertNotIn("a", self.directory.by_id)
-        self.assertNotIn(address, self.directory._newest_incarnation_by_address)
+        self.assertIsNone(self.directory.find_entry(fakes.incarnation("a")))
 
     def test_entry_of_an_earlier_incarnation_is_ignored(self):
         """Guards against a delayed entry that replaces the entry of the current process."""
@@ -120,12 +120,91 @@
         self.directory.apply_changes([fakes.entry("a", 1)], [], 10.6)
         self.assertEqual(5, self.directory.by_id["a"].entry.started_ms)
 
-    def test_younger_server_at_the_address_proves_the_end(self):
-        """Guards against waiting for the leases of a process whose address was reused."""
+    def test_delayed_entry_does_not_replace_that_of_a_running_server(self):
+        """Guards against the same entry, which is still in the table at the next reads."""
+        self.directory.apply_changes([fakes.entry("a", 5)], [], 10.5)
+        self.directory.apply_changes([fakes.entry("a", 1)], [], 10.6)
+        self.directory.apply_changes([fakes.entry("a", 5)], [], 11.4)
+        self.read_nothing_until(11.4 + 2 * servers.EARLIER_START_S)
+        self.assertEqual(5, self.directory.by_id["a"].entry.started_ms)
+
+    def read_nothing_until(self, end):
+        now = self.directory._entries_read_at
+        while now < end:
+            now += 0.5
+            self.directory.apply_changes([], [], now)
+
+    def test_server_that_restarted_after_its_clock_was_set_back_is_used(self):
+        """Guards against a server that is never used again because its start is earlier than that
+        of its former life, and against grants to the new process for the former one."""
+        since = 10.5
+        self.directory.apply_changes([fakes.entry("a", 5)], [], since)
+        earlier = fakes.entry("a", 3, slots=7)
+        self.directory.apply_changes([earlier], [], 10.6)
+        record = self.directory.by_id["a"]
+        self.read_nothing_until(since + 1.2)
+        self.assertFalse(self.directory.has_stayed(record, since, 1.0))
+        self.read_nothing_until(11.1 + servers.EARLIER_START_S)
+        self.assertEqual(earlier, self.directory.by_id["a"].entry)
+        self.assertIsNone(self.directory.find_record(fakes.incarnation("a", 5)))
+        self.assertFalse(self.directory.has_ended(fakes.incarnation("a", 5)))
+
+    def test_entry_with_an_earlier_start_is_taken_from_the_planner_at_once(self):
+        """Guards against a directory that differs from the planner's for seconds."""
+        self.directory.apply_changes([fakes.entry("a", 0)], [], 10.5, are_accepted=True)
+        self.assertEqual(0, self.directory.by_id["a"].entry.started_ms)
+
+    def test_other_start_at_the_address_proves_nothing(self):
+        """Guards against a live server that counts as ended, so that its keys get a second owner,
+        after another writer's entry or a step of a clock (review cases 11 and 12)."""
         address = self.directory.by_id["a"].entry.address
-        self.directory.apply_changes([fakes.entry("c", 9, address=address)], [], 11.0)
+        for name, started_ms in (("earlier", 0), ("equal", 1), ("later", 9)):
+            other = fakes.entry(name, started_ms, address=address)
+            self.directory.apply_changes([other], [], 11.0)
+            self.assertFalse(self.directory.has_ended(fakes.incarnation("a")))
+            self.assertFalse(self.directory.has_ended(other.incarnation))
+
+    def test_other_start_under_the_id_proves_nothing(self):
+        """Guards against the same under the id of a live server, where the address under which it
+        was given its keys stays known, so that it can be asked."""
+        entry = self.directory.by_id["a"].entry
+        for started_ms in (9, 8, 7):
+            other = fakes.entry("a", started_ms, address=f"10.0.0.2:{started_ms}")
+            self.directory.apply_changes([other], [], 11.0 + started_ms, are_accepted=True)
+            self.assertFalse(self.directory.has_ended(entry.incarnation))
+            self.assertEqual(entry, self.directory.find_entry(entry.incarnation))
+
+    def test_entry_of_another_service_replaces_no_server(self):
+        """Guards against requests of one service that reach a server of another one, because
+        another writer's entry names its id."""
+        self.directory.add_services([fakes.SERVICE, "desk"])
+        self.directory.apply_changes([fakes.entry("a", 9, service="desk")], [], 10.5)
+        self.assertEqual(["a", "b"], self.usable())
+        self.assertEqual([], self.directory.usable("desk"))
+
+    def test_incarnation_has_one_address(self):
+        """Guards against orders for a server that reach the address in another writer's entry."""
+        entry = self.directory.by_id["a"].entry
+        self.directory.apply_changes([fakes.entry("a", address="10.0.0.2:1")], [], 10.5)
+        self.assertEqual(entry, self.directory.find_entry(entry.incarnation))
+        self.assertEqual(["a", "b"], self.usable())
+
+    def test_proof_of_an_end_outlasts_the_next_entry(self):
+        """Guards against waiting for the leases of a process that has certainly ended."""
+        self.directory.note_address_reused(fakes.incarnation("a"))
+        self.directory.apply_changes([fakes.entry("a", 2)], [], 11.0)
         self.assertTrue(self.directory.has_ended(fakes.incarnation("a")))
 
+    def test_server_in_the_place_of_another_is_known(self):
+        """Guards against requests that crash servers and are not found, as the crashed ones are
+        back under their ids or at their addresses."""
+        self.assertFalse(self.directory.is_replaced(fakes.incarnation("a")))
+        address = self.directory.by_id["b"].entry.address
+        replacing = [fakes.entry("a", 2), fakes.entry("c", 0, address=address)]
+        self.directory.apply_changes(replacing, [], 11.0)
+        self.assertTrue(self.directory.is_replaced(fakes.incarnation("a")))
+        self.assertTrue(self.directory.is_replaced(fakes.incarnation("b")))
+
     def test_entry_of_no_configured_service_proves_nothing_at_an_address(self):
         """Guards against a live server that counts as ended, so that its keys get a second owner,
         because another writer's entry names its address (review case 7)."""
@@ -135,7 +214,7 @@
         self.directory.apply_changes([foreign], [], 10.5)
         self.assertFalse(self.directory.has_ended(fakes.incarnation("a")))
         self.directory.add_services(["metrics"])
-        self.assertTrue(self.directory.has_ended(fakes.incarnation("a")))
+        self.assertFalse(self.directory.has_ended(fakes.incarnation("a")))
 
     def test_entry_that_was_read_before_the_configuration_proves_nothing(self):
         """Guards against the same entry at the start of an entry VM."""
@@ -167,8 +246,7 @@
         """Guards against proof of an end that is lost with a service's configuration."""
         self.directory.add_services([fakes.SERVICE])
         self.directory.add_services(["other"])
-        address = self.directory.by_id["a"].entry.address
-        self.directory.apply_changes([fakes.entry("c", 2, address=address)], [], 10.5)
+        self.directory.note_address_reused(fakes.incarnation("a"))
         self.assertTrue(self.directory.has_ended(fakes.incarnation("a")))
 
     def test_missing_entry_proves_nothing(self):
--- a/tests/ranges/restart_world.py
+++ b/tests/ranges/restart_world.py
@@ -156,7 +156,7 @@
     def __init__(self, world: World, vm: ids.EntryVmId) -> None:
         self.vm = vm
         self.maps = range_maps.RangeMaps()
-        self.directory = servers.Directory()
+        self.directory = world.directory_class()
         self.port = Port(world)
         self.heard_at = float("-inf")
         self.pending: tuple[model.ServerIncarnation, ...] = ()
@@ -181,6 +181,9 @@
         What broke the rule of one owner per key.
     """
 
+    directory_class = servers.Directory
+    moved_share = 0.3
+
     def __init__(self, seed: int) -> None:
         self.choices = random.Random(seed)
         self.clock = task.Clock()
@@ -192,6 +195,7 @@
         self._due: list[tuple[float, Callable[[], None]]] = []
         self._entries_due_at = self._nodes_read_at = 0.0
         self._servers_started = 0
+        self._foreign: list[tuple[servers.ServerEntry, float]] = []
         self._cut_until = 0.0
         for vm in VMS:
             node = nodes.Node(vm=vm, zone=fakes.ZONE, address=("10.0.0.1", 7000))
@@ -283,10 +287,20 @@
                 version = ids.RowVersion(self.store.version)
                 entry = dataclasses.replace(process.entry, row_version=version)
                 self._entry_by_server[server] = entry, self.now()
+        self._write_foreign_entries()
         for server, (_, written_at) in list(self._entry_by_server.items()):
             if self.now() - written_at > ENTRY_KEPT_S:
                 del self._entry_by_server[server]
 
+    def _write_foreign_entries(self) -> None:
+        """Write the entries of another writer, some of which replace those of servers."""
+        self._foreign = [(entry, until) for entry, until in self._foreign if until > self.now()]
+        for entry, _ in self._foreign:
+            self.store.version += 1
+            version = ids.RowVersion(self.store.version)
+            written = dataclasses.replace(entry, row_version=version)
+            self._entry_by_server[entry.server] = written, self.now()
+
     def _read_servers(self, vm: Vm) -> None:
         if self.choices.random() < 0.3:
             return
@@ -371,7 +385,9 @@
         self._process_by_server[entry.server] = Process(entry)
 
     def _now_ms(self) -> int:
-        return int(self.now() * 1000)
+        """Return the time by the clock of a server, which may have been set."""
+        step_s = self.choices.choice((0.0, 0.0, 0.0, -6.0, -2.0, 2.0, 6.0))
+        return int((self.now() + step_s) * 1000)
 
     def _inject_fault(self) -> None:
         faults = (
@@ -381,6 +397,8 @@
             self._drain,
             self._lose_entry,
             self._cut,
+            self._write_foreign,
+            self._hide_entry,
         )
         rarer = (self._restart_vm, self._change_planner)
         if self.choices.random() < 0.12:
@@ -405,7 +423,11 @@
             self._after(self.choices.uniform(0.0, 2.0), restart)
 
     def _restart(self, entry: servers.ServerEntry) -> None:
-        restarted = Process(dataclasses.replace(entry, started_ms=self._now_ms()))
+        address = entry.address
+        if self.choices.random() < self.moved_share:
+            self._servers_started += 1
+            address = f"10.0.1.{self._servers_started}:80"
+        restarted = Process(dataclasses.replace(entry, started_ms=self._now_ms(), address=address))
         self._process_by_server[entry.server] = restarted
         if self.choices.random() < 0.5:
             self._after(
@@ -448,6 +470,34 @@
         self._after(self.choices.uniform(4.0, 9.0), process.end)
         self._after(self.choices.uniform(0.0, 3.0), self._start_server)
 
+    def _write_foreign(self) -> None:
+        """Let another writer write entries that name the id or the address of a live server."""
+        for process in self._one_ready():
+            own = process.entry
+            self._servers_started += 1
+            new_id = ids.ServerId(f"x{self._servers_started}")
+            address = f"10.0.1.{self._servers_started}:80"
+            step_ms = self.choices.choice((-5000, -1, 1, 5000))
+            forms = (
+                {"server": new_id, "started_ms": own.started_ms + step_ms},
+                {"server": new_id},
+                {"started_ms": own.started_ms + step_ms},
+                {"started_ms": own.started_ms + step_ms, "address": address},
+                {"started_ms": own.started_ms + step_ms, "zone": ids.ZoneName("z2")},
+                {"service": ids.ServiceName("desk"), "started_ms": own.started_ms + step_ms},
+            )
+            entry = dataclasses.replace(own, **self.choices.choice(forms))
+            until = self.now() + self.choices.choice((0.1, 4.0, 12.0))
+            self._foreign.append((entry, until))
+            self._write_foreign_entries()
+
+    def _hide_entry(self) -> None:
+        """Remove the entry of a server for a while, in which the server goes on."""
+        for process in self._one_ready():
+            process.writes_entry = False
+            self._entry_by_server.pop(process.entry.server, None)
+            self._after(self.choices.uniform(0.5, 6.0), functools.partial(_show, process))
+
     def _cut(self) -> None:
         self._cut_until = self.now() + self.choices.uniform(0.5, 5.0)
 
@@ -457,3 +507,7 @@
     def _change_planner(self) -> None:
         if not self.store.is_down:
             self._begin_term()
+
+
+def _show(process: Process) -> None:
+    process.writes_entry = True
--- a/tests/ranges/test_planner.py
+++ b/tests/ranges/test_planner.py
@@ -208,11 +208,47 @@
         self.directory.apply_changes([restarted], [], self.clock.seconds())
 
     def test_restarted_server_may_hold_keys_of_its_earlier_incarnation(self):
-        """Guards against a second owner: entry VMs may have granted them to the new process."""
+        """Guards against a second owner: entry VMs may have granted them to the new process, and
+        the earlier one may be at work still."""
         self.restart_before_the_release("a")
         self.tick()
         holders = {holder for segment in self.ranges().segments for holder in segment.pending}
-        self.assertEqual({fakes.incarnation("a", 2)}, holders)
+        self.assertEqual({fakes.incarnation("a")}, holders)
+        self.orders.failing = False
+        self.orders.released.clear()
+        self.tick()
+        self.assertEqual({fakes.entry("a").address}, {to for to, _ in self.orders.released})
+        self.tick()
+        self.assertFalse(any(segment.pending for segment in self.ranges().segments))
+
+    def test_live_server_is_asked_for_its_keys_whatever_other_entries_say(self):
+        """Guards against a second owner of the keys of a live server after another writer's entry
+        or a step of a clock, seen by a running or a new planner (review cases 11 and 12)."""
+        address = fakes.entry("a").address
+        others = [fakes.entry(f"x{start}", start, address=address) for start in (0, 1, 9)]
+        self.directory.apply_changes(others, [], self.clock.seconds())
+        for other in others:
+            self.directory.note_address_reused(other.incarnation)
+        self.drain("a")
+        self.orders.failing = True
+        for is_new_planner in (False, True):
+            if is_new_planner:
+                self.planner = self.start_planner()
+            self.orders.released.clear()
+            self.tick()
+            self.tick()
+            holders = {holder for segment in self.ranges().segments for holder in segment.pending}
+            self.assertEqual({fakes.incarnation("a")}, holders)
+            self.assertEqual({address}, {to for to, _ in self.orders.released})
+
+    def test_live_server_is_asked_at_the_address_at_which_it_was_granted_keys(self):
+        """Guards against a release that another server answers, because another writer's entry
+        names the server's id and the address of that one."""
+        other = fakes.entry("a", 9, address=fakes.entry("b").address)
+        self.directory.apply_changes([other], [], self.clock.seconds())
+        self.directory.note_address_reused(other.incarnation)
+        self.tick()
+        self.assertEqual({fakes.entry("a").address}, {to for to, _ in self.orders.released})
 
     def test_restarted_server_whose_entry_was_removed_may_hold_keys(self):
         """Guards against a second owner: a server without an entry may still be at work."""
@@ -220,7 +256,7 @@
         self.directory.apply_changes([], ["a"], self.clock.seconds())
         self.tick()
         holders = {holder for segment in self.ranges().segments for holder in segment.pending}
-        self.assertEqual({fakes.incarnation("a", 2)}, holders)
+        self.assertEqual({fakes.incarnation("a")}, holders)
 
     def test_keys_of_a_restarted_server_are_free_when_its_leases_have_ended(self):
         """Guards against keys that stay unserved because a restarted server was lost again."""
