Reject server entries whose version is missing or of another type

Cause: registry.decode checked every field of an entry but this one, which the system does not use.

Change: the field must be a text. Tests: an entry that lacks any one of its fields, and the two unused fields with other types; both failed before for `version`, all others were rejected already.

--- a/src/celerystack/platform/registry.py
+++ b/src/celerystack/platform/registry.py
@@ -39,6 +39,8 @@
     try:
         fields = json.loads(data)
         _integer(fields, "sequence", 0, None)
+        if not isinstance(fields["version"], str):
+            raise TypeError("version is not a text")
         wire.address(fields["address"])
         cold_s = wire.seconds(fields["cold_remaining"])
         if cold_s > COLD_MAX_S:
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -42,6 +42,22 @@
                 with self.subTest(name=name, value=value):
                     self.assertRaises(errors.CorruptRowError, self.decode, **{name: value})
 
+    def test_entries_that_lack_a_field_are_rejected(self):
+        """Guards against another writer's entry that names a server to use, because a field is not
+        looked at (review case 11)."""
+        for name in ENTRY:
+            fields = {other: value for other, value in ENTRY.items() if other != name}
+            with self.subTest(name=name):
+                data = json.dumps(fields).encode()
+                self.assertRaises(errors.CorruptRowError, registry.decode, KEY, data)
+
+    def test_versions_and_sequences_of_another_type_are_rejected(self):
+        """Guards against the same by the fields that the system does not use."""
+        for name in ("version", "sequence"):
+            for value in (None, [], {}, True, 1.5):
+                with self.subTest(name=name, value=value):
+                    self.assertRaises(errors.CorruptRowError, self.decode, **{name: value})
+
     def test_values_out_of_range_are_rejected(self):
         """Guards against an entry by another writer that ends the task which reads the servers, or
         the heartbeats of a planner that cannot encode it."""
