Let the tasks of a process go on after unexpected errors

Cause, the first of two: an unexpected error ended the task that reads the servers, for good and with one log line, while the process kept the leadership. Evidence, on the untouched code: "a store watcher stopped because of an unexpected error" with MessageLengthError out of the send of a heartbeat. Ruled out: a slow read (it had succeeded) and a drain that could not be decoded (the other entry VM read it).

Change: the module supervision logs, counts and restarts. It is used by the watches of the store, the steps of the coordination, its calls to the store, the heartbeats, the sender of maps, the links to queue owners and the checks of callers' connections. A planner whose heartbeats or calls fail five times in a row gives up the leadership for 30 s, since followers keep to a planner that renews its row. A datagram that is too large counts as lost. The periodic tasks of the own interface went on already.

Tests: each loop is broken once and goes on. Failed before: the watch of the store, a datagram that cannot be sent, an error in one step of the tick, a planner without heartbeats.

--- a/src/celerystack/forwarding/links.py
+++ b/src/celerystack/forwarding/links.py
@@ -11,6 +11,7 @@
 from twisted.internet import defer, protocol
 from twisted.python import failure
 
+from celerystack import supervision
 from celerystack.forwarding import messages, owners, stream
 
 _log = logging.getLogger(__name__)
@@ -19,6 +20,7 @@
 """Timeout of an attempt to connect to an owner in seconds."""
 RECONNECT_S = 0.3
 """Pause in seconds before the next attempt to connect."""
+WATCH_TASK = "the watch of the links to queue owners"
 WATCH_S = 0.2
 """Interval in seconds between two looks at the streams."""
 SUSPECT_AFTER_S = 0.5
@@ -247,6 +249,9 @@
 
     def _watch(self) -> None:
         self._reactor.callLater(WATCH_S, self._watch)
+        supervision.run_step(WATCH_TASK, self._watch_all)
+
+    def _watch_all(self) -> None:
         wanted = self._queue_owners.owners if self._queue_owners.is_forwarding else ()
         for owner in [known for known in self._by_owner if known not in wanted]:
             closing = self._by_owner.pop(owner)
--- a/src/celerystack/gateway/metrics.py
+++ b/src/celerystack/gateway/metrics.py
@@ -8,6 +8,7 @@
 
 import prometheus_client
 
+from celerystack import supervision
 from celerystack.forwarding import messages
 from celerystack.gateway import calls
 from celerystack.limits import body_account
@@ -30,6 +31,16 @@
     gauge.set_function(count)
 
 
+def register_task_errors(registry: prometheus_client.CollectorRegistry) -> None:
+    """Expose the unexpected errors in tasks that run for the life of the process."""
+    gauge = prometheus_client.Gauge(
+        "celerystack_unexpected_task_errors",
+        "Unexpected errors in tasks that run for the life of the process.",
+        registry=registry,
+    )
+    gauge.set_function(supervision.error_count_by_task.total)
+
+
 class ForwardingMetrics:
     """Metrics of queue owners, of forwarded attempts and of the bound on cold servers."""
 
--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -97,6 +97,7 @@
             now=now,
             forwarding_vms_min=node_settings.forwarding_vms_min,
         )
+        metrics.register_task_errors(self.registry)
         metrics.register_evacuated_zones(self.registry, lambda: len(evacuated.zones))
         self._config: config.RoutingConfig | None = None
         self.stopping = False
--- a/src/celerystack/gateway/store_watcher.py
+++ b/src/celerystack/gateway/store_watcher.py
@@ -10,7 +10,7 @@
 
 from twisted.internet import defer
 
-from celerystack import errors, ids
+from celerystack import errors, ids, supervision
 from celerystack.fleet import directory_sync, evacuations, rows, servers
 from celerystack.gateway import config
 
@@ -40,6 +40,8 @@
 running servers write again what the copy lacks."""
 RESCAN_JITTER_S = 0.5
 """Largest random delay of the read of all rows after it, so that not all VMs read at once."""
+CONFIG_TASK = "the watch of the configuration"
+SERVERS_TASK = "the watch of the servers"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -115,16 +117,20 @@
         updates.on_config_offer(self._take_config)
 
     def start(self) -> None:
-        """Follow both tables until the process ends."""
-        for following in (self._follow_config(), self._follow_servers()):
-            running = defer.Deferred.fromCoroutine(following)
-            running.addErrback(
-                lambda failure: _log.critical(
-                    "a store watcher stopped because of an unexpected error: %s",
-                    failure.getTraceback(),
-                    extra={"step": "feeds"},
-                )
-            )
+        """Follow both tables until the process ends.
+
+        After an unexpected error a table is read from its start.
+        """
+        for following in (
+            supervision.run_forever(self._reactor, CONFIG_TASK, self._follow_config),
+            supervision.run_forever(
+                self._reactor,
+                SERVERS_TASK,
+                self._follow_servers,
+                on_error=self._updates.note_history_lost,
+            ),
+        ):
+            defer.Deferred.fromCoroutine(following)
 
     def _wait_for_update(self, seconds: float) -> defer.Deferred[None]:
         """Wait for a time, or until updates arrive if that is sooner."""
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import functools
 import logging
@@ -9,9 +10,10 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
-from twisted.internet import defer, protocol
+from twisted.internet import defer, error, protocol
+from twisted.python import failure as failures
 
-from celerystack import errors, ids
+from celerystack import errors, ids, supervision
 from celerystack.fleet import (
     config_distribution,
     directory_sync,
@@ -70,6 +72,13 @@
 """Pause in seconds after a failed call to the store."""
 UNREADABLE_RETRY_S = 1.0
 """Pause in seconds after a row that cannot be decoded."""
+TICK_TASK = "the coordination"
+WORK_TASK = "the calls of the coordination to the store"
+ANNOUNCE_TASK = "the planner's heartbeats"
+ERRORS_TO_RESIGN = 5
+"""Number of unexpected errors in a row after which a planner gives up the leadership."""
+RESIGNED_S = 30.0
+"""Time in seconds for which it leaves the leadership to other entry VMs then."""
 ENTRY_VMS_ASSUMED = 50
 """Number of entry VMs assumed before the first heartbeat; high, to stay within shared limits."""
 
@@ -88,9 +97,15 @@
         """Send one datagram; a failure counts as a lost datagram."""
         try:
             self.transport.write(data, address)
-        except OSError as error:
+        except OSError as caught:
             _log.debug(
-                "failed to send a datagram: %s", error, extra={"step": "fleet", "peer": address[0]}
+                "failed to send a datagram: %s", caught, extra={"step": "fleet", "peer": address[0]}
+            )
+        except error.MessageLengthError:
+            _log.error(
+                "a datagram of %d bytes was too large to be sent",
+                len(data),
+                extra={"step": "fleet", "peer": address[0]},
             )
 
 
@@ -221,6 +236,8 @@
         )
         self._entry_vm_count = ENTRY_VMS_ASSUMED
         self._busy = False
+        self._errors_by_task: collections.Counter[str] = collections.Counter()
+        self._resigned_until = float("-inf")
         self._next_plan_at = 0.0
         self._next_heartbeat_at = 0.0
         self._nodes_read_at = float("-inf")
@@ -246,6 +263,9 @@
         self._stopping = True
         if not self.leadership.held:
             return defer.succeed(None)
+        return self._release_leadership()
+
+    def _release_leadership(self) -> defer.Deferred[None]:
         done = defer.Deferred.fromCoroutine(self.leadership.release())
         return done.addErrback(
             lambda failure: _log.warning("failed to release the leadership: %s", failure.value)
@@ -276,24 +296,47 @@
     def _tick(self) -> None:
         now = self._now()
         self._reactor.callLater(TICK_S, self._tick)
-        self._directory.expire(now)
-        self._apply_evacuations()
-        self.lessor.tick()
-        self._updates.set_leader(self.leadership.held)
+        for step in (
+            lambda: self._directory.expire(now),
+            self._apply_evacuations,
+            self.lessor.tick,
+            lambda: self._updates.set_leader(self.leadership.held),
+        ):
+            supervision.run_step(TICK_TASK, step)
         if now >= self._next_heartbeat_at:
             self._announce()
         if not self._busy:
             self._busy = True
             running = defer.Deferred.fromCoroutine(self._work())
-            running.addErrback(
-                lambda failure: _log.error(
-                    "unexpected error in coordination: %s",
-                    failure.getTraceback(),
-                    extra={"step": "fleet"},
-                )
-            )
+            running.addCallbacks(lambda _: self._note_success(WORK_TASK), self._note_work_error)
             running.addBoth(self._on_work_done)
 
+    def _note_work_error(self, failure: failures.Failure) -> defer.Deferred[None]:
+        supervision.record_error(WORK_TASK, failure)
+        self._note_error(WORK_TASK)
+        return self._pause(supervision.RESTART_PAUSE_S)
+
+    def _note_success(self, task: str) -> None:
+        self._errors_by_task.pop(task, None)
+
+    def _note_error(self, task: str) -> None:
+        """Give up the leadership if this VM cannot act as planner, so that another one takes over.
+
+        The others would go on following a planner that renews its row but sends no heartbeats.
+        """
+        self._errors_by_task[task] += 1
+        if not self.leadership.held or self._errors_by_task[task] < ERRORS_TO_RESIGN:
+            return
+        self._errors_by_task.clear()
+        self._resigned_until = self._now() + RESIGNED_S
+        _log.critical(
+            "giving up the leadership after %d unexpected errors in %s",
+            ERRORS_TO_RESIGN,
+            task,
+            extra={"step": "planner"},
+        )
+        self._release_leadership()
+
     def _apply_evacuations(self) -> None:
         """Apply evacuations that have begun or ended, or have become binding."""
         self._directory.set_evacuations(
@@ -307,6 +350,12 @@
         """
         if not self.leadership.held:
             return
+        if supervision.run_step(ANNOUNCE_TASK, self._announce_now):
+            self._note_success(ANNOUNCE_TASK)
+        else:
+            self._note_error(ANNOUNCE_TASK)
+
+    def _announce_now(self) -> None:
         now = self._now()
         self._next_heartbeat_at = now + (
             PLANNER_HEARTBEAT_S
@@ -410,6 +459,10 @@
         now = self._now()
         if self._stopping or now - self._planner_heard_at < self._silence_limit_s:
             return
+        if now < self._resigned_until:
+            await self._read_ranges()
+            await self._pause(LEADER_WATCH_S)
+            return
         await self._read_ranges()
         before = await self.leadership.read()
         if before.vm not in ("", self._node.vm) and not self._is_planner_unconfirmed:
--- a/src/celerystack/ranges/paced_sender.py
+++ b/src/celerystack/ranges/paced_sender.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Callable, Sequence
 from typing import Any
 
+from celerystack import supervision
+
 INTERVAL_S = 0.01
 """Time in seconds between two bursts of datagrams."""
 LINK_SHARE = 0.4
 """Fraction of the link's bandwidth that the datagrams may use."""
 BITS_PER_BYTE = 8
+SEND_TASK = "the sending of maps and configurations"
 CONFIG_TOPIC = ""
 """Topic of the configuration; no service has an empty name."""
 
@@ -71,7 +75,7 @@
             key, datagrams = next(iter(self._waiting_by_key.items()))
             if datagrams:
                 datagram = datagrams.pop()
-                self._send(datagram, key[0])
+                supervision.run_step(SEND_TASK, functools.partial(self._send, datagram, key[0]))
                 sent_bytes += len(datagram)
             if not datagrams:
                 del self._waiting_by_key[key]
--- a/src/celerystack/requests/connection_checks.py
+++ b/src/celerystack/requests/connection_checks.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import functools
 import sys
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from celerystack import supervision
 from celerystack.limits import body_account
 from celerystack.requests import caller_limits
 
+CHECK_TASK = "the checks of callers' connections"
 CHECK_INTERVAL_S = 1.0
 """Interval in seconds at which the progress of bodies, heads and responses is checked."""
 
@@ -83,7 +86,7 @@
         self._timer = self._reactor.callLater(CHECK_INTERVAL_S, self._check)
         now = self._now()
         for connection in list(self.connections):
-            connection.check_limits(now)
+            supervision.run_step(CHECK_TASK, functools.partial(connection.check_limits, now))
 
     def make_room_for_responses(self) -> None:
         """Close connections whose callers do not read, longest first, while there is no room."""
--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -130,6 +130,20 @@
         self.clock.pump([0.1] * round(seconds * 10))
         return len(self.store.scans) + len(self.store.polls) - before
 
+    def test_unexpected_error_ends_neither_watch(self):
+        """Guards against an entry VM that learns of no server and no configuration any more, as an
+        error ended the task that reads them (review case 14)."""
+        self.clock.advance(1.0)
+        self.store.error = ZeroDivisionError("unexpected")
+        self.clock.pump([0.1] * 40)
+        self.store.error = None
+        self.store.config_row = 9
+        self.store.polls.clear()
+        self.store.scans.clear()
+        self.clock.pump([0.1] * 20)
+        self.assertIn(9, self.taken)
+        self.assertIn("servers", self.store.polls + self.store.scans)
+
     def test_both_tables_are_read_at_the_start(self):
         """Guards against an entry VM that starts without configuration or servers."""
         self.assertEqual({"op", "servers"}, set(self.store.scans))
--- a/tests/ranges/test_coordinator.py
+++ b/tests/ranges/test_coordinator.py
@@ -5,13 +5,14 @@
 
 import msgpack
 import testtools
-from twisted.internet import task
+from twisted.internet import error, task
 
 from celerystack import ids
 from celerystack.fleet import directory_sync, evacuations, messages, nodes, rows, servers
 from celerystack.forwarding import owners
 from celerystack.ranges import codec, coordinator, leadership, leases
 from tests.ranges import fakes
+from tests.ranges.test_leadership import result_of
 
 OWN, OTHER = ids.EntryVmId("vm-1"), ids.EntryVmId("vm-2")
 STEP_S = 0.1
@@ -325,3 +326,64 @@
         self.assertEqual(1, len(self.directory.serving(fakes.SERVICE)))
         self.run_for(5.0)
         self.assertEqual([], self.directory.serving(fakes.SERVICE))
+
+
+class UnexpectedErrorsTest(CoordinatorCase):
+    """Each task of the coordination is broken once, and goes on (review case 14)."""
+
+    def write_before_start(self):
+        self.write_leader(OWN, term=4)
+        node = nodes.Node(vm=OTHER, zone=fakes.ZONE, address=("10.0.0.2", 7000))
+        result_of(nodes.register(self.store, node))
+
+    def fail(self, *_, **__):
+        raise ZeroDivisionError("unexpected")
+
+    def heartbeats_within(self, seconds):
+        self.clock.sent.clear()
+        self.run_for(seconds)
+        return [m for m, _ in self.clock.sent if isinstance(m, messages.PlannerHeartbeat)]
+
+    def test_error_in_one_step_of_a_tick_ends_no_other(self):
+        """Guards against heartbeats that end because of an error elsewhere."""
+        self.run_for(1.0)
+        self.assertTrue(self.is_planner)
+        self.coordinator.lessor.tick = self.fail
+        self.directory.expire = self.fail
+        self.assertNotEqual([], self.heartbeats_within(2.0))
+
+    def test_datagram_that_cannot_be_sent_is_a_lost_one(self):
+        """Guards against one datagram that ends all that follow."""
+        self.run_for(1.0)
+        write = self.clock.write
+
+        def reject(data, address):
+            self.clock.write = write
+            raise error.MessageLengthError("too large")
+
+        self.clock.write = reject
+        self.assertNotEqual([], self.heartbeats_within(2.0))
+
+    def test_work_goes_on_after_an_unexpected_error(self):
+        """Guards against a planner that plans nothing any more."""
+        self.run_for(1.0)
+        tick = self.coordinator.planner.tick
+        self.coordinator.planner.tick = self.fail
+        self.run_for(1.0)
+        self.coordinator.planner.tick = tick
+        confirmed_at = self.coordinator.leadership.confirmed_at
+        self.run_for(2.0)
+        self.assertTrue(self.is_planner)
+        self.assertGreater(self.coordinator.leadership.confirmed_at, confirmed_at)
+
+    def test_planner_that_cannot_send_heartbeats_gives_up_the_leadership(self):
+        """Guards against followers of a planner that renews its row and says nothing."""
+        self.run_for(1.0)
+        self.coordinator._send_heartbeats = self.fail
+        self.run_for(coordinator.ERRORS_TO_RESIGN * 0.5 + 1.0)
+        self.assertFalse(self.is_planner)
+        self.run_for(10.0)
+        self.assertFalse(self.is_planner)
+        del self.coordinator._send_heartbeats
+        self.run_for(coordinator.RESIGNED_S + LONG_S)
+        self.assertTrue(self.is_planner)
