Bound each message between entry VMs in bytes

Cause, the second of two: changes of servers were limited by their number, 120 to a heartbeat. 118 entries with names of 190 characters make 74 kB, more than a datagram holds. Other lists of heartbeats and reports, the segments of a map and the rows of the own interface had no bound in bytes either.

Change: reports and heartbeats have at most 60,000 bytes; each list gets a share and is cut to a random part, so that the next messages have the rest. Lists on which all must agree (entry VMs of a zone, queue owners) are cut in the same way for all. Changes above 13,500 bytes of one read are left to the store, as those above 120 were; for usual names the limits are those of before. Parts of maps are cut by bytes, handovers to 200 characters, rows on streams to messages of 4 MiB.

The tests of the number of changes now count bytes; the assembler's test needs more segments for two parts.

--- a/src/celerystack/fleet/directory_sync.py
+++ b/src/celerystack/fleet/directory_sync.py
@@ -24,11 +24,12 @@
 CONFIG_VALID_S = 1.4
 """Age in seconds at which the planner's knowledge of the newest configuration expires; longer than
 two of its polls and a heartbeat interval."""
-CHANGES_PER_UPDATE_MAX = 40
-"""Limit on the size of a datagram with the changes of several reads; the next update has the rest.
-"""
-CHANGES_PER_READ_MAX = 120
-"""Number of changes of one read above which the other VMs read the store themselves."""
+CHANGE_BYTES = 48
+"""Bytes of a change in an update without the names in the entry."""
+UPDATE_BYTES_PREFERRED = 4_500
+"""Limit in bytes on the changes of several reads in one update; the next update has the rest."""
+READ_BYTES_MAX = 13_500
+"""Bytes of the changes of one read above which the other VMs read the store themselves."""
 BATCHES_KEPT = 200
 """Number of the latest reads with changes from which updates are built; a VM whose position is from
 before them reads the store itself."""
@@ -46,6 +47,13 @@
     entry: servers.ServerEntry
     present: bool
 
+    @property
+    def size_bytes(self) -> int:
+        """Largest size in bytes of the encoded change."""
+        entry = self.entry
+        names = (entry.server, entry.service, entry.address, entry.zone)
+        return CHANGE_BYTES + sum(len(name.encode()) for name in names)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class DirectoryUpdate:
@@ -235,9 +243,10 @@
             if batch.position <= since:
                 continue
             merged = change_by_server | {change.entry.server: change for change in batch.changes}
-            if len(merged) > CHANGES_PER_UPDATE_MAX and last is not None:
+            size_bytes = sum(change.size_bytes for change in merged.values())
+            if size_bytes > UPDATE_BYTES_PREFERRED and last is not None:
                 return self._update(since, change_by_server, last)
-            if len(merged) > CHANGES_PER_READ_MAX:
+            if size_bytes > READ_BYTES_MAX:
                 return None
             change_by_server, last = merged, batch
         newest = _Batch(self.position, (), self._directory.digest(), self._read_at)
--- a/src/celerystack/fleet/messages.py
+++ b/src/celerystack/fleet/messages.py
@@ -8,7 +8,7 @@
 import msgpack
 
 from celerystack import errors, ids
-from celerystack.fleet import directory_sync, evacuations, servers
+from celerystack.fleet import datagram_size, directory_sync, evacuations, servers
 from celerystack.forwarding import owners
 from celerystack.limits import rate_limits
 from celerystack.ranges import codec, model
@@ -294,6 +294,43 @@
     )
 
 
+_REPORT_LISTS = (4, 5, 6, 7, 8, 9, 11, 12, 14, 15, 17)
+"""Indices of the encoded fields of a report that may be shortened."""
+_HEARTBEAT_LISTS = (5, 8, 9, 10, 12, 13, 14, 17)
+"""The same for a heartbeat. The lists of entry VMs and owners, on which all must agree, are bounded
+where they are made."""
+_HEARTBEAT_OPTIONAL = (11, 15)
+"""Indices of the encoded fields of a heartbeat that may be left out: the receiver then reads the
+servers and the evacuations from the store."""
+LISTS_BYTES_MIN = 8_000
+"""Bytes of a datagram for which optional fields are left out if lists would have fewer."""
+
+
+def _pack_bounded(
+    kind: str, fields: list[Any], lists: tuple[int, ...], *, optional: tuple[int, ...] = ()
+) -> bytes:
+    """Return an encoded message of at most `datagram_size.DATAGRAM_BYTES_MAX` bytes."""
+    data = msgpack.packb([kind, *fields])
+    if len(data) <= datagram_size.DATAGRAM_BYTES_MAX:
+        return data
+    fitted = list(fields)
+    for index in lists:
+        fitted[index] = None
+    for index in optional:
+        if _bytes_left(kind, fitted) < LISTS_BYTES_MIN:
+            fitted[index] = None
+    shortened = datagram_size.fit_fields(
+        {str(index): fields[index] for index in lists}, _bytes_left(kind, fitted)
+    )
+    for index in lists:
+        fitted[index] = shortened[str(index)]
+    return msgpack.packb([kind, *fitted])
+
+
+def _bytes_left(kind: str, fields: list[Any]) -> int:
+    return datagram_size.DATAGRAM_BYTES_MAX - len(msgpack.packb([kind, *fields]))
+
+
 def _report_fields(report: Report) -> list[Any]:
     return [
         report.vm,
@@ -366,12 +403,18 @@
 
 
 def encode(message: Message) -> bytes:
-    """Return a message as a msgpack array of its kind and its fields in order."""
+    """Return a message as a msgpack array of its kind and its fields in order.
+
+    A report or heartbeat that does not fit into a datagram has parts of its longest lists: the
+    next ones have the rest. A heartbeat whose update does not fit has none, so that the receiver
+    reads the servers from the store.
+    """
     match message:
         case Report():
-            return msgpack.packb(["report", *_report_fields(message)])
+            return _pack_bounded("report", _report_fields(message), _REPORT_LISTS)
         case PlannerHeartbeat():
-            return msgpack.packb(["beacon", *_heartbeat_fields(message)])
+            fields = _heartbeat_fields(message)
+            return _pack_bounded("beacon", fields, _HEARTBEAT_LISTS, optional=_HEARTBEAT_OPTIONAL)
         case RangesPart():
             return msgpack.packb(["ranges", *_ranges_fields(message)])
         case ConfigPart():
--- a/src/celerystack/forwarding/owners.py
+++ b/src/celerystack/forwarding/owners.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from celerystack import ids
+from celerystack.fleet import datagram_size
 
 _log = logging.getLogger(__name__)
 
@@ -20,6 +21,10 @@
 """Number of entry VMs for each queue owner; the larger VMs have several times as much processor."""
 OWNERS_MIN = 4
 """Smallest number of owners, so that the loss of one concerns a quarter of the servers at most."""
+OWNER_BYTES = 40
+"""Bytes of an owner in a heartbeat without the names of the VM and its zone."""
+OWNERS_BYTES_MAX = 12_000
+"""Bytes of all owners in a heartbeat."""
 LIST_VALID_S = 10.0
 """Time in seconds after the planner's last heartbeat for which calls are forwarded to the owners
 that it named."""
@@ -64,7 +69,13 @@
     """
     is_current = {owner.vm for owner in current}
     ranked = sorted(live, key=lambda vm: (-vm.weight, vm.vm not in is_current, vm.vm))
-    return tuple(sorted(ranked[: max(OWNERS_MIN, entry_vms // VMS_PER_OWNER)]))
+    chosen = ranked[: max(OWNERS_MIN, entry_vms // VMS_PER_OWNER)]
+    fitting = datagram_size.longest_prefix(
+        [f"{owner.vm}{owner.zone}" for owner in chosen],
+        bytes_max=OWNERS_BYTES_MAX,
+        extra_bytes=OWNER_BYTES,
+    )
+    return tuple(sorted(chosen[:fitting]))
 
 
 def _score(owner: Owner, server: ids.ServerId) -> float:
--- a/src/celerystack/limits/crash_suspects.py
+++ b/src/celerystack/limits/crash_suspects.py
@@ -21,7 +21,11 @@
 QUARANTINE_S = 30.0
 """Duration of a quarantine in seconds, from the last loss that counted for it."""
 SUSPECTS_MAX = 2000
-"""Limit on the suspects that the planner keeps and on the broken requests in one report."""
+"""Limit on the suspects that the planner keeps, and on the broken requests to be reported."""
+SUSPECT_BYTES = 32
+"""Bytes of one broken request in a report without the name of its server."""
+SUSPECT_BYTES_PER_REPORT = 4_000
+"""Largest number of bytes of the broken requests in one report; the next one has the rest."""
 FINGERPRINT_BYTES = 8
 """Length of a fingerprint in bytes."""
 COMPLETED_KEPT_S = 10.0
@@ -157,9 +161,17 @@
             self._unreported[suspect, incarnation] = None
 
     def take_unreported(self) -> list[tuple[ids.Fingerprint, model.ServerIncarnation]]:
-        """Return the broken requests recorded since the last call."""
-        unreported, self._unreported = list(self._unreported), {}
-        return unreported
+        """Return the broken requests recorded since the last call, as many as one report has."""
+        taken: list[tuple[ids.Fingerprint, model.ServerIncarnation]] = []
+        used = 0
+        for suspect, incarnation in self._unreported:
+            used += SUSPECT_BYTES + len(incarnation.server.encode())
+            if used > SUSPECT_BYTES_PER_REPORT and taken:
+                break
+            taken.append((suspect, incarnation))
+        for reported in taken:
+            del self._unreported[reported]
+        return taken
 
     def update(self, rejected: Iterable[ids.Fingerprint]) -> None:
         """Replace the fingerprints to reject."""
--- a/src/celerystack/peers/sync.py
+++ b/src/celerystack/peers/sync.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 from twisted.internet import interfaces
 
 from celerystack import ids, model
@@ -10,6 +12,10 @@
 from celerystack.state import cache as row_cache
 from celerystack.store import ports
 
+ROW_BYTES = 32
+"""Bytes of a row in a message without its key and value."""
+ROWS_BYTES_MAX = 4 << 20
+"""Bytes of the rows in one message, which a frame of the stream must hold."""
 COMPARE_INTERVAL_S = 0.3
 """Minimum time between two comparisons of versions with the same peer."""
 
@@ -34,7 +40,8 @@
         """Merge rows read from or written to the table; send those that are new to all peers."""
         changed = self._cache.merge(rows)
         if changed:
-            self._mesh.broadcast(_rows_message(changed))
+            for message in _rows_messages(changed):
+                self._mesh.broadcast(message)
 
     def _handle(self, sender: model.EntryVm, message: messages.Message) -> None:
         match message:
@@ -44,7 +51,7 @@
                 self._exchange_rows(sender, versions_by_key)
             case messages.RowsWanted(keys):
                 rows = [self._cache.get(key) for key in keys]
-                self._mesh.send(sender.vm, _rows_message([row for row in rows if row.version]))
+                self._send_rows(sender, [row for row in rows if row.version])
             case messages.Rows(rows):
                 self._cache.merge(ports.Row(*row) for row in rows)
 
@@ -70,10 +77,24 @@
             if version > own_versions_by_key.get(k, 0)
         ]
         if newer_keys:
-            self._mesh.send(peer.vm, _rows_message([self._cache.get(key) for key in newer_keys]))
+            self._send_rows(peer, [self._cache.get(key) for key in newer_keys])
         if wanted_keys:
             self._mesh.send(peer.vm, messages.RowsWanted(tuple(wanted_keys)))
 
+    def _send_rows(self, peer: model.EntryVm, rows: list[ports.Row]) -> None:
+        for message in _rows_messages(rows):
+            self._mesh.send(peer.vm, message)
+
 
-def _rows_message(rows: list[ports.Row]) -> messages.Rows:
-    return messages.Rows(tuple((row.key, row.version, row.value) for row in rows))
+def _rows_messages(rows: list[ports.Row]) -> Iterator[messages.Rows]:
+    """Yield messages of at most `ROWS_BYTES_MAX` bytes, or with a single row."""
+    group: list[tuple[ids.RowKey, ids.RowVersion, bytes | None]] = []
+    used = 0
+    for row in rows:
+        size = ROW_BYTES + len(row.key.encode()) + len(row.value or b"")
+        if group and used + size > ROWS_BYTES_MAX:
+            yield messages.Rows(tuple(group))
+            group, used = [], 0
+        group.append((row.key, row.version, row.value))
+        used += size
+    yield messages.Rows(tuple(group))
--- a/src/celerystack/platform/orders.py
+++ b/src/celerystack/platform/orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import logging
 from collections.abc import Callable
 from typing import Any
 
@@ -13,10 +14,14 @@
 from celerystack.platform import wire
 from celerystack.ranges import model, orders
 
+_log = logging.getLogger(__name__)
+
 GRANT_CONNECTIONS = 1
 RELEASE_CONNECTIONS = 4
 CONNECT_TIMEOUT_S = 0.4
 IDLE_S = 8.0
+HANDOVER_LENGTH_MAX = 200
+"""Largest number of characters of a handover, which the row and the datagrams of a map hold."""
 _HANDOVER_HEADER = b"celerystack-handover"
 _EXPECTED_INSTANCE_HEADER = b"Celerystack-Expected-Instance"
 
@@ -124,7 +129,15 @@
             raise errors.OutcomeUnknownError(
                 f"unexpected status {response.status}", step="orders.release", peer=address
             )
-        return (response.header(_HANDOVER_HEADER) or b"").decode("latin-1")
+        handover = (response.header(_HANDOVER_HEADER) or b"").decode("latin-1")
+        if len(handover) > HANDOVER_LENGTH_MAX:
+            _log.warning(
+                "dropped a handover of %d characters",
+                len(handover),
+                extra={"step": "orders.release", "peer": address},
+            )
+            return ""
+        return handover
 
 
 def _segment_fields(segment: model.Segment) -> dict[str, object]:
--- a/src/celerystack/ranges/map_datagrams.py
+++ b/src/celerystack/ranges/map_datagrams.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
+import msgpack
+
 from celerystack import ids
 from celerystack.fleet import messages
-from celerystack.ranges import model, range_maps
+from celerystack.ranges import codec, model, range_maps
 
-SEGMENTS_PER_PART = 20
-"""Number of segments in one datagram; the last one of a map may have fewer."""
+PART_BYTES = 1_200
+"""Bytes of the segments in one datagram. One segment is sent whole, whatever its size."""
 
 
 def encode(
@@ -17,7 +21,7 @@
 
     There is at least one, because a version without changed segments has to arrive too.
     """
-    offsets = range(0, max(1, len(segments)), SEGMENTS_PER_PART)
+    groups = list(_group(segments))
     return [
         messages.encode(
             messages.RangesPart(
@@ -27,14 +31,28 @@
                 version=known.version,
                 next_token=known.ranges.next_token,
                 part=part,
-                parts=len(offsets),
-                segments=segments[offset : offset + SEGMENTS_PER_PART],
+                parts=len(groups),
+                segments=group,
             )
         )
-        for part, offset in enumerate(offsets)
+        for part, group in enumerate(groups)
     ]
 
 
+def _group(segments: tuple[model.Segment, ...]) -> Iterator[tuple[model.Segment, ...]]:
+    """Yield the segments of each datagram; of one without segments if there are none."""
+    group: list[model.Segment] = []
+    used = 0
+    for segment in segments:
+        size = len(msgpack.packb(codec.encode_segment(segment)))
+        if group and used + size > PART_BYTES:
+            yield tuple(group)
+            group, used = [], 0
+        group.append(segment)
+        used += size
+    yield tuple(group)
+
+
 def encode_whole(known: range_maps.KnownMap, *, term: int) -> list[bytes]:
     """Return the datagrams of a whole map."""
     return encode(known, known.ranges.segments, term=term, base=0)
--- a/src/celerystack/ranges/map_distribution.py
+++ b/src/celerystack/ranges/map_distribution.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterator
 
 from celerystack import ids
-from celerystack.fleet import directory_sync, messages, nodes
+from celerystack.fleet import datagram_size, directory_sync, messages, nodes
 from celerystack.forwarding import owners
 from celerystack.ranges import map_datagrams, model, paced_sender, range_maps
 
@@ -16,6 +16,10 @@
 RESEND_S = 0.25
 """Time in seconds between the sending of a version and a report without it from which it counts as
 lost."""
+ZONE_VM_BYTES = 3
+"""Bytes of an entry VM in a heartbeat without its name."""
+ZONE_VMS_BYTES_MAX = 12_000
+"""Bytes of the entry VMs of a zone in a heartbeat."""
 VERSIONS_KEPT = 64
 """Number of the latest versions of a map since which changes are sent instead of the whole map."""
 
@@ -160,21 +164,28 @@
         peer = self._by_vm.get(report.vm)
         if peer is not None:
             peer.reported_at = self._now()
+            if peer.vm_incarnation != report.vm_incarnation:
+                peer.versions_by_service = {}
+            # A long report has only some of the versions.
+            peer.versions_by_service = peer.versions_by_service | report.versions_by_service
             peer.vm_incarnation, peer.stamp = report.vm_incarnation, report.stamp
-            peer.versions_by_service = report.versions_by_service
             peer.position = report.position
             peer.config_row = report.config_row
             peer.queue_weight = report.queue_weight
             peer.queue_wait_by_service = report.queue_wait_by_service
 
     def live_by_zone(self, now: float) -> dict[ids.ZoneName, tuple[ids.EntryVmId, ...]]:
-        """Return this VM and those that reported recently, by availability zone."""
+        """Return this VM and those that reported recently, by availability zone.
+
+        Of a zone with more than a heartbeat holds, the first by name are returned. The others count
+        themselves as well, so that some servers have more lessors.
+        """
         by_zone: dict[ids.ZoneName, tuple[ids.EntryVmId, ...]] = {self._own.zone: (self._own.vm,)}
         for peer in self.others():
             if now - peer.reported_at < LIVE_S:
                 zone = peer.node.zone
                 by_zone[zone] = (*by_zone.get(zone, ()), peer.node.vm)
-        return by_zone
+        return {zone: _fitting(vms) for zone, vms in by_zone.items()}
 
     def live_owners(self, now: float) -> list[owners.Owner]:
         """Return the other VMs that reported recently and can own queues."""
@@ -236,3 +247,11 @@
         if self._sender.add(peer.node.address, service, datagrams):
             version = self._range_maps.by_service[service].version
             peer.note_sent(service, version, self._now())
+
+
+def _fitting(vms: tuple[ids.EntryVmId, ...]) -> tuple[ids.EntryVmId, ...]:
+    """Return the entry VMs of a zone that a heartbeat names, which are the same for all."""
+    fitting = datagram_size.longest_prefix(
+        sorted(vms), bytes_max=ZONE_VMS_BYTES_MAX, extra_bytes=ZONE_VM_BYTES
+    )
+    return vms if fitting == len(vms) else tuple(sorted(vms)[:fitting])
--- a/tests/fleet/test_directory_sync.py
+++ b/tests/fleet/test_directory_sync.py
@@ -1,9 +1,10 @@
 """Guards against relying on updates that were lost, and against keeping servers that have left."""
 
+import msgpack
 import testtools
 
 from celerystack import ids
-from celerystack.fleet import directory_sync, servers
+from celerystack.fleet import directory_sync, messages, servers
 from tests.ranges import fakes
 
 
@@ -134,14 +135,41 @@
 
     def test_too_many_changes_of_one_read_are_left_to_the_store(self):
         """Guards against updates that do not fit into a datagram."""
-        self.add_servers(20, directory_sync.CHANGES_PER_READ_MAX + 1)
+        count = directory_sync.READ_BYTES_MAX // directory_sync.CHANGE_BYTES
+        self.add_servers(20, count)
         self.assertIsNone(self.planner.directory_sync.update_since(ids.RowVersion(10)))
 
+    def test_changes_of_one_read_with_long_names_are_left_to_the_store(self):
+        """Guards against few changes that do not fit into a datagram (review case 14)."""
+        entries = [fakes.entry(f"{n:03}{'n' * 197}", zone="z" * 200) for n in range(40)]
+        self.planner.read(20, entries)
+        self.assertIsNone(self.planner.directory_sync.update_since(ids.RowVersion(10)))
+
+    def test_size_of_a_change_is_an_upper_bound(self):
+        """Guards against an update that is larger than was counted."""
+        for name in ("a", "n" * 200):
+            entry = fakes.entry(name, 2**53, slots=10_000, cold_s=1.5, zone=ids.ZoneName(name))
+            change = directory_sync.Change(entry=entry, present=True)
+            encoded = messages._encode_update(
+                directory_sync.DirectoryUpdate(
+                    since=ids.RowVersion(4),
+                    position=ids.RowVersion(9),
+                    age_s=0.0,
+                    digest=0,
+                    config_row=ids.RowVersion(3),
+                    config_age_s=0.0,
+                    changes=(change,),
+                )
+            )[-1][0]
+            self.assertLessEqual(len(msgpack.packb(encoded)), change.size_bytes)
+
     def test_many_changes_arrive_with_several_updates(self):
         """Guards against a read of the store by every entry VM when many servers join at once."""
         names = ["a", "b"]
+        size = directory_sync.Change(entry=fakes.entry("n20-10"), present=True).size_bytes
+        count = directory_sync.UPDATE_BYTES_PREFERRED // size
         for position in (20, 30, 40):
-            names += self.add_servers(position, directory_sync.CHANGES_PER_UPDATE_MAX - 1)
+            names += self.add_servers(position, count)
             self.now += 0.4
         ages_s = [self.send_update().age_s for _ in range(3)]
         self.assertEqual(sorted(names), self.follower.usable())
--- a/tests/ranges/test_map_datagrams.py
+++ b/tests/ranges/test_map_datagrams.py
@@ -31,7 +31,7 @@
 class AssemblerTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.known = range_maps.KnownMap(many(50), 7, 0.0)
+        self.known = range_maps.KnownMap(many(150), 7, 0.0)
         self.parts = decoded(map_datagrams.encode_whole(self.known, term=1))
         self.assembler = map_datagrams.Assembler()
 
