Keep entries of services that no configuration names apart

A thousand of them that change each second made the planner relay each change to all entry VMs.

Cause: the directory recorded them like those of servers, with a new version, a new digest and a change for the others.

Change: they are kept apart until a configuration names their service. Then they count as read, and are relayed.

Tests: three in tests/fleet/test_servers.py; two failed before, the third (a scan without the entry) held already.

--- a/src/celerystack/fleet/servers.py
+++ b/src/celerystack/fleet/servers.py
@@ -34,6 +34,8 @@
 COLD_AGAIN_S = 1.0
 """By how many seconds a server stays cold longer than was known, for it to have gone cold again;
 more than the time between two of its entries, which say how long it stays cold."""
+UNCONFIGURED_KEPT = 10_000
+"""Number of entries of services that no configuration names up to which they are kept."""
 EXPIRY_INTERVAL_S = 0.05
 """Shortest interval in seconds between two searches for expired entries and records."""
 READS_KEPT = 30
@@ -138,14 +140,14 @@
     proves that it has ended.
 
     Another writer may have written an entry of a service that no configuration names. Such an entry
-    is kept, because a later configuration may name the service, but does not replace the entry of a
-    server of a configured service.
+    is kept apart and changes nothing, until a later configuration names the service.
     """
 
     def __init__(self) -> None:
         self.by_id: dict[ids.ServerId, ServerRecord] = {}
         self.version = 0
         self._configured_services: frozenset[ids.ServiceName] | None = None
+        self._unconfigured_by_id: dict[ids.ServerId, ServerEntry] = {}
         self._ignored_by_id: dict[ids.ServerId, tuple[ids.ServiceName, str]] = {}
         self._replaced_by_id: dict[ids.ServerId, collections.deque[ServerRecord]] = {}
         self._read_at: float | None = None
@@ -175,6 +177,18 @@
             return
         self._configured_services = configured
         self.version += 1
+        self._set_unconfigured_apart()
+        for entry in list(self._unconfigured_by_id.values()):
+            if self._is_configured(entry):
+                self._update(entry, self._entries_read_at, is_accepted=True)
+
+    def _set_unconfigured_apart(self) -> None:
+        """Keep entries apart that were read before the configuration, which does not name them."""
+        for server, record in list(self.by_id.items()):
+            if not self._is_configured(record.entry):
+                self._forget(server)
+                if record.present:
+                    self._unconfigured_by_id[server] = record.entry
 
     def _is_configured(self, entry: ServerEntry) -> bool:
         services = self._configured_services
@@ -205,6 +219,7 @@
 
     def apply_all(self, entries: Iterable[ServerEntry], now: float) -> None:
         """Apply a read of the whole table; servers without an entry are treated as removed."""
+        self._unconfigured_by_id.clear()
         found = {entry.server: entry for entry in entries}
         missing = [server for server in self.by_id if server not in found]
         self.apply_changes(found.values(), missing, now)
@@ -286,7 +301,7 @@
         return record is not None and record.address_reused
 
     def is_replaced(self, incarnation: model.ServerIncarnation) -> bool:
-        """Return whether a configured server is registered in the place of an incarnation.
+        """Return whether another server is registered in the place of an incarnation.
 
         It has the same id or the same address. This is no proof that the incarnation has ended.
         """
@@ -297,7 +312,6 @@
             record.entry.address == entry.address
             and record.entry.server != incarnation.server
             and record.present
-            and self._is_configured(record.entry)
             for record in self.by_id.values()
         )
 
@@ -307,7 +321,7 @@
         It may be at work although its entry is missing.
         """
         record = self.by_id.get(incarnation.server)
-        if record is None or not self._is_configured(record.entry) or record.address_reused:
+        if record is None or record.address_reused:
             return None
         current = record.entry.incarnation
         return None if current == incarnation else current
@@ -420,10 +434,13 @@
         record = self.by_id.get(entry.server)
         is_known = record is not None and self._configured_services is not None
         if is_known and record.entry.service != entry.service:
-            if self._is_configured(record.entry):
-                self._note_ignored(entry, "the service differs from that of the server")
-                return
-            record = None
+            self._note_ignored(entry, "the service differs from that of the server")
+            return
+        if not self._is_configured(entry):
+            if len(self._unconfigured_by_id) < UNCONFIGURED_KEPT:
+                self._unconfigured_by_id[entry.server] = entry
+            return
+        self._unconfigured_by_id.pop(entry.server, None)
         if record is None:
             self._record_change("server appeared", entry)
             self.by_id[entry.server] = _new_record(entry, now)
@@ -481,6 +498,7 @@
         self.by_id[entry.server] = _new_record(entry, now)
 
     def _remove(self, server: ids.ServerId, now: float) -> None:
+        self._unconfigured_by_id.pop(server, None)
         record = self.by_id.get(server)
         if record is None:
             return
--- a/tests/fleet/test_servers.py
+++ b/tests/fleet/test_servers.py
@@ -216,6 +216,40 @@
         self.directory.add_services(["metrics"])
         self.assertFalse(self.directory.has_ended(fakes.incarnation("a")))
 
+    def test_entries_of_no_configured_service_change_nothing(self):
+        """Guards against messages and plans for the entries of another writer, which delay those
+        for servers (review case 14)."""
+        self.directory.add_services([fakes.SERVICE])
+        self.directory.take_changed()
+        before = self.directory.version, self.directory.digest()
+        for second in range(3):
+            written = [
+                fakes.entry(f"x{number}", second, service="metrics") for number in range(1_000)
+            ]
+            self.directory.apply_changes(written, [], 11.0 + second)
+        self.assertEqual([], self.directory.take_changed())
+        self.assertEqual(before, (self.directory.version, self.directory.digest()))
+
+    def test_servers_that_registered_before_their_service_was_configured(self):
+        """Guards against servers that are never used because their entries were read too early,
+        and against those that have left meanwhile."""
+        self.directory.add_services([fakes.SERVICE])
+        early = [fakes.entry(name, service="desk") for name in ("c", "d")]
+        self.directory.apply_changes(early, [], 10.5)
+        self.directory.apply_changes([], ["d"], 10.6)
+        self.directory.take_changed()
+        self.directory.add_services(["desk"])
+        self.assertEqual(["c"], [r.entry.server for r in self.directory.usable("desk")])
+        self.assertEqual(["c"], [r.entry.server for r in self.directory.take_changed()])
+
+    def test_scan_without_an_entry_of_no_configured_service(self):
+        """Guards against a server that appears although a read of all rows lacked its entry."""
+        self.directory.add_services([fakes.SERVICE])
+        self.directory.apply_changes([fakes.entry("c", service="desk")], [], 10.5)
+        self.directory.apply_all([fakes.entry("a"), fakes.entry("b")], 10.6)
+        self.directory.add_services(["desk"])
+        self.assertEqual([], self.directory.usable("desk"))
+
     def test_entry_that_was_read_before_the_configuration_proves_nothing(self):
         """Guards against the same entry at the start of an entry VM."""
         address = self.directory.by_id["a"].entry.address
