Give each era its own tokens, and lift tokens that servers refuse

Cause: each planner that began to recover a map added 2^24 to its next token, while the row kept its earlier era. One era used up the tokens of several; the next return brought a map of before and lower tokens, and servers answered 409. Ruled out: grants by an old map, since the refused tokens were those of the planner's own.

Change: an era's tokens begin at era x 2^24; beginning a recovery again costs 2^12. Entry VMs report refused tokens, and the planner lifts those of its present map, 2^12 at first, 16 times more each time, eight times in a term at most.

--- a/src/celerystack/fleet/messages.py
+++ b/src/celerystack/fleet/messages.py
@@ -57,6 +57,8 @@
         Share of the queues that the sender should own; 0 if it should own none.
     queue_wait_by_service : dict
         Expected wait in seconds in the queues that the sender owns for unsharded services.
+    refused_tokens_by_service : dict
+        Tokens of grants that servers refused as too old since the last report.
     """
 
     vm: ids.EntryVmId
@@ -77,6 +79,9 @@
     leaving: tuple[model.ServerIncarnation, ...] = ()
     queue_weight: float = 0.0
     queue_wait_by_service: dict[ids.ServiceName, float] = dataclasses.field(default_factory=dict)
+    refused_tokens_by_service: dict[ids.ServiceName, tuple[ids.Token, ...]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -294,7 +299,7 @@
     )
 
 
-_REPORT_LISTS = (4, 5, 6, 7, 8, 9, 11, 12, 14, 15, 17)
+_REPORT_LISTS = (4, 5, 6, 7, 8, 9, 11, 12, 14, 15, 17, 18)
 """Indices of the encoded fields of a report that may be shortened."""
 _HEARTBEAT_LISTS = (5, 8, 9, 10, 12, 13, 14, 17)
 """The same for a heartbeat. The lists of entry VMs and owners, on which all must agree, are bounded
@@ -360,6 +365,7 @@
         [_encode_incarnation(incarnation) for incarnation in report.leaving],
         report.queue_weight,
         report.queue_wait_by_service,
+        report.refused_tokens_by_service,
     ]
 
 
@@ -461,6 +467,7 @@
         leaving,
         queue_weight,
         queue_waits,
+        refused_tokens,
     ) = rest
     return Report(
         vm=vm,
@@ -492,6 +499,10 @@
         leaving=tuple(codec.decode_incarnation(incarnation) for incarnation in leaving),
         queue_weight=float(queue_weight),
         queue_wait_by_service={service: float(wait_s) for service, wait_s in queue_waits.items()},
+        refused_tokens_by_service={
+            service: tuple(ids.Token(int(token)) for token in tokens)
+            for service, tokens in refused_tokens.items()
+        },
     )
 
 
--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -676,6 +676,7 @@
             leaving=self._directory.leaving_incarnations(),
             queue_weight=0.0 if self._stopping else self._queue_weight,
             queue_wait_by_service=self._queue_waits(),
+            refused_tokens_by_service=self.lessor.take_refused(),
         )
 
     def _take_part(self, part: messages.RangesPart) -> None:
--- a/src/celerystack/ranges/lessor.py
+++ b/src/celerystack/ranges/lessor.py
@@ -109,6 +109,7 @@
         self._failures_by_incarnation: dict[model.ServerIncarnation, int] = {}
         self._failed_at_by_incarnation: dict[model.ServerIncarnation, float] = {}
         self._granted_incarnations: set[model.ServerIncarnation] = set()
+        self._refused_by_service: dict[ids.ServiceName, set[ids.Token]] = {}
 
     @property
     def vms(self) -> tuple[ids.EntryVmId, ...]:
@@ -132,6 +133,11 @@
             if failures >= FAILURES_TO_UNREACHABLE
         )
 
+    def take_refused(self) -> dict[ids.ServiceName, tuple[ids.Token, ...]]:
+        """Return the tokens that owners have refused as too old since the last call."""
+        refused, self._refused_by_service = self._refused_by_service, {}
+        return {service: tuple(sorted(tokens)) for service, tokens in refused.items()}
+
     def needs_confirmation(self) -> bool:
         """Return whether grants to a server wait until its entry in the store is renewed.
 
@@ -302,7 +308,7 @@
         for service, segment in due:
             if not self._is_current(service, segment):
                 continue
-            if not await self._grant(incarnation, record, segment):
+            if not await self._grant(service, incarnation, record, segment):
                 return
 
     def _is_current(self, service: ids.ServiceName, segment: model.Segment) -> bool:
@@ -313,6 +319,7 @@
 
     async def _grant(
         self,
+        service: ids.ServiceName,
         incarnation: model.ServerIncarnation,
         record: servers.ServerRecord,
         segment: model.Segment,
@@ -343,6 +350,8 @@
             self._failures_by_incarnation.pop(incarnation, None)
             self._failed_at_by_incarnation.pop(incarnation, None)
             self._granted_incarnations.add(incarnation)
+        if result is orders.GrantResult.TOKEN_TOO_OLD:
+            self._refused_by_service.setdefault(service, set()).add(segment.token)
         due_at_by_key[_segment_key(segment)] = self._now() + leases.RENEW_S
         if is_first or result is not orders.GrantResult.GRANTED:
             _log.info(
--- a/src/celerystack/ranges/map_recovery.py
+++ b/src/celerystack/ranges/map_recovery.py
@@ -48,8 +48,7 @@
     """Return the newest map, with a next token above all that were given out before ``era``."""
     found = list(candidates)
     next_token = max(
-        model.token_after_eras(candidate.ranges.next_token, era - candidate.era)
-        for candidate in found
+        model.token_in_era(candidate.ranges.next_token, candidate.era, era) for candidate in found
     )
     chosen = max(found, key=lambda candidate: candidate.version)
     return Candidate(dataclasses.replace(chosen.ranges, next_token=next_token), chosen.version)
--- a/src/celerystack/ranges/planner.py
+++ b/src/celerystack/ranges/planner.py
@@ -27,6 +27,7 @@
     range_maps,
     releases,
     service_times,
+    token_lifts,
 )
 
 _log = logging.getLogger(__name__)
@@ -150,6 +151,7 @@
         self._term_began_at = 0.0
         self._maps_loaded = False
         self._recovery_by_service: dict[ids.ServiceName, map_recovery.MapRecovery] = {}
+        self._token_lifts = token_lifts.TokenLifts()
 
     async def tick(self) -> None:
         """Renew the leadership if due, and update the range map of every service."""
@@ -172,6 +174,7 @@
         self._recovery_by_service.clear()
         self._releases.clear()
         self._commit_by_token.clear()
+        self._token_lifts.begin_term()
         self._term_began_at = self._now()
         self._lease_reports.begin_term(self._term_began_at)
 
@@ -193,6 +196,7 @@
             utilization = self._utilization_by_server.get(server, 0.0) if includes_waiting else 0.0
             self.service_times.add(server, count, mean_s, utilization)
         self._unreachable_by_vm[report.vm] = (now, report.unreachable)
+        self._token_lifts.note_refused(report.refused_tokens_by_service)
         for suspect, incarnation in report.crash_suspects:
             self.suspects.add(suspect, incarnation, now)
         for suspect in report.completed_suspects:
@@ -345,7 +349,7 @@
         service_state = self._service_state(service)
         self._service_state_by_service[service] = service_state
         changed = plan.settle(known.ranges, self._handover_by_freed_segment(known))
-        changed = plan.plan(changed, service_state)
+        changed = plan.plan(self._token_lifts.apply(changed), service_state)
         if changed != known.ranges:
             await self._commit(changed, known)
         self._start_releases(service)
--- a/tests/fleet/test_messages.py
+++ b/tests/fleet/test_messages.py
@@ -65,6 +65,7 @@
     leaving=(fakes.incarnation("d"),),
     queue_weight=1.5,
     queue_wait_by_service={fakes.SERVICE: 0.25},
+    refused_tokens_by_service={fakes.SERVICE: (ids.Token(7),)},
 )
 
 
--- a/tests/ranges/test_lessor.py
+++ b/tests/ranges/test_lessor.py
@@ -5,7 +5,7 @@
 
 from celerystack import ids
 from celerystack.fleet import servers
-from celerystack.ranges import leases, lessor, range_maps
+from celerystack.ranges import leases, lessor, orders, range_maps
 from tests.ranges import fakes
 
 VM = ids.EntryVmId("vm-1")
@@ -52,6 +52,20 @@
         self.lessor.tick()
         self.assertEqual(2, len(self.orders.granted))
 
+    def test_refused_tokens_are_told_once(self):
+        """Guards against a planner that never learns that its tokens are too old."""
+        self.orders.grant_result = orders.GrantResult.TOKEN_TOO_OLD
+        self.lessor.tick()
+        self.assertEqual({fakes.SERVICE: (1,)}, self.lessor.take_refused())
+        self.assertEqual({}, self.lessor.take_refused())
+
+    def test_grant_that_another_server_answers_proves_the_end(self):
+        """Guards against keys that wait for leases, or stay with an entry that is no server's."""
+        self.orders.grant_result = orders.GrantResult.OTHER_SERVER
+        self.lessor.tick()
+        self.assertTrue(self.directory.has_ended(fakes.incarnation("a")))
+        self.assertEqual([], self.directory.usable(fakes.SERVICE))
+
     def test_nothing_is_granted_on_stale_knowledge(self):
         """Guards against two owners: a partitioned VM must not grant by an outdated map."""
         self.clock.advance(leases.MAP_VALID_S - leases.LEASE_BOUND_S)
--- a/tests/ranges/test_map_recovery.py
+++ b/tests/ranges/test_map_recovery.py
@@ -87,6 +87,22 @@
                 self.recover()
                 self.assert_tokens_are_new()
 
+    def test_two_returns_with_another_planner_in_the_first_recovery(self):
+        """Guards against tokens that all servers refuse for good: one era used up the tokens of
+        several, and the next return brought a map of before (review case 13)."""
+        for begun in (1, 2, 5):
+            with self.subTest(begun=begun):
+                self.come_back(forget=True)
+                for _ in range(begun):
+                    self.tick()
+                    self.given_out |= {segment.token for _, segment in self.orders.released}
+                    self.lead_again(forget=True)
+                self.recover()
+                self.assert_tokens_are_new()
+                self.come_back(forget=True)
+                self.recover()
+                self.assert_tokens_are_new()
+
     def test_map_that_the_copy_lacks_altogether(self):
         """Guards against a service whose first map was lost and which starts with token 1."""
         self.come_back((0, {}))
