Ask the servers before a first map in an era that is not the store's first

Cause: a planner that found no map assigned all keys at once, although servers held keys by the lost one. Ruled out: servers that register late.

Change: it recovers a map without owners, so that each server releases all keys or is waited for. The choice of the maps to begin with moved from the planner to map_recovery.

--- a/src/celerystack/fleet/rows.py
+++ b/src/celerystack/fleet/rows.py
@@ -27,6 +27,10 @@
     return ids.RowVersion(era << NUMBER_BITS | number)
 
 
+FIRST_ERA = ids.StoreEra(1)
+"""Era of a store that has never come back from an earlier copy."""
+
+
 def era_of(version: ids.RowVersion) -> ids.StoreEra:
     """Return the era of a version; 0 for one below all versions."""
     return ids.StoreEra(max(0, version) >> NUMBER_BITS)
--- a/src/celerystack/ranges/map_recovery.py
+++ b/src/celerystack/ranges/map_recovery.py
@@ -18,7 +18,7 @@
 
 from celerystack import errors, ids
 from celerystack.fleet import rows, servers
-from celerystack.ranges import leases, model, orders, releases
+from celerystack.ranges import codec, leases, model, orders, range_maps, releases
 
 _log = logging.getLogger(__name__)
 
@@ -44,6 +44,31 @@
         return rows.era_of(self.version)
 
 
+def candidates(
+    service: ids.ServiceName,
+    *,
+    known: range_maps.KnownMap | None,
+    row: rows.Row | None,
+    era: ids.StoreEra,
+) -> list[Candidate]:
+    """Return the maps that a planner and the store know, or a map without owners.
+
+    Without any map one may be lost by which servers hold keys. Of a map without owners every server
+    releases all keys.
+    """
+    found: list[Candidate] = []
+    if known is not None:
+        found.append(Candidate(known.ranges, ids.RowVersion(known.version)))
+    if row is not None and row.value is not None:
+        written_in = codec.decode_era(service, row.value)
+        version = rows.version_in(written_in, rows.number_of(row.version))
+        found.append(Candidate(codec.decode(service, row.value), version))
+    if not found:
+        before = ids.StoreEra(era - 1)
+        found.append(Candidate(model.unassigned(service, before), rows.version_in(before, 0)))
+    return found
+
+
 def newest(candidates: Iterable[Candidate], era: ids.StoreEra) -> Candidate:
     """Return the newest map, with a next token above all that were given out before ``era``."""
     found = list(candidates)
--- a/src/celerystack/ranges/planner.py
+++ b/src/celerystack/ranges/planner.py
@@ -265,18 +265,12 @@
     async def _begin_recovery(self, service: ids.ServiceName, row: rows.Row | None) -> None:
         """Reserve tokens for the recovery of a map, of which the store has an old row or none.
 
-        The tokens are reserved in the store, so that a planner that replaces this one uses higher
+        If no map is known at all, one may be lost by which servers hold keys; they release all. The
+        tokens are reserved in the store, so that a planner that replaces this one uses higher
         ones. The row keeps the era of the map until it is recovered.
         """
-        found: list[map_recovery.Candidate] = []
         known = self._range_maps.by_service.get(service)
-        if known is not None:
-            version = ids.RowVersion(known.version)
-            found.append(map_recovery.Candidate(known.ranges, version))
-        if row is not None:
-            era = codec.decode_era(service, row.value)
-            version = rows.version_in(era, rows.number_of(row.version))
-            found.append(map_recovery.Candidate(codec.decode(service, row.value), version))
+        found = map_recovery.candidates(service, known=known, row=row, era=self.leadership.era)
         newest = map_recovery.newest(found, self.leadership.era)
         ranges = map_recovery.with_reserved_tokens(newest.ranges)
         version = await self.leadership.commit(
@@ -344,6 +338,9 @@
         if known is None:
             if not self._are_servers_stable(service):
                 return
+            if self.leadership.era > rows.FIRST_ERA:
+                await self._begin_recovery(service, None)
+                return
             ranges = model.unassigned(service, self.leadership.era)
             known = range_maps.KnownMap(ranges, rows.ABSENT, self._now())
         service_state = self._service_state(service)
--- a/tests/ranges/test_map_recovery.py
+++ b/tests/ranges/test_map_recovery.py
@@ -109,6 +109,35 @@
         self.recover()
         self.assert_tokens_are_new()
 
+    def lose_the_first_map(self):
+        """Let the store lose everything in an era that is not its first, with all entry VMs."""
+        self.store.come_back((0, {}))
+        self.come_back((0, {}), forget=True)
+
+    def test_first_map_that_was_lost_with_all_entry_vms(self):
+        """Guards against a second owner of keys that servers hold by a map that nobody knows."""
+        self.lose_the_first_map()
+        self.tick()
+        self.tick()
+        released_at = {address for address, _ in self.orders.released}
+        self.assertEqual({fakes.entry("a").address, fakes.entry("b").address}, released_at)
+        self.assertNotIn(fakes.SERVICE, self.range_maps.by_service)
+        self.recover()
+        self.assert_tokens_are_new()
+        self.assertTrue(all(segment.is_settled for segment in self.ranges().segments))
+
+    def test_silent_servers_of_a_first_map_that_was_lost(self):
+        """Guards against the same where the servers do not answer the planner."""
+        self.lose_the_first_map()
+        self.orders.failing = True
+        began_at = self.clock.seconds()
+        while self.clock.seconds() < began_at + leases.MAP_VALID_S - 0.5:
+            self.tick()
+            self.assertNotIn(fakes.SERVICE, self.range_maps.by_service)
+        self.tick(1.0)
+        self.tick()
+        self.assertTrue(self.is_confirmed())
+
     def test_first_map_of_a_later_era(self):
         """Guards against token 1 when neither the store nor any VM knows the lost map."""
         self.come_back((0, {}), forget=True)
