Make room for new callers when others stop in the midst of requests

Cause: accepting paused until a connection closed by itself, and readiness did not know. Ruled out: the system's backlog, in which the ordinary callers waited and were served in the end.

Change: while accepting is paused, connections silent for 1 s in the midst of a request, with no other request under way, are closed, longest first, a quarter at most at once. A VM that has accepted none for 1.5 s is not ready.

--- a/src/celerystack/gateway/frontend.py
+++ b/src/celerystack/gateway/frontend.py
@@ -127,6 +127,11 @@
         """Number of connections that are open or still have unsent bytes of an answer."""
         return len(self._factory.channels)
 
+    @property
+    def accepts_connections(self) -> bool:
+        """Whether new connections are accepted, or were until a moment ago."""
+        return self._factory.checks.accepts()
+
     def _on_request(self, request: callerhttp.CallerRequest) -> None:
         try:
             call = self._read_call(request)
--- a/src/celerystack/gateway/node.py
+++ b/src/celerystack/gateway/node.py
@@ -210,6 +210,8 @@
         """Return whether this VM should receive new connections."""
         if self.stopping or self._config is None or not self.store_watcher.servers_known:
             return False
+        if not self.frontend.accepts_connections:
+            return False
         known = self.coordinator.range_maps.by_service
         return all(service in known for service in self._sharded_services())
 
--- a/src/celerystack/requests/callerhttp.py
+++ b/src/celerystack/requests/callerhttp.py
@@ -281,6 +281,18 @@
         """Clock time in seconds since when the caller reads nothing; infinite if it need not."""
         return self._unread.since
 
+    @property
+    def silent_since(self) -> float:
+        """Clock time in seconds since when the caller owes the rest of a request; else infinite.
+
+        It is infinite also while earlier requests of the caller are answered.
+        """
+        is_in_body = not self.line_mode and not self._handlingRequest
+        is_incomplete = is_in_body or self._head_until is not None
+        if self.is_input_closed or self._pipeline or not is_incomplete:
+            return float("inf")
+        return self.received_at
+
     def abort_excessive(self, limit: caller_limits.Limit, reason: str) -> None:
         """Close the connection at once and return what it holds to the account."""
         self._unread.release()
--- a/src/celerystack/requests/connection_checks.py
+++ b/src/celerystack/requests/connection_checks.py
@@ -13,6 +13,13 @@
 
 CHECK_TASK = "the checks of callers' connections"
 CHECK_INTERVAL_S = 1.0
+SILENT_S = 1.0
+"""Time in seconds for which a caller may stop in the midst of a request while others wait for a
+connection."""
+ROOM_SHARE = 0.25
+"""Largest share of the connections that is closed at once to make room for others."""
+PAUSE_MAX_S = 1.5
+"""Time in seconds without a new connection after which a listener counts as full."""
 """Interval in seconds at which the progress of bodies, heads and responses is checked."""
 
 
@@ -27,6 +34,10 @@
     def unparsed_bytes(self) -> int:
         """Bytes that were received and not parsed."""
 
+    @property
+    def silent_since(self) -> float:
+        """Clock time in seconds since when the caller owes the rest of a request; else infinite."""
+
     def check_limits(self, now: float) -> None:
         """Close or reject what makes too little progress."""
 
@@ -51,6 +62,7 @@
         self._now = now
         self._timer: Any = None
         self._resume_accepting: Callable[[], None] | None = None
+        self._paused_since = float("inf")
         self.connections: set[Connection] = set()
 
     def free_connections(self, limits: caller_limits.Limits) -> int:
@@ -62,6 +74,8 @@
     def pause_accepting(self, resume: Callable[[], None]) -> None:
         """Call ``resume`` after the next close of a connection."""
         self._resume_accepting = resume
+        self._paused_since = self._now()
+        self._make_room_for_connections(self._paused_since)
         self._exceeded.note(
             caller_limits.Limit.CONNECTIONS, f"{len(self.connections)} connections are open"
         )
@@ -77,6 +91,7 @@
         self.connections.discard(connection)
         resume, self._resume_accepting = self._resume_accepting, None
         if resume is not None:
+            self._paused_since = float("inf")
             resume()
         if not self.connections and self._timer is not None:
             self._timer.cancel()
@@ -87,6 +102,25 @@
         now = self._now()
         for connection in list(self.connections):
             supervision.run_step(CHECK_TASK, functools.partial(connection.check_limits, now))
+        if self._resume_accepting is not None:
+            self._make_room_for_connections(now)
+
+    def accepts(self) -> bool:
+        """Return whether new connections are accepted, or were until a moment ago."""
+        return self._now() - self._paused_since < PAUSE_MAX_S
+
+    def _make_room_for_connections(self, now: float) -> None:
+        """Close connections whose callers have not gone on with a request, longest first.
+
+        Callers who stop just short of a body's end would else keep all others out.
+        """
+        silent = [one for one in self.connections if now - one.silent_since >= SILENT_S]
+        silent.sort(key=lambda one: one.silent_since)
+        for connection in silent[: max(1, int(len(self.connections) * ROOM_SHARE))]:
+            connection.abort_excessive(
+                caller_limits.Limit.CONNECTIONS,
+                "the caller does not go on with its request, and others wait",
+            )
 
     def make_room_for_responses(self) -> None:
         """Close connections whose callers do not read, longest first, while there is no room."""
