Step clocks of servers and write more forms of foreign entries in the soak

A server starts again with its clock 2.4 s ahead or behind, and another writer's entry names the service of the living server with a start that is later, equal or earlier. The forms of before are played by the other half of the selectors.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -20,6 +20,10 @@
 STORE_AWAY_S = 0.4
 FOREIGN_SERVICE = "metrics"
 """Service that no configuration names."""
+FOREIGN_STEPS_MS = (5_000, 0, -5_000, 1)
+"""Start times in another writer's entries, in milliseconds after that of the server they name."""
+CLOCK_STEPS_MS = (0, -2_400, 2_400)
+"""Steps of a server's clock between two of its starts, in milliseconds."""
 LINK_MODES = (proxy.Mode.DELAY, proxy.Mode.RESET, proxy.Mode.SILENT, proxy.Mode.ONE_WAY)
 KEYED_SERVICE, UNKEYED_SERVICE = "rota", "desk"
 
@@ -160,7 +164,8 @@
                     [self._link_by_server[self._select_server(event).server]], event, duration_s
                 )
             case schedule.Fault.SERVER_RESTART:
-                await self._restart_server(self._select_server(event), duration_s)
+                step_ms = CLOCK_STEPS_MS[event.selector // 11 % len(CLOCK_STEPS_MS)]
+                await self._restart_server(self._select_server(event), duration_s, step_ms)
             case schedule.Fault.SERVER_LEAVES:
                 await self._replace_server(self._select_server(event))
             case schedule.Fault.SERVER_ENTRY:
@@ -267,9 +272,9 @@
         for link in links:
             link.set_mode(proxy.Mode.OPEN)
 
-    def _add_server(self, service: str, name: str = "") -> None:
+    def _add_server(self, service: str, name: str = "", *, clock_step_ms: int = 0) -> None:
         name = name or f"{service}-{next(self._server_numbers)}"
-        server = self._range_cluster.add_server(name, service)
+        server = self._range_cluster.add_server(name, service, clock_step_ms=clock_step_ms)
         link = self._link_by_server.get(name)
         if link is None:
             link = self._link_by_server[name] = proxy.Proxy(server.http.address)
@@ -283,10 +288,13 @@
         self._checker.remove_server(server)
         await server.stop()
 
-    async def _restart_server(self, server: key_server.KeyServer, duration_s: float) -> None:
+    async def _restart_server(
+        self, server: key_server.KeyServer, duration_s: float, clock_step_ms: int
+    ) -> None:
+        """End a server and start it again, with its machine's clock set by a step."""
         await self._stop_server(server)
         await scripted_backend.sleep(duration_s)
-        self._add_server(server.service, server.server)
+        self._add_server(server.service, server.server, clock_step_ms=clock_step_ms)
 
     async def _replace_server(self, server: key_server.KeyServer) -> None:
         server.state = "draining"
@@ -303,10 +311,11 @@
         One at the address stays until the end of the run.
         """
         fields = json.loads(server.entry())
-        fields["born"] = int(time.time() * 1000)
-        if selector // 7 % 2:
+        fields["born"] += FOREIGN_STEPS_MS[selector // 56 % len(FOREIGN_STEPS_MS)]
+        is_like_its_own = bool(selector // 28 % 2)
+        if not is_like_its_own and selector // 7 % 2:
             fields["service"] = FOREIGN_SERVICE
-        else:
+        elif not is_like_its_own:
             fields["state"] = "exporting"
         key = server.server if selector // 14 % 2 else f"other-{selector}"
         self._range_cluster.store.put("servers", key, json.dumps(fields).encode())
--- a/standins/key_server.py
+++ b/standins/key_server.py
@@ -34,7 +34,14 @@
     """One process of a backend server, which ends with `stop`."""
 
     def __init__(
-        self, server: str, service: str, zone: str, *, run_s: float = 0.005, port: int = 0
+        self,
+        server: str,
+        service: str,
+        zone: str,
+        *,
+        run_s: float = 0.005,
+        port: int = 0,
+        clock_step_ms: int = 0,
     ) -> None:
         self.http = scripted_backend.FakeServer(port=port)
         self.http.handler = self._handle
@@ -42,7 +49,7 @@
         self.server = server
         self.service = service
         self.zone = zone
-        self.started_ms = int(time.time() * 1000)
+        self.started_ms = int(time.time() * 1000) + clock_step_ms
         self.sequence = 0
         self.state = "ready"
         self.run_s = run_s
