--- a/src/celerystack/ranges/coordinator.py
+++ b/src/celerystack/ranges/coordinator.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import functools
 import logging
@@ -10,7 +9,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
-from twisted.internet import defer, error, protocol
+from twisted.internet import defer
 from twisted.python import failure as failures
 
 from celerystack import errors, ids, supervision
@@ -26,6 +25,7 @@
 from celerystack.forwarding import owners
 from celerystack.limits import admission, crash_suspects, rate_limits
 from celerystack.ranges import (
+    datagram_port,
     leadership,
     leases,
     lessor,
@@ -38,6 +38,7 @@
     range_maps,
     registration,
     request_counts,
+    resignation,
 )
 
 _log = logging.getLogger(__name__)
@@ -75,40 +76,10 @@
 TICK_TASK = "the coordination"
 WORK_TASK = "the calls of the coordination to the store"
 ANNOUNCE_TASK = "the planner's heartbeats"
-ERRORS_TO_RESIGN = 5
-"""Number of unexpected errors in a row after which a planner gives up the leadership."""
-RESIGNED_S = 30.0
-"""Time in seconds for which it leaves the leadership to other entry VMs then."""
 ENTRY_VMS_ASSUMED = 50
 """Number of entry VMs assumed before the first heartbeat; high, to stay within shared limits."""
 
 
-class _Datagrams(protocol.DatagramProtocol):
-    """Passes datagrams to the coordinator."""
-
-    def __init__(self, received: Callable[[bytes, tuple[str, int]], None]) -> None:
-        self._on_datagram = received
-
-    def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:  # noqa: N802
-        """Pass on one datagram."""
-        self._on_datagram(datagram, addr)
-
-    def send(self, data: bytes, address: tuple[str, int]) -> None:
-        """Send one datagram; a failure counts as a lost datagram."""
-        try:
-            self.transport.write(data, address)
-        except OSError as caught:
-            _log.debug(
-                "failed to send a datagram: %s", caught, extra={"step": "fleet", "peer": address[0]}
-            )
-        except error.MessageLengthError:
-            _log.error(
-                "a datagram of %d bytes was too large to be sent",
-                len(data),
-                extra={"step": "fleet", "peer": address[0]},
-            )
-
-
 class Coordinator:
     """One entry VM's part in the ownership of keys, as planner or as follower.
 
@@ -198,7 +169,7 @@
             owns_queue=self._owns_queue,
             now=now,
         )
-        self._datagrams = _Datagrams(self._on_datagram)
+        self._datagrams = datagram_port.DatagramPort(self._on_datagram)
         sender = paced_sender.PacedSender(reactor, send=self._datagrams.send, link_mbps=link_mbps)
         self._map_distributor = map_distribution.MapDistributor(
             own=node,
@@ -236,8 +207,9 @@
         )
         self._entry_vm_count = ENTRY_VMS_ASSUMED
         self._busy = False
-        self._errors_by_task: collections.Counter[str] = collections.Counter()
-        self._resigned_until = float("-inf")
+        self._resignation = resignation.Resignation(
+            is_planner=lambda: self.leadership.held, release=self._release_leadership, now=now
+        )
         self._next_plan_at = 0.0
         self._next_heartbeat_at = 0.0
         self._nodes_read_at = float("-inf")
@@ -308,35 +280,16 @@
         if not self._busy:
             self._busy = True
             running = defer.Deferred.fromCoroutine(self._work())
-            running.addCallbacks(lambda _: self._note_success(WORK_TASK), self._note_work_error)
+            running.addCallbacks(
+                lambda _: self._resignation.note(WORK_TASK, succeeded=True), self._note_work_error
+            )
             running.addBoth(self._on_work_done)
 
     def _note_work_error(self, failure: failures.Failure) -> defer.Deferred[None]:
         supervision.record_error(WORK_TASK, failure)
-        self._note_error(WORK_TASK)
+        self._resignation.note(WORK_TASK, succeeded=False)
         return self._pause(supervision.RESTART_PAUSE_S)
 
-    def _note_success(self, task: str) -> None:
-        self._errors_by_task.pop(task, None)
-
-    def _note_error(self, task: str) -> None:
-        """Give up the leadership if this VM cannot act as planner, so that another one takes over.
-
-        The others would go on following a planner that renews its row but sends no heartbeats.
-        """
-        self._errors_by_task[task] += 1
-        if not self.leadership.held or self._errors_by_task[task] < ERRORS_TO_RESIGN:
-            return
-        self._errors_by_task.clear()
-        self._resigned_until = self._now() + RESIGNED_S
-        _log.critical(
-            "giving up the leadership after %d unexpected errors in %s",
-            ERRORS_TO_RESIGN,
-            task,
-            extra={"step": "planner"},
-        )
-        self._release_leadership()
-
     def _apply_evacuations(self) -> None:
         """Apply evacuations that have begun or ended, or have become binding."""
         self._directory.set_evacuations(
@@ -350,10 +303,8 @@
         """
         if not self.leadership.held:
             return
-        if supervision.run_step(ANNOUNCE_TASK, self._announce_now):
-            self._note_success(ANNOUNCE_TASK)
-        else:
-            self._note_error(ANNOUNCE_TASK)
+        succeeded = supervision.run_step(ANNOUNCE_TASK, self._announce_now)
+        self._resignation.note(ANNOUNCE_TASK, succeeded=succeeded)
 
     def _announce_now(self) -> None:
         now = self._now()
@@ -459,7 +410,7 @@
         now = self._now()
         if self._stopping or now - self._planner_heard_at < self._silence_limit_s:
             return
-        if now < self._resigned_until:
+        if self._resignation.is_in_force():
             await self._read_ranges()
             await self._pause(LEADER_WATCH_S)
             return
--- a/tests/ranges/test_coordinator.py
+++ b/tests/ranges/test_coordinator.py
@@ -10,7 +10,7 @@
 from celerystack import ids
 from celerystack.fleet import directory_sync, evacuations, messages, nodes, rows, servers
 from celerystack.forwarding import owners
-from celerystack.ranges import codec, coordinator, leadership, leases
+from celerystack.ranges import codec, coordinator, leadership, leases, resignation
 from tests.ranges import fakes
 from tests.ranges.test_leadership import result_of
 
@@ -380,10 +380,10 @@
         """Guards against followers of a planner that renews its row and says nothing."""
         self.run_for(1.0)
         self.coordinator._send_heartbeats = self.fail
-        self.run_for(coordinator.ERRORS_TO_RESIGN * 0.5 + 1.0)
+        self.run_for(resignation.ERRORS_TO_RESIGN * 0.5 + 1.0)
         self.assertFalse(self.is_planner)
         self.run_for(10.0)
         self.assertFalse(self.is_planner)
         del self.coordinator._send_heartbeats
-        self.run_for(coordinator.RESIGNED_S + LONG_S)
+        self.run_for(resignation.RESIGNED_S + LONG_S)
         self.assertTrue(self.is_planner)
