Keep what is known of a server when another writer's entry stood in between

What callers would see: a server that states that it leaves gets requests again after an entry with another start stood under its id for a moment; a proof of its end is lost in the same way. Found while reading the change of start times.

Cause: the record of an incarnation that comes back was made anew. Change: the earlier record is used again. The servers at an address, which the quarantine asks for, are collected once per version of the directory.

Test: test_what_is_known_of_an_incarnation_outlasts_the_entry_of_another, failed before.

--- a/src/celerystack/fleet/servers.py
+++ b/src/celerystack/fleet/servers.py
@@ -161,6 +161,8 @@
         self._reads: collections.deque[tuple[float, ids.RowVersion]] = collections.deque(
             maxlen=READS_KEPT
         )
+        self._present_ids_by_address: dict[str, set[ids.ServerId]] = {}
+        self._addresses_version = -1
         self._digest = 0
         self._digest_version = -1
         self._evacuated_zones: frozenset[ids.ZoneName] = frozenset()
@@ -308,13 +310,21 @@
         if self.successor(incarnation) is not None:
             return True
         entry = self.find_entry(incarnation)
-        return entry is not None and any(
-            record.entry.address == entry.address
-            and record.entry.server != incarnation.server
-            and record.present
-            for record in self.by_id.values()
+        return entry is not None and bool(
+            self._present_ids(entry.address).difference([incarnation.server])
         )
 
+    def _present_ids(self, address: str) -> set[ids.ServerId]:
+        """Return the servers registered at an address, which are collected once per version."""
+        if self._addresses_version != self.version:
+            self._addresses_version = self.version
+            self._present_ids_by_address = {}
+            for server, record in self.by_id.items():
+                if record.present:
+                    found = self._present_ids_by_address.setdefault(record.entry.address, set())
+                    found.add(server)
+        return self._present_ids_by_address.get(address, set())
+
     def successor(self, incarnation: model.ServerIncarnation) -> model.ServerIncarnation | None:
         """Return the current incarnation under the same id, or None if there is none or it ended.
 
@@ -488,14 +498,22 @@
         record.contender = entry
 
     def _replace(self, record: ServerRecord, entry: ServerEntry, now: float) -> None:
-        """Record another incarnation under the id of a known one."""
+        """Record another incarnation under the id of a known one.
+
+        If it has been there before, what was known of it still holds.
+        """
         replaced = self._replaced_by_id.setdefault(
             entry.server, collections.deque(maxlen=REPLACED_KEPT)
         )
+        before = next((old for old in replaced if old.entry.incarnation == entry.incarnation), None)
+        if before is not None:
+            replaced.remove(before)
         record.contender = None
         replaced.append(record)
+        self.by_id[entry.server] = before or _new_record(entry, now)
         self._record_change("server appeared with another start", entry)
-        self.by_id[entry.server] = _new_record(entry, now)
+        if before is not None:
+            self._update(entry, now, is_accepted=True)
 
     def _remove(self, server: ids.ServerId, now: float) -> None:
         self._unconfigured_by_id.pop(server, None)
--- a/tests/fleet/test_servers.py
+++ b/tests/fleet/test_servers.py
@@ -174,6 +174,17 @@
             self.assertFalse(self.directory.has_ended(entry.incarnation))
             self.assertEqual(entry, self.directory.find_entry(entry.incarnation))
 
+    def test_what_is_known_of_an_incarnation_outlasts_the_entry_of_another(self):
+        """Guards against requests to a server that leaves, and against a lost proof of an end,
+        because another writer's entry stood in between."""
+        self.directory.note_leaving(fakes.incarnation("a"))
+        self.directory.note_address_reused(fakes.incarnation("b"))
+        for started_ms in (9, 1):
+            entries = [fakes.entry(name, started_ms) for name in ("a", "b")]
+            self.directory.apply_changes(entries, [], 11.0, are_accepted=True)
+        self.assertEqual([], self.usable())
+        self.assertTrue(self.directory.has_ended(fakes.incarnation("b")))
+
     def test_entry_of_another_service_replaces_no_server(self):
         """Guards against requests of one service that reach a server of another one, because
         another writer's entry names its id."""
