Count leases for the incarnation that a grant names

Cause: the new planner does not know the address of the earlier life, so its leases have to end. Entry VMs counted leases per id, and the next life of the server was granted other keys all the time. Ruled out: a planner that does not ask (nobody answers for an unknown address), and entry VMs that do not report (they did, 5 s each time).

Change: leases are counted for the incarnation that a grant names. Per id was needed when the later incarnation took the earlier one's place as possible holder; since then the earlier one stays it, and every grant that names it counts.

--- a/src/celerystack/fleet/servers.py
+++ b/src/celerystack/fleet/servers.py
@@ -307,7 +307,8 @@
 
         It has the same id or the same address. This is no proof that the incarnation has ended.
         """
-        if self.successor(incarnation) is not None:
+        registered = self.by_id.get(incarnation.server)
+        if registered is not None and registered.entry.incarnation != incarnation:
             return True
         entry = self.find_entry(incarnation)
         return entry is not None and bool(
@@ -325,17 +326,6 @@
                     found.add(server)
         return self._present_ids_by_address.get(address, set())
 
-    def successor(self, incarnation: model.ServerIncarnation) -> model.ServerIncarnation | None:
-        """Return the current incarnation under the same id, or None if there is none or it ended.
-
-        It may be at work although its entry is missing.
-        """
-        record = self.by_id.get(incarnation.server)
-        if record is None or record.address_reused:
-            return None
-        current = record.entry.incarnation
-        return None if current == incarnation else current
-
     def note_address_reused(self, incarnation: model.ServerIncarnation) -> None:
         """Record that another server answered at the address of an incarnation."""
         record = self._find_any_record(incarnation)
--- a/src/celerystack/ranges/leases.py
+++ b/src/celerystack/ranges/leases.py
@@ -12,7 +12,7 @@
 
 import dataclasses
 
-from celerystack import ids
+from celerystack.ranges import model
 
 LEASE_S = 5.0
 """Lease time of one grant; outlasts the loss of the renewing entry VMs and a change of planner."""
@@ -54,26 +54,31 @@
 
     def __init__(self, *, started_at: float) -> None:
         self._earlier_process_ends_at = started_at + LEASE_BOUND_S
-        self._by_server: dict[ids.ServerId, _Lease] = {}
+        self._by_incarnation: dict[model.ServerIncarnation, _Lease] = {}
 
-    def grant_sent(self, server: ids.ServerId) -> None:
+    def grant_sent(self, incarnation: model.ServerIncarnation) -> None:
         """Record a grant that is about to be sent."""
-        self._by_server.setdefault(server, _Lease()).in_flight += 1
+        self._by_incarnation.setdefault(incarnation, _Lease()).in_flight += 1
 
-    def grant_ended(self, server: ids.ServerId, now: float, *, was_sent: bool) -> None:
+    def grant_ended(
+        self, incarnation: model.ServerIncarnation, now: float, *, was_sent: bool
+    ) -> None:
         """Record that a grant was answered or that its connection was aborted.
 
         No lease began if no byte of it was sent.
         """
-        lease = self._by_server[server]
+        lease = self._by_incarnation[incarnation]
         lease.in_flight -= 1
         if was_sent:
             lease.ends_at = max(lease.ends_at, now + LEASE_BOUND_S)
 
-    def remaining_s(self, server: ids.ServerId, now: float) -> float:
-        """Return the seconds until all leases that this VM granted to a server have ended."""
+    def remaining_s(self, incarnation: model.ServerIncarnation, now: float) -> float:
+        """Return the seconds until all leases that this VM granted to an incarnation have ended.
+
+        A later incarnation may have taken a grant; it counts for the one that it was meant for.
+        """
         ends_at = self._earlier_process_ends_at
-        lease = self._by_server.get(server)
+        lease = self._by_incarnation.get(incarnation)
         if lease is not None:
             ends_at = max(ends_at, lease.ends_at)
             if lease.in_flight:
@@ -83,12 +88,12 @@
     def forget_expired(self, now: float) -> None:
         """Drop the records of leases that have ended."""
         expired = [
-            server
-            for server, lease in self._by_server.items()
+            incarnation
+            for incarnation, lease in self._by_incarnation.items()
             if not lease.in_flight and lease.ends_at <= now
         ]
-        for server in expired:
-            del self._by_server[server]
+        for incarnation in expired:
+            del self._by_incarnation[incarnation]
 
 
 REGISTRATION_VALID_S = 8.0
--- a/src/celerystack/ranges/lessor.py
+++ b/src/celerystack/ranges/lessor.py
@@ -230,7 +230,7 @@
 
     def remaining_s(self, incarnation: model.ServerIncarnation) -> float:
         """Return the seconds until no lease of this VM can be in force at an incarnation."""
-        return self.leases.remaining_s(incarnation.server, self._now())
+        return self.leases.remaining_s(incarnation, self._now())
 
     def _is_lessor(self, record: servers.ServerRecord) -> bool:
         if record.entry.zone != self._zone:
@@ -256,7 +256,7 @@
     def _is_confirmed(
         self, incarnation: model.ServerIncarnation, record: servers.ServerRecord
     ) -> bool:
-        """Return whether a grant would reach this incarnation and not a successor.
+        """Return whether a grant would reach this incarnation and not another one.
 
         After a broken connection another incarnation may listen at the address, even under the same
         id. The incarnation is confirmed once its entry was renewed after the failure, or has stayed
@@ -327,7 +327,7 @@
         """Send one grant and return whether the server answered."""
         due_at_by_key = self._due_at_by_incarnation.setdefault(incarnation, {})
         is_first = all(token != segment.token for _, _, token in due_at_by_key)
-        self.leases.grant_sent(incarnation.server)
+        self.leases.grant_sent(incarnation)
         was_sent = True
         try:
             result = await self._port.grant(
@@ -342,7 +342,7 @@
             self._note_grant_failure(incarnation, segment, error)
             return False
         finally:
-            self.leases.grant_ended(incarnation.server, self._now(), was_sent=was_sent)
+            self.leases.grant_ended(incarnation, self._now(), was_sent=was_sent)
         if result is orders.GrantResult.OTHER_SERVER:
             self._failed_at_by_incarnation[incarnation] = self._now()
             self._directory.note_address_reused(incarnation)
--- a/src/celerystack/ranges/map_draft.py
+++ b/src/celerystack/ranges/map_draft.py
@@ -57,9 +57,6 @@
         The servers of the service that may be given keys.
     has_ended : callable
         Whether an incarnation has certainly ended.
-    successor : callable
-        The registered incarnation under the id of an ended one; None if there is none. An entry VM
-        that did not know of the restart may have granted it the keys of the ended incarnation.
     is_silent : callable
         Whether an incarnation does not answer orders, so that its keys can be granted to another
         server only when its leases have ended.
@@ -71,7 +68,6 @@
 
     candidates_by_incarnation: Mapping[model.ServerIncarnation, Candidate]
     has_ended: Callable[[model.ServerIncarnation], bool]
-    successor: Callable[[model.ServerIncarnation], model.ServerIncarnation | None]
     is_silent: Callable[[model.ServerIncarnation], bool]
     load: key_load.Snapshot
     keeps_keys: Callable[[model.ServerIncarnation], bool] = lambda _: False
@@ -186,14 +182,14 @@
     ) -> tuple[model.ServerIncarnation, ...]:
         """Return who may hold keys granted to ``incarnations``, other than ``owner``.
 
-        An ended incarnation is replaced by its successor, or dropped if there is none.
+        A process that took grants for an incarnation of before its own start is found by releasing
+        the keys of that incarnation, at the same address.
         """
-        holders: dict[model.ServerIncarnation, None] = {}
-        for incarnation in incarnations:
-            ended = self.service_state.has_ended(incarnation)
-            holder = self.service_state.successor(incarnation) if ended else incarnation
-            if holder is not None and holder != owner:
-                holders[holder] = None
+        holders = dict.fromkeys(
+            incarnation
+            for incarnation in incarnations
+            if incarnation != owner and not self.service_state.has_ended(incarnation)
+        )
         return tuple(holders)
 
     def utilization_limit(self) -> float:
--- a/src/celerystack/ranges/planner.py
+++ b/src/celerystack/ranges/planner.py
@@ -400,7 +400,6 @@
         return map_draft.ServiceState(
             candidates_by_incarnation=candidates,
             has_ended=self._directory.has_ended,
-            successor=self._directory.successor,
             is_silent=silent.__contains__,
             keeps_keys=self._keeps_keys,
             load=load.snapshot(now, keys=model.KEY_MAX + 1),
@@ -491,9 +490,7 @@
         if release is not None and release.handover is not None:
             return _Loss(_LossReason.RELEASED, release.handover)
         if self._directory.has_ended(incarnation):
-            # A successor may hold the keys; the next plan takes it as the possible holder instead.
-            has_successor = self._directory.successor(incarnation) is not None
-            return None if has_successor else _Loss(_LossReason.ENDED)
+            return _Loss(_LossReason.ENDED)
         version, committed_at = self._commit_by_token.get(
             (known.ranges.service, segment.token), (known.version, self._term_began_at)
         )
