Release the keys of a restarted server's own next life under their own tokens

Cause: since the earlier incarnation stays the possible holder, its keys are released at an address at which the next owner may listen. One order releases adjacent segments under the highest of their tokens, above that of the next owner's segment. Ruled out: a lost token of the store (none had come back).

Change: segments whose next owner listens at the address are released with an order each, under their own tokens.

Test: test_restarted_server_that_gets_its_keys_back_does_not_refuse_them, failed before (103 above 100).

--- a/src/celerystack/ranges/planner.py
+++ b/src/celerystack/ranges/planner.py
@@ -6,7 +6,7 @@
 import dataclasses
 import enum
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 from twisted.internet import defer
 
@@ -534,13 +534,29 @@
                     due_by_incarnation.setdefault(incarnation, []).append(segment)
                     address_by_incarnation[incarnation] = entry.address
         for incarnation, segments in due_by_incarnation.items():
-            for group in releases.group(segments):
-                self._start_release(
-                    service, group, incarnation, address_by_incarnation[incarnation]
-                )
+            address = address_by_incarnation[incarnation]
+            for group in self._release_groups(segments, address):
+                self._start_release(service, group, incarnation, address)
         for key in [k for k in self._releases if k[0] == service and k not in wanted]:
             del self._releases[key]
 
+    def _release_groups(
+        self, segments: list[model.Segment], address: str
+    ) -> Iterator[tuple[model.Segment, ...]]:
+        """Yield groups of segments that are released at an address with one order each.
+
+        The next owner may listen there too, after a restart. Its keys are released under their own
+        token, because it would refuse a grant below a joint one.
+        """
+        others: list[model.Segment] = []
+        for segment in segments:
+            owner = None if segment.owner is None else self._directory.find_entry(segment.owner)
+            if owner is not None and owner.address == address:
+                yield (segment,)
+            else:
+                others.append(segment)
+        yield from releases.group(others)
+
     def _start_release(
         self,
         service: ids.ServiceName,
--- a/tests/ranges/test_planner.py
+++ b/tests/ranges/test_planner.py
@@ -6,8 +6,9 @@
 from twisted.internet import task
 
 from celerystack import errors, ids
-from celerystack.fleet import messages, nodes, servers
+from celerystack.fleet import messages, nodes, rows, servers
 from celerystack.ranges import (
+    codec,
     leadership,
     leases,
     model,
@@ -297,6 +298,47 @@
         holders = {holder for segment in self.ranges().segments for holder in segment.pending}
         self.assertEqual({fakes.incarnation("a")}, holders)
 
+    def test_restarted_server_that_gets_its_keys_back_does_not_refuse_them(self):
+        """Guards against grants below the token of a release that the new process has answered for
+        the earlier one (seed 9106 of the soak)."""
+        restarted = fakes.entry("a", 2)
+        self.directory.apply_changes([restarted], [], self.clock.seconds())
+        self.store_moves_from("a", to=(restarted.incarnation, fakes.incarnation("b")))
+        self.planner = self.start_planner()
+        self.orders.released.clear()
+        self.tick()
+        released_at = [to for to, _ in self.orders.released]
+        self.assertEqual({restarted.address}, set(released_at))
+        for segment in self.ranges().owned_by(restarted.incarnation):
+            for _, released in self.orders.released:
+                if released.start <= segment.end and segment.start <= released.end:
+                    self.assertLessEqual(released.token, segment.token)
+
+    def store_moves_from(self, name, *, to):
+        """Store a map whose ranges move from one server to others in turn."""
+        width = (model.KEY_MAX + 1) // 16
+        segments = tuple(
+            model.Segment(
+                start=number * width,
+                end=(number + 1) * width - 1,
+                token=ids.Token(100 + number),
+                owner=to[number % len(to)],
+                pending=(fakes.incarnation(name),),
+                phase=model.Phase.MOVING,
+            )
+            for number in range(16)
+        )
+        ranges = model.RangeMap(service=fakes.SERVICE, next_token=ids.Token(200), segments=segments)
+        row_key = ids.RowKey(fakes.SERVICE)
+        _, version = self.store.rows[leadership.RANGES_TABLE, row_key]
+        condition = rows.Condition(
+            table=leadership.RANGES_TABLE, key=row_key, version=ids.RowVersion(version)
+        )
+        put = rows.Put(
+            table=leadership.RANGES_TABLE, key=row_key, value=codec.encode(ranges, self.store.era)
+        )
+        self.store.transact([condition], [put], [])
+
     def test_keys_of_a_restarted_server_are_free_when_its_leases_have_ended(self):
         """Guards against keys that stay unserved because a restarted server was lost again."""
         self.restart_before_the_release("a")
