Restore two checks of message sizes that were made smaller until they passed

Both faults are real ones of the new code: a VM's waits are left out for good if they alone exceed their share, and a random choice bounds nothing.

Change: both checks are back as tests of their own, beside the smaller ones. A module is imported in place of names.

No product source is changed.

--- a/tests/fleet/test_message_sizes.py
+++ b/tests/fleet/test_message_sizes.py
@@ -18,7 +18,7 @@
 from celerystack.peers import sync as peer_sync
 from celerystack.ranges import map_datagrams, model, range_maps
 from celerystack.store import ports
-from tests.fleet.test_messages import HEARTBEAT, REPORT
+from tests.fleet import test_messages
 from tests.ranges import fakes
 
 NAME_LENGTH = 200
@@ -48,7 +48,7 @@
     for number, vm in enumerate(names(VMS))
 ]
 LONGEST_REPORT = dataclasses.replace(
-    REPORT,
+    test_messages.REPORT,
     vm=name(0),
     zone=name(0),
     versions_by_service=dict.fromkeys(names(SERVICES), 2**60),
@@ -65,7 +65,7 @@
     refused_tokens_by_service=dict.fromkeys(names(SERVICES), (ids.Token(2**60),) * 20),
 )
 LONGEST_HEARTBEAT = dataclasses.replace(
-    HEARTBEAT,
+    test_messages.HEARTBEAT,
     vm=name(0),
     versions_by_service=dict.fromkeys(names(SERVICES), 2**60),
     pending=INCARNATIONS,
@@ -126,9 +126,24 @@
         """A shortened heartbeat has a part of each list, and the update that fits."""
         received = self.send(messages.encode(LONGEST_HEARTBEAT))
         self.assert_lists_are_parts(LONGEST_HEARTBEAT, received)
-        self.assertEqual(HEARTBEAT.update, received.update)
+        self.assertEqual(test_messages.HEARTBEAT.update, received.update)
         self.assertEqual(LONGEST_HEARTBEAT.queue_owners, received.queue_owners)
 
+    def test_waits_for_all_services(self):
+        """The waits of one entry VM for as many services as a configuration holds are told in part,
+        not left out for good."""
+        waits = dict.fromkeys(names(VMS), dict.fromkeys(names(SERVICES), 1 / 3))
+        heartbeat = dataclasses.replace(LONGEST_HEARTBEAT, queue_waits_by_vm=waits)
+        received = self.send(messages.encode(heartbeat))
+        self.assertNotEqual({}, received.queue_waits_by_vm)
+
+    def test_all_leaving_servers_are_told_within_a_bounded_number_of_reports(self):
+        """A list that never fits is told as a whole after some reports."""
+        told = set()
+        for _ in range(400):
+            told.update(self.send(messages.encode(LONGEST_REPORT)).leaving)
+        self.assertEqual(set(INCARNATIONS), told)
+
     def test_heartbeat_with_the_longest_update(self):
         """The lists of entry VMs and owners, and the update, leave room for the others."""
         zone_vms = names(VMS)
@@ -136,7 +151,7 @@
         entry = fakes.entry(name(0), STARTED_MS, zone=name(0))
         change = directory_sync.Change(entry=entry, present=True)
         count = directory_sync.READ_BYTES_MAX // change.size_bytes
-        update = dataclasses.replace(HEARTBEAT.update, changes=(change,) * count)
+        update = dataclasses.replace(test_messages.HEARTBEAT.update, changes=(change,) * count)
         heartbeat = dataclasses.replace(
             LONGEST_HEARTBEAT, zone_vms=tuple(zone_vms[:fitting]), update=update
         )
@@ -148,7 +163,7 @@
         """The receiver of a heartbeat without an update reads the servers from the store."""
         entry = fakes.entry(name(0), STARTED_MS, zone=name(0))
         change = directory_sync.Change(entry=entry, present=True)
-        update = dataclasses.replace(HEARTBEAT.update, changes=(change,) * 120)
+        update = dataclasses.replace(test_messages.HEARTBEAT.update, changes=(change,) * 120)
         heartbeat = dataclasses.replace(LONGEST_HEARTBEAT, update=update)
         received = self.send(messages.encode(heartbeat))
         self.assertIsNone(received.update)
